Settle the core headers, message formats and the build

Cause: an empty repository; every later part needs fixed interfaces. Before: nothing. Conclusion: the libraries can be built side by side over these headers.

--- /dev/null
+++ b/include/vanillalatch/base/address.h
@@ -0,0 +1,47 @@
+// An IPv4 address and UDP or TCP port.
+//
+//   SocketAddress a = SocketAddress::Parse("127.0.0.1:5683").value();
+//   a.ToString();  // "127.0.0.1:5683"
+#ifndef VANILLALATCH_BASE_ADDRESS_H_
+#define VANILLALATCH_BASE_ADDRESS_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "vanillalatch/base/result.h"
+
+namespace vanillalatch {
+
+struct SocketAddress {
+  std::uint32_t ip = 0;    // Host byte order.
+  std::uint16_t port = 0;  // Host byte order.
+
+  // Reads "A.B.C.D:PORT". Error: kInvalidArgument.
+  static Result<SocketAddress> Parse(std::string_view text);
+
+  std::string ToString() const;
+
+  // The address and port in one integer, for messages and hash keys.
+  constexpr std::uint64_t Packed() const {
+    return (std::uint64_t{ip} << 16) | port;
+  }
+  static constexpr SocketAddress FromPacked(std::uint64_t packed) {
+    return {static_cast<std::uint32_t>(packed >> 16),
+            static_cast<std::uint16_t>(packed)};
+  }
+
+  friend constexpr auto operator<=>(const SocketAddress&,
+                                    const SocketAddress&) = default;
+
+  template <typename H>
+  friend H AbslHashValue(H state, const SocketAddress& a) {
+    return H::combine(std::move(state), a.ip, a.port);
+  }
+};
+
+}  // namespace vanillalatch
+
+#endif  // VANILLALATCH_BASE_ADDRESS_H_
--- /dev/null
+++ b/include/vanillalatch/base/time.h
@@ -0,0 +1,29 @@
+// Time as the decision libraries see it: always passed in, never read.
+//
+//   TimePoint deadline = now + std::chrono::milliseconds(50);
+//   if (now >= deadline) ...
+#ifndef VANILLALATCH_BASE_TIME_H_
+#define VANILLALATCH_BASE_TIME_H_
+
+#include <chrono>
+
+namespace vanillalatch {
+
+// Tag of the timeline. It has no now(): the caller supplies the time.
+struct Timeline {
+  using rep = std::chrono::nanoseconds::rep;
+  using period = std::chrono::nanoseconds::period;
+  using duration = std::chrono::nanoseconds;
+  using time_point = std::chrono::time_point<Timeline>;
+  static constexpr bool is_steady = true;
+};
+
+using Duration = Timeline::duration;
+using TimePoint = Timeline::time_point;
+
+// Later than every time that occurs; "no deadline".
+inline constexpr TimePoint kNever = TimePoint::max();
+
+}  // namespace vanillalatch
+
+#endif  // VANILLALATCH_BASE_TIME_H_
--- /dev/null
+++ b/include/vanillalatch/membership/member_list.h
@@ -0,0 +1,81 @@
+// Failure detection and member updates inside one data centre: probing with
+// suspicion and incarnation numbers. Endpoint leases ride in the same
+// datagrams, and a byte budget bounds everything sent.
+//
+//   auto list = MemberList::Create(options, seed).value();
+//   list->OnTick(now, registry, out);
+//   list->OnMessage(now, from, message, registry, out);
+#ifndef VANILLALATCH_MEMBERSHIP_MEMBER_LIST_H_
+#define VANILLALATCH_MEMBERSHIP_MEMBER_LIST_H_
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "membership.pb.h"
+#include "vanillalatch/base/outbox.h"
+#include "vanillalatch/base/result.h"
+#include "vanillalatch/base/time.h"
+#include "vanillalatch/membership/member.h"
+
+namespace vanillalatch {
+
+// Supplies and takes the endpoint leases that ride along (the registry).
+class LeaseExchange {
+ public:
+  virtual ~LeaseExchange() = default;
+  // Adds updates to `message` while its size stays within `max_bytes`.
+  virtual void AppendLeases(TimePoint now, std::size_t max_bytes,
+                            pb::MembershipMessage& message) = 0;
+  // Adds every lease held, from `cursor` on, within `max_bytes`; returns the
+  // cursor to go on from, or 0 when done.
+  virtual std::size_t AppendAllLeases(TimePoint now, std::size_t cursor,
+                                      std::size_t max_bytes,
+                                      pb::MembershipMessage& message) = 0;
+  virtual void MergeLease(TimePoint now, const pb::LeaseUpdate& update) = 0;
+};
+
+struct MemberListOptions {
+  std::string name;  // Of this VM.
+  std::string data_center;
+  SocketAddress peer;                // This VM's peer socket.
+  std::vector<SocketAddress> seeds;  // Peer sockets to join through.
+  std::uint64_t incarnation = 1;     // Higher than at every earlier start.
+  Duration probe_interval = std::chrono::milliseconds(200);
+  Duration probe_timeout = std::chrono::milliseconds(80);
+  Duration suspicion_timeout = std::chrono::milliseconds(1000);
+  std::size_t bytes_per_second = 6000;  // Of everything this module sends.
+};
+
+class MemberList {
+ public:
+  // Error: kInvalidArgument for an empty name or intervals that are not
+  // positive.
+  static Result<std::unique_ptr<MemberList>> Create(MemberListOptions options,
+                                                    std::uint64_t seed);
+  virtual ~MemberList() = default;
+
+  virtual void OnMessage(TimePoint now, SocketAddress from, NodeId sender,
+                         const pb::MembershipMessage& message,
+                         LeaseExchange& leases, Outbox& out) = 0;
+  virtual void OnTick(TimePoint now, LeaseExchange& leases, Outbox& out) = 0;
+  // The earliest time at which OnTick() has something to do.
+  virtual TimePoint NextWake() const = 0;
+
+  // Announces that this VM is stopping; others stop handing work to it.
+  virtual void Leave(TimePoint now, LeaseExchange& leases, Outbox& out) = 0;
+
+  virtual NodeId self() const = 0;
+  // All known members, this VM included, ordered by id.
+  virtual std::span<const Member> members() const = 0;
+  // Grows whenever members() changes.
+  virtual std::uint64_t version() const = 0;
+  // Bytes handed to the outbox since the start.
+  virtual std::uint64_t bytes_sent() const = 0;
+};
+
+}  // namespace vanillalatch
+
+#endif  // VANILLALATCH_MEMBERSHIP_MEMBER_LIST_H_
--- /dev/null
+++ b/include/vanillalatch/registry/registry.h
@@ -0,0 +1,86 @@
+// Endpoints of backend servers: registrations, leases, leaving. Every entry
+// VM of a data centre holds the same registry, spread by membership.
+//
+//   Result<EndpointId> id = registry->Register(now, registration);
+//   for (const Endpoint& it : registry->EndpointsOf(service)) ...
+#ifndef VANILLALATCH_REGISTRY_REGISTRY_H_
+#define VANILLALATCH_REGISTRY_REGISTRY_H_
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+
+#include "membership.pb.h"
+#include "vanillalatch/base/address.h"
+#include "vanillalatch/base/result.h"
+#include "vanillalatch/base/strong.h"
+#include "vanillalatch/base/time.h"
+#include "vanillalatch/membership/member_list.h"
+
+namespace vanillalatch {
+
+enum class EndpointState : std::uint8_t { kReady, kLeaving, kGone };
+
+// One registered backend server of one service.
+struct Endpoint {
+  EndpointId id;
+  ServiceId service;
+  std::string name;
+  SocketAddress address;
+  std::uint32_t slots = 1;  // Requests that it runs at the same time.
+  EndpointState state = EndpointState::kReady;
+  TimePoint registered;            // Start of its cold-start ramp.
+  TimePoint expires;               // End of its lease.
+  std::uint32_t load_percent = 0;  // As it reports; a hint that may be wrong.
+  TimePoint load_reported;
+  std::uint64_t epoch = 0;
+  std::uint64_t version = 0;
+};
+
+// What a backend server announces (RFC 9176: ep, d, lt, base).
+struct Registration {
+  std::string name;
+  ServiceId service;
+  std::string data_center;
+  SocketAddress address;
+  std::uint32_t slots = 1;
+  std::uint32_t load_percent = 0;
+  Duration lifetime = std::chrono::seconds(10);
+  std::uint64_t epoch = 0;  // Grows at each start of the backend server.
+};
+
+struct RegistryOptions {
+  std::string data_center;
+  // How long a removed endpoint is remembered, so that late updates can't
+  // bring it back.
+  Duration tombstone = std::chrono::seconds(60);
+};
+
+class Registry : public LeaseExchange {
+ public:
+  static Result<std::unique_ptr<Registry>> Create(RegistryOptions options);
+
+  // Registers, or renews a lease that is held. Errors: kWrongDataCenter,
+  // kInvalidArgument (no slots, no name, lifetime out of 1 s to 1 day),
+  // kConflict (older than a registration that is known).
+  virtual Result<EndpointId> Register(TimePoint now,
+                                      const Registration& registration) = 0;
+  // The backend server leaves: nothing new is sent to it. Error: kNotFound.
+  virtual Result<EndpointId> BeginLeave(TimePoint now, EndpointId id) = 0;
+  // Drops leases that ran out. True if something changed.
+  virtual bool OnTick(TimePoint now) = 0;
+
+  // Endpoints of one service that are ready or leaving, ordered by id.
+  virtual std::span<const Endpoint> EndpointsOf(ServiceId service) const = 0;
+  // nullptr if it is unknown or gone.
+  virtual const Endpoint* Find(EndpointId id) const = 0;
+  // The endpoint that holds an address now; nullptr if there is none.
+  virtual const Endpoint* FindByAddress(SocketAddress address) const = 0;
+  // Grows whenever the endpoints of `service` change in more than a renewal.
+  virtual std::uint64_t VersionOf(ServiceId service) const = 0;
+};
+
+}  // namespace vanillalatch
+
+#endif  // VANILLALATCH_REGISTRY_REGISTRY_H_
--- /dev/null
+++ b/src/testing/test_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
