--- a/src/chart/chart.cc
+++ b/src/chart/chart.cc
@@ -51,7 +51,8 @@
       const std::size_t state = IndexOf(states, row.key());
       CheckKeys(row.value(), {"on", "final"});
       table.final_[state] = row.value().value("final", false);
-      for (const auto& it : row.value().value("on", Json::object()).items()) {
+      const Json transitions = row.value().value("on", Json::object());
+      for (const auto& it : transitions.items()) {
         used.insert(it.key());
         table.next_[state * events.size() + IndexOf(events, it.key())] =
             IndexOf(states, it.value().get<std::string>());
