Run fibers over epoll, and carry calls between gRPC and fibers

Cause: fibers that wait in the kernel would stop their whole thread, and gRPC calls back on threads of its own. Ruled out: a thread a socket (decisions would need locks), polling on a timer (a wake-up a millisecond in an idle process). Before: no shell. Conclusion: one thread a process decides, without a lock; gRPC's threads only carry.

--- /dev/null
+++ b/include/vanillalatch/rpc/control_service.h
@@ -0,0 +1,66 @@
+// The gRPC server of a control VM. Calls arrive on gRPC's threads and are put
+// into a mailbox; the control loop answers them through their Reply().
+//
+//   auto service = ControlService::Start(address, mailbox).value();
+//   ControlCall call;
+//   while (mailbox.pop(call) == boost::fibers::channel_op_status::success) ...
+#ifndef VANILLALATCH_RPC_CONTROL_SERVICE_H_
+#define VANILLALATCH_RPC_CONTROL_SERVICE_H_
+
+#include <grpcpp/grpcpp.h>
+
+#include <boost/fiber/buffered_channel.hpp>
+#include <memory>
+#include <variant>
+
+#include "control.grpc.pb.h"
+#include "vanillalatch/base/address.h"
+#include "vanillalatch/base/result.h"
+
+namespace vanillalatch {
+
+// One open call. The request stays valid until Reply().
+template <typename Request, typename Response>
+struct RpcCall {
+  const Request* request = nullptr;
+  Response* response = nullptr;
+  grpc::ServerUnaryReactor* reactor = nullptr;
+
+  // Answers the call; once only.
+  void Reply(const Response& answer) const {
+    *response = answer;
+    reactor->Finish(grpc::Status::OK);
+  }
+};
+
+using ApplyCall = RpcCall<pb::ApplyRequest, pb::ApplyReply>;
+using GetCall = RpcCall<pb::GetRequest, pb::GetReply>;
+using HistoryCall = RpcCall<pb::HistoryRequest, pb::HistoryReply>;
+using StatusCall = RpcCall<pb::StatusRequest, pb::StatusReply>;
+using SyncCall = RpcCall<pb::SyncRequest, pb::SyncReply>;
+using StepCall = RpcCall<pb::ConsensusMessage, pb::StepReply>;
+
+using ControlCall = std::variant<std::monostate, ApplyCall, GetCall,
+                                 HistoryCall, StatusCall, SyncCall, StepCall>;
+using ControlMailbox = boost::fibers::buffered_channel<ControlCall>;
+
+using ExplainCall = RpcCall<pb::ExplainRequest, pb::ExplainReply>;
+using AdminMailbox = boost::fibers::buffered_channel<ExplainCall>;
+
+// A running gRPC server; stops when it is destroyed.
+class RpcServer {
+ public:
+  virtual ~RpcServer() = default;
+  // Refuses new calls and ends those still open.
+  virtual void Stop() = 0;
+};
+
+// Errors: kInvalidArgument if the address can't be served.
+Result<std::unique_ptr<RpcServer>> StartControlService(SocketAddress listen,
+                                                       ControlMailbox& mailbox);
+Result<std::unique_ptr<RpcServer>> StartAdminService(SocketAddress listen,
+                                                     AdminMailbox& mailbox);
+
+}  // namespace vanillalatch
+
+#endif  // VANILLALATCH_RPC_CONTROL_SERVICE_H_
--- /dev/null
+++ b/src/rpc/control_client.cc
@@ -0,0 +1,93 @@
+#include "vanillalatch/rpc/control_client.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <atomic>
+#include <boost/fiber/future.hpp>
+#include <chrono>
+#include <utility>
+
+namespace vanillalatch {
+namespace {
+
+constexpr int kReconnectMinMs = 100;
+constexpr int kReconnectMaxMs = 500;
+constexpr int kMaxOpenSends = 32;
+constexpr std::chrono::milliseconds kSendTimeout{1000};
+
+}  // namespace
+
+std::shared_ptr<grpc::Channel> OpenChannel(const std::string& address) {
+  grpc::ChannelArguments arguments;
+  arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, kReconnectMinMs);
+  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kReconnectMinMs);
+  arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kReconnectMaxMs);
+  arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+  return grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(),
+                                   arguments);
+}
+
+struct ControlClient::Peer {
+  std::unique_ptr<pb::Control::Stub> stub;
+  std::atomic<int> open_sends{0};
+};
+
+// Peers are shared with open calls, which may outlive the client.
+struct ControlClient::State {
+  absl::flat_hash_map<std::string, std::shared_ptr<Peer>> peers;
+};
+
+ControlClient::ControlClient() : state_(std::make_unique<State>()) {}
+ControlClient::~ControlClient() = default;
+
+ControlClient::Peer& ControlClient::PeerAt(const std::string& address) {
+  std::shared_ptr<Peer>& peer = state_->peers[address];
+  if (peer == nullptr) {
+    peer = std::make_shared<Peer>();
+    peer->stub = pb::Control::NewStub(OpenChannel(address));
+  }
+  return *peer;
+}
+
+void ControlClient::Send(const std::string& address,
+                         const pb::ConsensusMessage& message) {
+  if (PeerAt(address).open_sends.fetch_add(1) >= kMaxOpenSends) {
+    PeerAt(address).open_sends.fetch_sub(1);
+    return;
+  }
+  struct OpenSend {
+    std::shared_ptr<Peer> peer;
+    grpc::ClientContext context;
+    pb::ConsensusMessage message;
+    pb::StepReply reply;
+  };
+  auto send = std::make_shared<OpenSend>();
+  send->peer = state_->peers[address];
+  send->message = message;
+  send->context.set_deadline(std::chrono::system_clock::now() + kSendTimeout);
+  send->peer->stub->async()->Step(
+      &send->context, &send->message, &send->reply,
+      [send](const grpc::Status&) { send->peer->open_sends.fetch_sub(1); });
+}
+
+std::optional<pb::SyncReply> ControlClient::Sync(const std::string& address,
+                                                 const pb::SyncRequest& request,
+                                                 Duration timeout) {
+  grpc::ClientContext context;
+  context.set_deadline(std::chrono::system_clock::now() + timeout);
+  pb::SyncReply reply;
+  // Shared: gRPC's thread may still be inside set_value() when the fiber goes
+  // on.
+  auto answered = std::make_shared<boost::fibers::promise<bool>>();
+  boost::fibers::future<bool> result = answered->get_future();
+  PeerAt(address).stub->async()->Sync(&context, &request, &reply,
+                                      [answered](const grpc::Status& status) {
+                                        answered->set_value(status.ok());
+                                      });
+  if (!result.get()) {
+    return std::nullopt;
+  }
+  return reply;
+}
+
+}  // namespace vanillalatch
--- /dev/null
+++ b/src/runtime/entry_shell.cc
@@ -0,0 +1,205 @@
+#include "src/runtime/entry_shell.h"
+
+#include <algorithm>
+#include <charconv>
+#include <random>
+#include <utility>
+
+#include "vanillalatch/base/hop.h"
+
+namespace vanillalatch {
+namespace {
+
+constexpr std::size_t kMailboxCalls = 64;  // A power of two.
+// Longer than a control VM holds a call that has nothing newer.
+constexpr Duration kSyncTimeout = std::chrono::milliseconds(2500);
+constexpr Duration kSyncPause = std::chrono::milliseconds(100);
+constexpr Duration kStopPoll = std::chrono::milliseconds(20);
+// Stops with the announcement on its way to every member.
+constexpr Duration kFarewell = std::chrono::milliseconds(100);
+
+EntryOptions OptionsFrom(const Settings& settings, std::int64_t unix_epoch_ms) {
+  EntryOptions options;
+  options.membership.name = settings.vm;
+  options.membership.data_center = settings.data_center;
+  options.membership.peer = settings.entry->peer;
+  options.membership.seeds = settings.entry->seeds;
+  options.membership.incarnation = static_cast<std::uint64_t>(
+      unix_epoch_ms + std::chrono::duration_cast<std::chrono::milliseconds>(
+                          Now().time_since_epoch())
+                          .count());
+  options.unix_epoch_ms = unix_epoch_ms;
+  options.backend_timeout = settings.entry->backend_timeout;
+  options.drain_limit = settings.entry->drain_limit;
+  return options;
+}
+
+// The subject of a hop as operators read it.
+std::string SubjectText(const Hop& hop) {
+  switch (hop.event) {
+    case HopEvent::kReceived:
+      return SocketAddress::FromPacked(hop.subject).ToString();
+    case HopEvent::kRefused:
+    case HopEvent::kGivenUp:
+      return std::string(AnswerFor(static_cast<ErrorKind>(hop.subject)).name);
+    default:
+      return std::to_string(hop.subject);
+  }
+}
+
+}  // namespace
+
+Result<std::unique_ptr<EntryShell>> EntryShell::Create(
+    const Settings& settings) {
+  std::vector<UdpSocket> sockets;
+  for (const SocketAddress& it :
+       {settings.entry->listen, settings.entry->backend,
+        settings.entry->peer}) {
+    Result<UdpSocket> socket = UdpSocket::Bind(it);
+    if (!socket.ok()) {
+      return socket.error();
+    }
+    sockets.push_back(std::move(*socket));
+  }
+  const std::int64_t unix_epoch_ms = UnixEpochMs();
+  Result<std::unique_ptr<EntryNode>> node = EntryNode::Create(
+      OptionsFrom(settings, unix_epoch_ms), Now(), std::random_device()());
+  if (!node.ok()) {
+    return node.error();
+  }
+  std::unique_ptr<EntryShell> shell(
+      new EntryShell(settings, std::move(sockets), std::move(*node)));
+  Result<std::unique_ptr<RpcServer>> server =
+      StartAdminService(settings.entry->admin, shell->mailbox_);
+  if (!server.ok()) {
+    return server.error();
+  }
+  shell->server_ = std::move(*server);
+  return shell;
+}
+
+EntryShell::EntryShell(const Settings& settings, std::vector<UdpSocket> sockets,
+                       std::unique_ptr<EntryNode> node)
+    : sockets_(std::move(sockets)),
+      node_(std::move(node)),
+      admin_address_(settings.entry->admin.ToString()),
+      unix_epoch_ms_(UnixEpochMs()),
+      vm_(settings.vm),
+      mailbox_(kMailboxCalls),
+      last_quorum_(Now()) {
+  for (const SocketAddress& it : settings.entry->control) {
+    control_addresses_.push_back(it.ToString());
+  }
+}
+
+void EntryShell::Start(Reactor& reactor) {
+  for (const SocketRole it :
+       {SocketRole::kCaller, SocketRole::kBackend, SocketRole::kPeer}) {
+    FdWaiter& waiter =
+        reactor.Watch(sockets_[static_cast<std::size_t>(it)].fd());
+    fibers_.emplace_back([this, it, &waiter] { ServeSocket(it, waiter); });
+  }
+  fibers_.emplace_back([this] { RunTimer(); });
+  fibers_.emplace_back([this] { SyncCatalog(); });
+  fibers_.emplace_back([this] { ServeAdmin(); });
+  for (boost::fibers::fiber& it : fibers_) {
+    it.detach();
+  }
+}
+
+void EntryShell::Stop() {
+  node_->BeginStop(Now(), out_);
+  Flush();
+  while (!node_->Stopped(Now())) {
+    boost::this_fiber::sleep_for(kStopPoll);
+  }
+  boost::this_fiber::sleep_for(kFarewell);
+  stopped_ = true;
+  server_->Stop();
+}
+
+Duration EntryShell::catalog_age() const { return Now() - last_quorum_; }
+
+void EntryShell::ServeSocket(SocketRole role, FdWaiter& waiter) {
+  UdpSocket& socket = sockets_[static_cast<std::size_t>(role)];
+  while (!stopped_) {
+    waiter.WaitReadable();
+    std::size_t n = 0;
+    do {
+      const TimePoint now = Now();
+      n = socket.Receive([&](SocketAddress from, ByteSpan bytes) {
+        node_->OnDatagram(now, {role, from, bytes}, out_);
+      });
+      Flush();
+      boost::this_fiber::yield();
+    } while (n > 0);
+  }
+}
+
+void EntryShell::RunTimer() {
+  while (!stopped_) {
+    wakeup_.SleepUntil(node_->NextWake());
+    node_->OnTick(Now(), out_);
+    Flush();
+  }
+}
+
+void EntryShell::SyncCatalog() {
+  std::size_t n = std::random_device()();
+  while (!stopped_) {
+    if (!SyncOnce(control_addresses_[n % control_addresses_.size()])) {
+      ++n;
+      boost::this_fiber::sleep_for(kSyncPause);
+    }
+  }
+}
+
+bool EntryShell::SyncOnce(const std::string& address) {
+  pb::SyncRequest request = node_->Report(Now());
+  request.set_admin_address(admin_address_);
+  const std::optional<pb::SyncReply> reply =
+      client_.Sync(address, request, kSyncTimeout);
+  if (!reply) {
+    return false;
+  }
+  if (reply->has_catalog()) {
+    node_->OnCatalog(Now(), reply->catalog(), out_);
+    Flush();
+  }
+  if (reply->from_quorum()) {
+    last_quorum_ = Now();
+  }
+  return reply->from_quorum();
+}
+
+void EntryShell::ServeAdmin() {
+  ExplainCall call;
+  while (mailbox_.pop(call) == boost::fibers::channel_op_status::success) {
+    const std::string& text = call.request->request_id();
+    std::uint64_t id = 0;
+    std::from_chars(text.data(), text.data() + text.size(), id, 16);
+    pb::ExplainReply reply;
+    for (const Hop& it : node_->HopsOf(RequestId(id))) {
+      pb::Hop& hop = *reply.add_hops();
+      hop.set_vm(vm_);
+      hop.set_unix_us(unix_epoch_ms_ * 1000 +
+                      it.at.time_since_epoch().count() / 1000);
+      hop.set_event(std::string(HopEventName(it.event)));
+      hop.set_subject(SubjectText(it));
+    }
+    call.Reply(reply);
+  }
+}
+
+void EntryShell::Flush() {
+  for (const Outbox::Item& it : out_.items()) {
+    sockets_[static_cast<std::size_t>(it.socket)].Queue(it.to, out_.Bytes(it));
+  }
+  for (UdpSocket& it : sockets_) {
+    it.Flush();
+  }
+  out_.Clear();
+  wakeup_.BringForward(node_->NextWake());
+}
+
+}  // namespace vanillalatch
--- /dev/null
+++ b/src/runtime/entry_shell.h
@@ -0,0 +1,69 @@
+// Runs an EntryNode: its three sockets, its timer, its link to the control
+// VMs and the Admin service.
+#ifndef VANILLALATCH_SRC_RUNTIME_ENTRY_SHELL_H_
+#define VANILLALATCH_SRC_RUNTIME_ENTRY_SHELL_H_
+
+#include <array>
+#include <memory>
+#include <vector>
+
+#include "src/runtime/udp_socket.h"
+#include "src/runtime/wakeup.h"
+#include "vanillalatch/entry/entry_node.h"
+#include "vanillalatch/rpc/control_client.h"
+#include "vanillalatch/rpc/control_service.h"
+#include "vanillalatch/runtime/reactor.h"
+#include "vanillalatch/settings/settings.h"
+
+namespace vanillalatch {
+
+class EntryShell {
+ public:
+  // Errors: those of UdpSocket::Bind(), EntryNode::Create() and
+  // StartAdminService().
+  static Result<std::unique_ptr<EntryShell>> Create(const Settings& settings);
+
+  void Start(Reactor& reactor);
+  // Planned stop; suspends the calling fiber until open requests have ended.
+  void Stop();
+
+  const EntryNode& node() const { return *node_; }
+  // Hops since the last call, for the trace file.
+  std::vector<Hop> TakeHops() { return node_->TakeHops(); }
+  // Since the last answer of a control VM that has a quorum.
+  Duration catalog_age() const;
+
+ private:
+  static constexpr std::size_t kSockets = 3;  // By SocketRole.
+
+  EntryShell(const Settings& settings, std::vector<UdpSocket> sockets,
+             std::unique_ptr<EntryNode> node);
+
+  void ServeSocket(SocketRole role, FdWaiter& waiter);
+  void RunTimer();
+  void SyncCatalog();
+  void ServeAdmin();
+  // One call to a control VM. False if it failed.
+  bool SyncOnce(const std::string& address);
+  // Sends what the node decided.
+  void Flush();
+
+  std::vector<UdpSocket> sockets_;
+  std::unique_ptr<EntryNode> node_;
+  std::vector<std::string> control_addresses_;
+  std::string admin_address_;
+  std::int64_t unix_epoch_ms_;
+  std::string vm_;
+  Outbox out_;
+  Wakeup wakeup_;
+  ControlClient client_;
+  AdminMailbox mailbox_;
+  std::unique_ptr<RpcServer> server_;
+  std::vector<boost::fibers::fiber> fibers_;
+  TimePoint last_quorum_{};
+  bool stopped_ = false;
+};
+
+}  // namespace vanillalatch
+
+#endif  // VANILLALATCH_SRC_RUNTIME_ENTRY_SHELL_H_
