Read settings and catalog files strictly, with line and key

The parser of the JSON library gives no positions to its event handler. A reader that counts lines while the parser pulls characters does, so comments, numbers and strings stay the library's work. A second pass over the text was ruled out: it would be a second parser.

A catalog file names no draining VMs: they are operations, not targets, and a file applied later must not undo a drain.

--- a/include/vanillalatch/catalog/catalog_file.h
+++ b/include/vanillalatch/catalog/catalog_file.h
@@ -21,9 +21,10 @@
 
 namespace vanillalatch {
 
-// Reads a catalog file into a change with services and draining_vms set; the
-// caller adds change id, base revision and author. Error: kInvalidArgument
-// with "FILE:LINE: key: what was expected".
+// Reads a catalog file into a change with services set; the caller adds change
+// id, base revision, author, and the draining VMs, which no file names: they
+// are changed by `ctl drain` and `ctl undrain`. Error: kInvalidArgument with
+// "FILE:LINE: key: what was expected".
 Result<pb::Change> ParseCatalogFile(std::string_view file_name,
                                     std::string_view text);
 
--- /dev/null
+++ b/src/catalog/catalog_file_difference.cc
@@ -0,0 +1,137 @@
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "src/catalog/catalog_text.h"
+#include "vanillalatch/catalog/catalog_file.h"
+#include "vanillalatch/jsonc/document.h"
+
+namespace vanillalatch {
+namespace internal {
+
+std::string LatencyText(const pb::ClassTarget& target) {
+  return FormatDuration(std::chrono::milliseconds(target.latency_ms()));
+}
+
+std::string SuccessText(const pb::ClassTarget& target) {
+  const std::uint32_t permille = target.success_permille();
+  std::string text = std::to_string(permille / 10);
+  if (permille % 10 != 0) {
+    text += "." + std::to_string(permille % 10);
+  }
+  return text + "%";
+}
+
+std::string ShareText(const pb::ClassTarget& target) {
+  return std::to_string(target.share_percent()) + "%";
+}
+
+std::string PathsText(const pb::ClassTarget& target) {
+  std::string text;
+  for (const std::string& it : target.path_prefixes()) {
+    text += (text.empty() ? "" : ", ") + it;
+  }
+  return text.empty() ? "all others" : text;
+}
+
+std::string WorkText(const pb::Service& service) {
+  return service.work() == pb::WORK_SESSIONS ? "sessions" : "requests";
+}
+
+}  // namespace internal
+
+namespace {
+
+using Lines = std::vector<std::string>;
+
+template <typename List>
+const typename List::value_type* FindByName(const List& list,
+                                            const std::string& name) {
+  const auto it =
+      std::find_if(list.begin(), list.end(),
+                   [&name](const auto& row) { return row.name() == name; });
+  return it == list.end() ? nullptr : &*it;
+}
+
+void AddField(const std::string& subject, std::string_view field,
+              const std::string& before, const std::string& after,
+              Lines& lines) {
+  if (before != after) {
+    lines.push_back(subject + ": " + std::string(field) + " " + before +
+                    " -> " + after);
+  }
+}
+
+void CompareClasses(const std::string& subject, const pb::ClassTarget& before,
+                    const pb::ClassTarget& after, Lines& lines) {
+  using namespace internal;
+  AddField(subject, "paths", PathsText(before), PathsText(after), lines);
+  AddField(subject, "latency", LatencyText(before), LatencyText(after), lines);
+  AddField(subject, "success", SuccessText(before), SuccessText(after), lines);
+  AddField(subject, "share", ShareText(before), ShareText(after), lines);
+}
+
+void CompareServices(const std::string& subject, const pb::Service& before,
+                     const pb::Service& after, Lines& lines) {
+  AddField(subject, "work", internal::WorkText(before),
+           internal::WorkText(after), lines);
+  for (const pb::ClassTarget& it : after.classes()) {
+    const std::string class_subject = subject + ": class " + it.name();
+    const pb::ClassTarget* old = FindByName(before.classes(), it.name());
+    if (old == nullptr) {
+      lines.push_back(
+          class_subject + ": new, latency " + internal::LatencyText(it) +
+          ", success " + internal::SuccessText(it) + ", share " +
+          internal::ShareText(it) + ", paths " + internal::PathsText(it));
+    } else {
+      CompareClasses(class_subject, *old, it, lines);
+    }
+  }
+  for (const pb::ClassTarget& it : before.classes()) {
+    if (FindByName(after.classes(), it.name()) == nullptr) {
+      lines.push_back(subject + ": class " + it.name() + ": deleted");
+    }
+  }
+}
+
+template <typename List>
+bool Contains(const List& list, const std::string& name) {
+  return std::find(list.begin(), list.end(), name) != list.end();
+}
+
+}  // namespace
+
+std::vector<std::string> DescribeDifference(const pb::Catalog& current,
+                                            const pb::Change& change) {
+  Lines lines;
+  for (const pb::Service& it : change.services()) {
+    const std::string subject = "service " + it.name();
+    const pb::Service* old = FindByName(current.services(), it.name());
+    if (old != nullptr) {
+      CompareServices(subject, *old, it, lines);
+      continue;
+    }
+    lines.push_back(subject + ": new, work " + internal::WorkText(it));
+    pb::Service without_classes = it;
+    without_classes.clear_classes();
+    CompareServices(subject, without_classes, it, lines);
+  }
+  for (const pb::Service& it : current.services()) {
+    if (FindByName(change.services(), it.name()) == nullptr) {
+      lines.push_back("service " + it.name() + ": deleted");
+    }
+  }
+  for (const std::string& it : change.draining_vms()) {
+    if (!Contains(current.draining_vms(), it)) {
+      lines.push_back("VM " + it + ": drained");
+    }
+  }
+  for (const std::string& it : current.draining_vms()) {
+    if (!Contains(change.draining_vms(), it)) {
+      lines.push_back("VM " + it + ": no longer drained");
+    }
+  }
+  return lines;
+}
+
+}  // namespace vanillalatch
--- /dev/null
+++ b/src/jsonc/tree_builder.cc
@@ -0,0 +1,122 @@
+#include "src/jsonc/tree_builder.h"
+
+#include <limits>
+#include <utility>
+
+namespace vanillalatch::internal {
+
+using Type = JsonValue::Type;
+
+void JsonTreeBuilder::FailHere(const std::string& what) const {
+  throw Error(ErrorKind::kInvalidArgument,
+              *file_ + ":" + std::to_string(lines_.line()) + ": " + what);
+}
+
+JsonValue& JsonTreeBuilder::Add(Type type, std::string text) {
+  JsonValue value;
+  value.type_ = type;
+  value.line_ = lines_.line();
+  value.file_ = file_;
+  value.text_ = std::move(text);
+  if (open_.empty()) {
+    root_ = std::move(value);
+    return root_;
+  }
+  JsonValue& parent = *open_.back();
+  if (parent.type_ == Type::kArray) {
+    value.path_ =
+        parent.path_ + "[" + std::to_string(parent.children_.size()) + "]";
+  } else {
+    value.path_ =
+        parent.path_.empty() ? next_key_ : parent.path_ + "." + next_key_;
+    value.key_ = std::move(next_key_);
+  }
+  parent.children_.push_back(std::move(value));
+  return parent.children_.back();
+}
+
+bool JsonTreeBuilder::Open(Type type) {
+  open_.push_back(&Add(type, type == Type::kArray ? "an array" : "an object"));
+  return true;
+}
+
+bool JsonTreeBuilder::null() {
+  Add(Type::kNull, "null");
+  return true;
+}
+
+bool JsonTreeBuilder::boolean(bool value) {
+  Add(Type::kBool, value ? "true" : "false");
+  return true;
+}
+
+bool JsonTreeBuilder::number_integer(Json::number_integer_t value) {
+  Add(Type::kInteger, std::to_string(value)).integer_ = value;
+  return true;
+}
+
+bool JsonTreeBuilder::number_unsigned(Json::number_unsigned_t value) {
+  if (value >
+      static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max())) {
+    Add(Type::kDecimal, std::to_string(value));
+    return true;
+  }
+  return number_integer(static_cast<std::int64_t>(value));
+}
+
+bool JsonTreeBuilder::number_float(Json::number_float_t value,
+                                   const std::string& literal) {
+  Add(Type::kDecimal, literal);
+  return true;
+}
+
+bool JsonTreeBuilder::string(std::string& value) {
+  Add(Type::kString, value);
+  return true;
+}
+
+bool JsonTreeBuilder::binary(Json::binary_t& value) {
+  FailHere("binary data is not expected");
+}
+
+bool JsonTreeBuilder::start_object(std::size_t size) {
+  return Open(Type::kObject);
+}
+
+bool JsonTreeBuilder::key(std::string& value) {
+  const JsonValue& parent = *open_.back();
+  if (parent.Find(value) != nullptr) {
+    const std::string path =
+        parent.path_.empty() ? value : parent.path_ + "." + value;
+    FailHere(path + ": expected each key once, got it twice");
+  }
+  next_key_ = value;
+  return true;
+}
+
+bool JsonTreeBuilder::end_object() {
+  open_.pop_back();
+  return true;
+}
+
+bool JsonTreeBuilder::start_array(std::size_t size) {
+  return Open(Type::kArray);
+}
+
+bool JsonTreeBuilder::end_array() {
+  open_.pop_back();
+  return true;
+}
+
+bool JsonTreeBuilder::parse_error(std::size_t position,
+                                  const std::string& token,
+                                  const Json::exception& e) {
+  std::string text = e.what();
+  const std::size_t details = text.find("syntax error");
+  if (details != std::string::npos) {
+    text = text.substr(details);
+  }
+  FailHere("expected JSON with comments, got a " + text);
+}
+
+}  // namespace vanillalatch::internal
--- /dev/null
+++ b/src/settings/settings.cc
@@ -0,0 +1,196 @@
+#include "vanillalatch/settings/settings.h"
+
+#include <map>
+#include <set>
+#include <utility>
+
+#include "vanillalatch/jsonc/document.h"
+
+namespace vanillalatch {
+namespace {
+
+constexpr Duration kMinDrainLimit = std::chrono::milliseconds(100);
+constexpr Duration kMaxDrainLimit = std::chrono::minutes(10);
+constexpr Duration kMinBackendTimeout = std::chrono::milliseconds(10);
+constexpr Duration kMaxBackendTimeout = std::chrono::minutes(2);
+
+enum class Transport : std::uint8_t { kUdp, kTcp };
+
+// The sockets that this process opens; each address may be given out once.
+class OwnSockets {
+ public:
+  SocketAddress Take(const JsonValue& value, Transport transport) {
+    const SocketAddress address = value.Address();
+    const auto [it, added] =
+        taken_.try_emplace({transport, address}, value.path());
+    if (!added) {
+      value.Fail("an address that " + it->second + " does not use already");
+    }
+    return address;
+  }
+
+ private:
+  std::map<std::pair<Transport, SocketAddress>, std::string> taken_;
+};
+
+std::vector<SocketAddress> ReadAddresses(const JsonValue& list) {
+  std::set<SocketAddress> seen;
+  std::vector<SocketAddress> addresses;
+  for (const JsonValue& it : list.Items()) {
+    const SocketAddress address = it.Address();
+    if (!seen.insert(address).second) {
+      it.Fail("each address once");
+    }
+    addresses.push_back(address);
+  }
+  return addresses;
+}
+
+EntrySettings ReadEntry(const JsonValue& value, OwnSockets& sockets) {
+  value.CheckKeys({"listen", "backend", "peer", "admin", "seeds", "control",
+                   "drain_limit", "backend_timeout"});
+  EntrySettings entry;
+  entry.listen = sockets.Take(value.At("listen"), Transport::kUdp);
+  entry.backend = sockets.Take(value.At("backend"), Transport::kUdp);
+  entry.peer = sockets.Take(value.At("peer"), Transport::kUdp);
+  entry.admin = sockets.Take(value.At("admin"), Transport::kTcp);
+  if (const JsonValue* it = value.Find("seeds")) {
+    entry.seeds = ReadAddresses(*it);
+  }
+  entry.control = ReadAddresses(value.At("control"));
+  if (entry.control.empty()) {
+    value.At("control").Fail("at least one control VM's address");
+  }
+  if (const JsonValue* it = value.Find("drain_limit")) {
+    entry.drain_limit = it->Time(kMinDrainLimit, kMaxDrainLimit);
+  }
+  if (const JsonValue* it = value.Find("backend_timeout")) {
+    entry.backend_timeout = it->Time(kMinBackendTimeout, kMaxBackendTimeout);
+  }
+  return entry;
+}
+
+ControlVoter ReadVoter(const JsonValue& value) {
+  value.CheckKeys({"vm", "address", "data_center"});
+  return {value.At("vm").Name(), value.At("address").Address(),
+          value.At("data_center").Name()};
+}
+
+std::vector<ControlVoter> ReadVoters(const JsonValue& list) {
+  std::set<std::string> names;
+  std::set<SocketAddress> addresses;
+  std::vector<ControlVoter> voters;
+  for (const JsonValue& it : list.Items()) {
+    const ControlVoter voter = ReadVoter(it);
+    if (!names.insert(voter.vm).second) {
+      it.At("vm").Fail("each voter's name once");
+    }
+    if (!addresses.insert(voter.address).second) {
+      it.At("address").Fail("each voter's address once");
+    }
+    voters.push_back(voter);
+  }
+  if (voters.empty()) {
+    list.Fail("at least one voter");
+  }
+  return voters;
+}
+
+// If this VM is among the voters, it must stand there as it is set up here.
+void CheckOwnVoter(const JsonValue& list, const Settings& settings) {
+  for (std::size_t i = 0; i < settings.control->voters.size(); ++i) {
+    const ControlVoter& voter = settings.control->voters[i];
+    const JsonValue& value = list.Items()[i];
+    if (voter.vm != settings.vm) {
+      if (voter.address == settings.control->listen) {
+        value.At("address").Fail("another address than this VM's \"listen\"");
+      }
+      continue;
+    }
+    if (voter.address != settings.control->listen) {
+      value.At("address").Fail("the address of this VM's \"listen\", \"" +
+                               settings.control->listen.ToString() + "\"");
+    }
+    if (voter.data_center != settings.data_center) {
+      value.At("data_center")
+          .Fail("the data centre of this VM, \"" + settings.data_center + "\"");
+    }
+  }
+}
+
+ControlSettings ReadControl(const JsonValue& value, OwnSockets& sockets) {
+  value.CheckKeys({"listen", "data_folder", "voters"});
+  ControlSettings control;
+  control.listen = sockets.Take(value.At("listen"), Transport::kTcp);
+  control.data_folder = value.At("data_folder").Text();
+  if (control.data_folder.empty()) {
+    value.At("data_folder").Fail("the path of a folder");
+  }
+  control.voters = ReadVoters(value.At("voters"));
+  return control;
+}
+
+void ReadLog(const JsonValue& value, Settings& settings) {
+  value.CheckKeys({"level", "file"});
+  if (const JsonValue* it = value.Find("level")) {
+    it->Choice({"trace", "debug", "info", "warn", "error"});
+    settings.log_level = it->Text();
+  }
+  if (const JsonValue* it = value.Find("file")) {
+    settings.log_file = it->Text();
+  }
+}
+
+Settings ReadRoot(const JsonValue& root) {
+  root.CheckKeys({"vm", "data_center", "entry", "control", "log", "trace_file",
+                  "metrics"});
+  Settings settings;
+  OwnSockets sockets;
+  settings.vm = root.At("vm").Name();
+  settings.data_center = root.At("data_center").Name();
+  if (const JsonValue* it = root.Find("entry")) {
+    settings.entry = ReadEntry(*it, sockets);
+  }
+  if (const JsonValue* it = root.Find("control")) {
+    settings.control = ReadControl(*it, sockets);
+    CheckOwnVoter(it->At("voters"), settings);
+  }
+  if (!settings.entry && !settings.control) {
+    root.Fail("\"entry\", \"control\" or both");
+  }
+  if (const JsonValue* it = root.Find("log")) {
+    ReadLog(*it, settings);
+  }
+  if (const JsonValue* it = root.Find("trace_file")) {
+    settings.trace_file = it->Text();
+  }
+  if (const JsonValue* it = root.Find("metrics")) {
+    settings.metrics = sockets.Take(*it, Transport::kTcp);
+  }
+  return settings;
+}
+
+}  // namespace
+
+Result<Settings> ParseSettings(std::string_view file_name,
+                               std::string_view text) {
+  const Result<JsonDocument> file = JsonDocument::Parse(file_name, text);
+  if (!file.ok()) {
+    return file.error();
+  }
+  try {
+    return ReadRoot(file->root());
+  } catch (const Error& e) {
+    return e;
+  }
+}
+
+Result<Settings> ReadSettings(const std::string& path) {
+  const Result<std::string> text = ReadWholeFile(path);
+  if (!text.ok()) {
+    return text.error();
+  }
+  return ParseSettings(path, *text);
+}
+
+}  // namespace vanillalatch
