Probe the members of a data centre and hold its endpoint leases

MemberList: probing with indirect probes, suspicion, refutation, byte budget. Registry: registration, renewal, leaving, expiry and merging of leases; lease ages and digests ride in the probes.

--- a/include/vanillalatch/membership/member_list.h
+++ b/include/vanillalatch/membership/member_list.h
@@ -22,19 +22,36 @@
 
 namespace vanillalatch {
 
+// Which of the buckets of leases a message is about: bit n for bucket n.
+using BucketMask = std::uint32_t;
+
 // Supplies and takes the endpoint leases that ride along (the registry).
+// `max_bytes` bounds the size of the whole message.
 class LeaseExchange {
  public:
   virtual ~LeaseExchange() = default;
-  // Adds updates to `message` while its size stays within `max_bytes`.
-  virtual void AppendLeases(TimePoint now, std::size_t max_bytes,
+  // Adds changes that have been added fewer than `sends` times.
+  virtual void AppendLeases(TimePoint now, std::size_t sends,
+                            std::size_t max_bytes,
                             pb::MembershipMessage& message) = 0;
-  // Adds every lease held, from `cursor` on, within `max_bytes`; returns the
-  // cursor to go on from, or 0 when done.
-  virtual std::size_t AppendAllLeases(TimePoint now, std::size_t cursor,
-                                      std::size_t max_bytes,
-                                      pb::MembershipMessage& message) = 0;
+  // Adds the digests and renewal ages of the buckets in `mask`.
+  virtual void AppendDigests(TimePoint now, BucketMask mask,
+                             std::size_t max_bytes,
+                             pb::MembershipMessage& message) = 0;
+  // Adds the leases of one bucket from `cursor` on; returns the cursor to go
+  // on from, or 0 when done.
+  virtual std::size_t AppendBucket(TimePoint now, std::size_t bucket,
+                                   std::size_t cursor, std::size_t max_bytes,
+                                   pb::MembershipMessage& message) = 0;
   virtual void MergeLease(TimePoint now, const pb::LeaseUpdate& update) = 0;
+  // Takes renewal ages from buckets that are equal here; returns those that
+  // differ and are to be sent to the other side.
+  virtual BucketMask MergeDigests(TimePoint now,
+                                  const pb::MembershipMessage& message) = 0;
+  // True if a change waits that has hardly been sent yet.
+  virtual bool HasNews() const = 0;
+  // This VM heard from a peer, or has none to hear from.
+  virtual void OnContact(TimePoint now) = 0;
 };
 
 struct MemberListOptions {
@@ -46,13 +63,18 @@
   Duration probe_interval = std::chrono::milliseconds(200);
   Duration probe_timeout = std::chrono::milliseconds(80);
   Duration suspicion_timeout = std::chrono::milliseconds(1000);
-  std::size_t bytes_per_second = 6000;  // Of everything this module sends.
+  // Of everything this module sends in any one second, with 28 bytes of IP
+  // and UDP header a datagram. At least 3000.
+  std::size_t bytes_per_second = 6000;
+  // A VM that keeps dying and returning takes no work (kLeaving) until it has
+  // stayed up for this long.
+  Duration flap_hold = std::chrono::seconds(10);
 };
 
 class MemberList {
  public:
-  // Error: kInvalidArgument for an empty name or intervals that are not
-  // positive.
+  // Error: kInvalidArgument for an empty name or data centre, intervals that
+  // are not positive, or a budget below 3000 bytes a second.
   static Result<std::unique_ptr<MemberList>> Create(MemberListOptions options,
                                                     std::uint64_t seed);
   virtual ~MemberList() = default;
@@ -72,7 +94,7 @@
   virtual std::span<const Member> members() const = 0;
   // Grows whenever members() changes.
   virtual std::uint64_t version() const = 0;
-  // Bytes handed to the outbox since the start.
+  // Bytes handed to the outbox since the start, without headers.
   virtual std::uint64_t bytes_sent() const = 0;
 };
 
--- a/include/vanillalatch/registry/registry.h
+++ b/include/vanillalatch/registry/registry.h
@@ -1,5 +1,6 @@
 // Endpoints of backend servers: registrations, leases, leaving. Every entry
-// VM of a data centre holds the same registry, spread by membership.
+// VM of a data centre holds the same registry, spread by membership. Pointers
+// and spans are valid until the next call that is not const.
 //
 //   Result<EndpointId> id = registry->Register(now, registration);
 //   for (const Endpoint& it : registry->EndpointsOf(service)) ...
@@ -36,6 +37,8 @@
   TimePoint load_reported;
   std::uint64_t epoch = 0;
   std::uint64_t version = 0;
+
+  friend bool operator==(const Endpoint&, const Endpoint&) = default;
 };
 
 // What a backend server announces (RFC 9176: ep, d, lt, base).
@@ -55,6 +58,11 @@
   // How long a removed endpoint is remembered, so that late updates can't
   // bring it back.
   Duration tombstone = std::chrono::seconds(60);
+  // A VM that hears from no peer for this long may have missed that an
+  // endpoint leaves. Until it is in touch again it shows as kLeaving every
+  // endpoint that did not renew at this VM itself within first_hand_bound.
+  Duration doubt_after = std::chrono::milliseconds(1000);
+  Duration first_hand_bound = std::chrono::milliseconds(1800);
 };
 
 class Registry : public LeaseExchange {
@@ -63,12 +71,14 @@
 
   // Registers, or renews a lease that is held. Errors: kWrongDataCenter,
   // kInvalidArgument (no slots, no name, lifetime out of 1 s to 1 day),
-  // kConflict (older than a registration that is known).
+  // kConflict (removed, older than a registration that is known, or with
+  // another address than before: start again with a higher epoch).
   virtual Result<EndpointId> Register(TimePoint now,
                                       const Registration& registration) = 0;
   // The backend server leaves: nothing new is sent to it. Error: kNotFound.
   virtual Result<EndpointId> BeginLeave(TimePoint now, EndpointId id) = 0;
-  // Drops leases that ran out. True if something changed.
+  // Drops leases that ran out and notices that peers fell silent. Call it
+  // before placing work after a pause. True if something changed.
   virtual bool OnTick(TimePoint now) = 0;
 
   // Endpoints of one service that are ready or leaving, ordered by id.
--- /dev/null
+++ b/src/membership/member_list.cc
@@ -0,0 +1,489 @@
+#include "vanillalatch/membership/member_list.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/membership/member_list_impl.h"
+#include "vanillalatch/base/hash.h"
+
+namespace vanillalatch {
+namespace internal {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kMinBytesPerSecond = 3000;
+constexpr std::size_t kIndirectProbes = 3;
+constexpr std::size_t kPushTargets = 2;
+constexpr std::size_t kLeaveTargets = 6;
+// News sent fewer times than this is pushed without waiting for a probe.
+constexpr std::size_t kPushSends = 2;
+constexpr Duration kPushInterval = milliseconds(50);
+constexpr Duration kSyncInterval = milliseconds(20);
+constexpr Duration kAskInterval = milliseconds(200);
+constexpr Duration kMembersSyncInterval = milliseconds(500);
+// A change of members has this long to spread by itself.
+constexpr Duration kSpreadTime = milliseconds(800);
+constexpr Duration kRelayLifetime = milliseconds(1000);
+// How often a joiner asks a seed, and a member tries one that is missing.
+constexpr Duration kJoinInterval = milliseconds(300);
+constexpr Duration kSeekInterval = milliseconds(1000);
+constexpr int kPauseIntervals = 5;
+constexpr int kDeafIntervals = 3;
+constexpr BucketMask kAllBuckets = ~BucketMask{0};
+
+BucketMask BucketsIn(const pb::MembershipMessage& message) {
+  BucketMask mask = 0;
+  for (const pb::LeaseBucket& it : message.buckets()) {
+    mask |= it.bucket() < 32 ? BucketMask{1} << it.bucket() : 0;
+  }
+  return mask;
+}
+
+}  // namespace
+
+MemberListImpl::MemberListImpl(MemberListOptions options, std::uint64_t seed)
+    : options_(std::move(options)),
+      rng_(seed),
+      table_(options_.suspicion_timeout),
+      budget_(options_.bytes_per_second),
+      sequence_(rng_() >> 40) {
+  self_ = {NodeId{StableHash(options_.name)}, options_.name, options_.peer,
+           MemberState::kAlive, options_.incarnation};
+  Changed();
+}
+
+void MemberListImpl::Start(TimePoint now) {
+  started_ = true;
+  last_heard_ = now;
+  next_probe_ = now + Duration(static_cast<std::int64_t>(
+                          rng_() % static_cast<std::uint64_t>(
+                                       options_.probe_interval.count())));
+  next_seek_ = now;
+  updates_.Push(self_.id, true);
+}
+
+void MemberListImpl::OnTick(TimePoint now, LeaseExchange& leases, Outbox& out) {
+  Event event{now, leases, out};
+  if (!started_) {
+    Start(now);
+  } else {
+    NoticePause(now);
+  }
+  last_tick_ = now;
+  if (table_.records().empty()) {
+    leases.OnContact(now);
+  }
+  EndFlapHold(event);
+  EndSuspicions(event);
+  StepProbe(event);
+  SeekMissing(event);
+  PushNews(event);
+  if (now >= next_sync_) {
+    next_sync_ = now + kSyncInterval;
+    SendSyncs(event);
+  }
+  std::erase_if(relays_,
+                [&](const auto& it) { return now >= it.second.expires; });
+}
+
+// After a pause, what this VM waited for is no sign that others failed.
+void MemberListImpl::NoticePause(TimePoint now) {
+  const Duration pause = now - last_tick_;
+  if (pause < kPauseIntervals * options_.probe_interval) {
+    return;
+  }
+  table_.Postpone(pause);
+  probe_.reset();
+  relays_.clear();
+  syncs_.clear();
+}
+
+TimePoint MemberListImpl::NextWake() const {
+  if (!started_) {
+    return TimePoint{};
+  }
+  TimePoint next = std::min({next_probe_, next_seek_, table_.NextConfirm()});
+  if (probe_ && !probe_->indirect && !probe_->acked) {
+    next = std::min(next, probe_->started + options_.probe_timeout);
+  }
+  if (!syncs_.empty()) {
+    next = std::min(next, next_sync_);
+  }
+  if (flap_hold_until_) {
+    next = std::min(next, *flap_hold_until_);
+  }
+  return std::min(next, std::max(next_push_, last_tick_ + kPushInterval));
+}
+
+void MemberListImpl::EndSuspicions(Event& event) {
+  const bool deaf = Deaf(event.now);
+  for (const NodeId& it : table_.OnTick(event.now)) {
+    if (!deaf) {
+      updates_.Push(it, false);
+    }
+    Changed();
+  }
+}
+
+void MemberListImpl::StepProbe(Event& event) {
+  if (probe_ && !probe_->acked && !probe_->indirect &&
+      event.now >= probe_->started + options_.probe_timeout) {
+    ProbeOtherWays(event);
+  }
+  if (event.now < next_probe_) {
+    return;
+  }
+  next_probe_ = std::max(next_probe_ + options_.probe_interval, event.now);
+  StartProbe(event);
+}
+
+void MemberListImpl::StartProbe(Event& event) {
+  std::optional<NodeId> target;
+  bool again = false;
+  if (probe_ && !probe_->acked) {
+    if (!probe_->again) {
+      target = probe_->target;
+      again = true;
+    } else if (table_.Suspect(event.now, probe_->target)) {
+      if (!Deaf(event.now)) {
+        updates_.Push(probe_->target, false);
+      }
+      Changed();
+    }
+  }
+  probe_.reset();
+  target = target ? target : NextTarget();
+  const MemberRecord* record = target ? table_.Find(*target) : nullptr;
+  if (record == nullptr) {
+    return;
+  }
+  const std::uint64_t sequence = ++sequence_;
+  if (SendPing(event, record->member, sequence)) {
+    probe_ = Probe{*target, sequence, event.now, false, again, false};
+  }
+}
+
+void MemberListImpl::ProbeOtherWays(Event& event) {
+  probe_->indirect = true;
+  const MemberRecord* record = table_.Find(probe_->target);
+  if (record == nullptr) {
+    return;
+  }
+  for (const Member* it : RandomLive(kIndirectProbes, probe_->target)) {
+    pb::MembershipMessage message =
+        NewMessage(pb::MembershipMessage::PING_REQUEST, probe_->sequence);
+    message.set_target(probe_->target.value());
+    message.set_target_address(record->member.peer.Packed());
+    Send(event, it->peer, std::move(message), 0);
+  }
+  SendPing(event, record->member, probe_->sequence);
+}
+
+std::optional<NodeId> MemberListImpl::NextTarget() {
+  for (int round = 0; round < 2; ++round) {
+    while (!order_.empty()) {
+      const NodeId id = order_.back();
+      order_.pop_back();
+      const MemberRecord* record = table_.Find(id);
+      if (record != nullptr && record->member.state != MemberState::kDead) {
+        return id;
+      }
+    }
+    for (const auto& [id, record] : table_.records()) {
+      order_.push_back(id);
+    }
+    std::shuffle(order_.begin(), order_.end(), rng_);
+  }
+  return std::nullopt;
+}
+
+// Tries members that died without leaving, and seeds that are no members.
+void MemberListImpl::SeekMissing(Event& event) {
+  if (event.now < next_seek_) {
+    return;
+  }
+  const bool alone = table_.LiveCount() == 0;
+  next_seek_ = event.now + (alone ? kJoinInterval : kSeekInterval);
+  std::vector<const Member*> missing;
+  for (const auto& [id, record] : table_.records()) {
+    if (record.member.state == MemberState::kDead && !record.left) {
+      missing.push_back(&record.member);
+    }
+  }
+  if (!missing.empty()) {
+    SendPing(event, *missing[rng_() % missing.size()], ++sequence_);
+  }
+  SeekSeed(event);
+}
+
+void MemberListImpl::SeekSeed(Event& event) {
+  if (options_.seeds.empty() || leaving_) {
+    return;
+  }
+  const SocketAddress seed =
+      options_.seeds[next_seed_++ % options_.seeds.size()];
+  const bool known =
+      std::any_of(view_.begin(), view_.end(), [&](const Member& it) {
+        return it.peer == seed && it.state != MemberState::kDead;
+      });
+  if (!known) {
+    AskForMembers(event, seed);
+  }
+}
+
+void MemberListImpl::AskForMembers(Event& event, SocketAddress to) {
+  pb::MembershipMessage message =
+      NewMessage(pb::MembershipMessage::JOIN, ++sequence_);
+  ToUpdate(self_, true, *message.add_members());
+  Send(event, to, std::move(message), 0);
+}
+
+void MemberListImpl::PushNews(Event& event) {
+  if (event.now < next_push_ ||
+      !(updates_.HasSentBelow(kPushSends) || event.leases.HasNews())) {
+    return;
+  }
+  next_push_ = event.now + kPushInterval;
+  for (const Member* it : RandomLive(kPushTargets, self_.id)) {
+    Send(event, it->peer, NewMessage(pb::MembershipMessage::STATE, ++sequence_),
+         0);
+  }
+}
+
+void MemberListImpl::EndFlapHold(Event& event) {
+  if (!flap_hold_until_ || event.now < *flap_hold_until_) {
+    return;
+  }
+  flap_hold_until_.reset();
+  if (!leaving_) {
+    self_.state = MemberState::kAlive;
+    ++self_.incarnation;
+    updates_.Push(self_.id, false);
+    Changed();
+  }
+}
+
+void MemberListImpl::Leave(TimePoint now, LeaseExchange& leases, Outbox& out) {
+  Event event{now, leases, out};
+  leaving_ = true;
+  self_.state = MemberState::kLeaving;
+  updates_.Push(self_.id, false);
+  Changed();
+  for (const Member* it : RandomLive(kLeaveTargets, self_.id)) {
+    Send(event, it->peer, NewMessage(pb::MembershipMessage::STATE, ++sequence_),
+         0);
+  }
+}
+
+void MemberListImpl::OnMessage(TimePoint now, SocketAddress from, NodeId sender,
+                               const pb::MembershipMessage& message,
+                               LeaseExchange& leases, Outbox& out) {
+  if (message.data_center() != options_.data_center || sender == self_.id) {
+    return;
+  }
+  Event event{now, leases, out};
+  if (!started_) {
+    Start(now);
+    last_tick_ = now;
+  }
+  last_heard_ = now;
+  MergeMembers(event, from, message);
+  leases.OnContact(now);
+  for (const pb::LeaseUpdate& it : message.leases()) {
+    leases.MergeLease(now, it);
+  }
+  if (table_.Find(sender) == nullptr) {
+    AskForMembers(event, from);
+  }
+  CompareDigests(event, from, sender, message);
+  switch (message.kind()) {
+    case pb::MembershipMessage::PING: {
+      pb::MembershipMessage ack =
+          NewMessage(pb::MembershipMessage::ACK, message.sequence());
+      ack.set_target(self_.id.value());
+      if (const MemberRecord* record = table_.Find(sender);
+          record != nullptr && record->member.state != MemberState::kAlive) {
+        ToUpdate(record->member, false, *ack.add_members());
+      }
+      Send(event, from, std::move(ack), BucketsIn(message));
+      break;
+    }
+    case pb::MembershipMessage::ACK:
+      OnAck(event, message);
+      break;
+    case pb::MembershipMessage::PING_REQUEST:
+      OnPingRequest(event, from, message);
+      break;
+    case pb::MembershipMessage::JOIN:
+      syncs_[sender] = Sync{from, kAllBuckets, 0, true, true, NodeId{}};
+      break;
+    default:
+      break;
+  }
+}
+
+void MemberListImpl::MergeMembers(Event& event, SocketAddress from,
+                                  const pb::MembershipMessage& message) {
+  bool changed = false;
+  bool unknown = false;
+  for (const pb::MemberUpdate& it : message.members()) {
+    if (it.id() == self_.id.value()) {
+      MergeSelf(event.now, it);
+      continue;
+    }
+    switch (table_.Merge(event.now, it)) {
+      case MemberTable::Outcome::kOld:
+        break;
+      case MemberTable::Outcome::kUnknown:
+        unknown = true;
+        break;
+      case MemberTable::Outcome::kNews:
+        updates_.Push(NodeId{it.id()}, false);
+        changed = true;
+        break;
+      case MemberTable::Outcome::kJoined:
+        updates_.Push(NodeId{it.id()}, true);
+        changed = true;
+        break;
+    }
+  }
+  if (changed) {
+    Changed();
+  }
+  if (unknown && event.now >= next_ask_) {
+    next_ask_ = event.now + kAskInterval;
+    AskForMembers(event, from);
+  }
+}
+
+// Claims about this VM: it refutes them by a higher incarnation. Others may
+// hold back a VM that flaps by calling it leaving; it accepts that for a time.
+void MemberListImpl::MergeSelf(TimePoint now, const pb::MemberUpdate& update) {
+  const auto claimed = static_cast<MemberState>(update.state());
+  if (update.incarnation() < self_.incarnation ||
+      (update.incarnation() == self_.incarnation &&
+       (claimed == self_.state || claimed == MemberState::kAlive))) {
+    return;
+  }
+  self_.incarnation = update.incarnation();
+  if (claimed == MemberState::kLeaving && !leaving_) {
+    self_.state = MemberState::kLeaving;
+    flap_hold_until_ = now + options_.flap_hold;
+  } else {
+    ++self_.incarnation;
+  }
+  updates_.Push(self_.id, false);
+  Changed();
+}
+
+void MemberListImpl::CompareDigests(Event& event, SocketAddress from,
+                                    NodeId sender,
+                                    const pb::MembershipMessage& message) {
+  const BucketMask differ = event.leases.MergeDigests(event.now, message);
+  const auto it = syncs_.find(sender);
+  if (it != syncs_.end()) {
+    it->second.buckets &= ~(BucketsIn(message) & ~differ);
+  }
+  const bool members_differ = message.members_digest() != MembersDigest() &&
+                              event.now - table_.changed_at() >= kSpreadTime &&
+                              event.now >= next_members_sync_;
+  if (differ == 0 && !members_differ) {
+    return;
+  }
+  Sync& sync = syncs_[sender];
+  sync.to = from;
+  sync.buckets |= differ;
+  if (members_differ && !sync.members) {
+    next_members_sync_ = event.now + kMembersSyncInterval;
+    sync.members = true;
+    sync.full = false;
+    sync.member_cursor = NodeId{};
+  }
+}
+
+void MemberListImpl::OnAck(Event& event, const pb::MembershipMessage& message) {
+  const NodeId target{message.target()};
+  if (probe_ && probe_->target == target) {
+    probe_->acked = true;
+  }
+  const auto it = relays_.find(message.sequence());
+  if (it == relays_.end() || it->second.target != target) {
+    return;
+  }
+  pb::MembershipMessage ack =
+      NewMessage(pb::MembershipMessage::ACK, it->second.sequence);
+  ack.set_target(target.value());
+  Send(event, it->second.requester, std::move(ack), 0);
+  relays_.erase(it);
+}
+
+void MemberListImpl::OnPingRequest(Event& event, SocketAddress from,
+                                   const pb::MembershipMessage& message) {
+  const std::uint64_t sequence = ++sequence_;
+  const NodeId target{message.target()};
+  const MemberRecord* record = table_.Find(target);
+  Member member;
+  if (record != nullptr) {
+    member = record->member;
+  }
+  member.id = target;
+  member.peer = SocketAddress::FromPacked(message.target_address());
+  relays_[sequence] =
+      Relay{from, message.sequence(), target, event.now + kRelayLifetime};
+  SendPing(event, member, sequence);
+}
+
+std::vector<const Member*> MemberListImpl::RandomLive(std::size_t count,
+                                                      NodeId except) {
+  std::vector<const Member*> live;
+  for (const auto& [id, record] : table_.records()) {
+    if (record.member.state != MemberState::kDead && id != except) {
+      live.push_back(&record.member);
+    }
+  }
+  std::shuffle(live.begin(), live.end(), rng_);
+  live.resize(std::min(live.size(), count));
+  return live;
+}
+
+bool MemberListImpl::Deaf(TimePoint now) const {
+  return now - last_heard_ > kDeafIntervals * options_.probe_interval;
+}
+
+void MemberListImpl::Changed() {
+  ++version_;
+  view_.clear();
+  view_.push_back(self_);
+  for (const auto& [id, record] : table_.records()) {
+    view_.push_back(record.member);
+  }
+  std::sort(view_.begin(), view_.end(),
+            [](const Member& a, const Member& b) { return a.id < b.id; });
+}
+
+}  // namespace internal
+
+Result<std::unique_ptr<MemberList>> MemberList::Create(
+    MemberListOptions options, std::uint64_t seed) {
+  if (options.name.empty() || options.data_center.empty()) {
+    return Error(ErrorKind::kInvalidArgument,
+                 "a member needs a name and a data centre");
+  }
+  if (options.probe_interval <= Duration::zero() ||
+      options.probe_timeout <= Duration::zero() ||
+      options.suspicion_timeout <= Duration::zero() ||
+      options.probe_timeout >= options.probe_interval) {
+    return Error(ErrorKind::kInvalidArgument,
+                 "probe timeout, probe interval and suspicion timeout must be "
+                 "positive, the first below the second");
+  }
+  if (options.bytes_per_second < internal::kMinBytesPerSecond) {
+    return Error(ErrorKind::kInvalidArgument,
+                 "the budget must be at least 3000 bytes a second");
+  }
+  return std::unique_ptr<MemberList>(
+      std::make_unique<internal::MemberListImpl>(std::move(options), seed));
+}
+
+}  // namespace vanillalatch
--- /dev/null
+++ b/src/registry/lease.cc
@@ -0,0 +1,129 @@
+#include "src/registry/lease.h"
+
+#include <algorithm>
+#include <string>
+
+#include "charts/charts.h"
+#include "vanillalatch/base/hash.h"
+#include "vanillalatch/chart/chart.h"
+
+namespace vanillalatch::internal {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+using LeaseChart = Chart<LeaseState, LeaseEvent>;
+
+constexpr int kAgeSteps = 250;
+// A renewal counts as news if it is this share of the lifetime younger.
+constexpr int kNewsShare = 16;
+
+const LeaseChart& TheChart() {
+  static const LeaseChart kChart =
+      LeaseChart::Create(charts::kEndpoint,
+                         {"ready", "leaving", "lapsed", "gone"},
+                         {"renew", "leave", "expire", "replace"})
+          .value();
+  return kChart;
+}
+
+std::uint32_t Milliseconds(Duration d) {
+  return static_cast<std::uint32_t>(
+      std::max<std::int64_t>(0, duration_cast<milliseconds>(d).count()));
+}
+
+}  // namespace
+
+EndpointId EndpointIdOf(ServiceId service, std::string_view name,
+                        std::uint64_t epoch) {
+  return EndpointId{
+      StableHash(StableHash(StableHash(name), service.value()), epoch)};
+}
+
+std::size_t BucketOf(EndpointId id) { return id.value() % kBuckets; }
+
+std::optional<LeaseState> NextLeaseState(LeaseState state, LeaseEvent event) {
+  return TheChart().Next(state, event);
+}
+
+bool Renew(Lease& lease, TimePoint renewed) {
+  if (renewed - lease.renewed <= lease.lifetime / kNewsShare) {
+    return false;
+  }
+  lease.renewed = renewed;
+  return true;
+}
+
+std::uint32_t DigestOf(const Lease& lease) {
+  const std::uint64_t state =
+      lease.endpoint.version * 2 + (lease.state == LeaseState::kLeaving);
+  return static_cast<std::uint32_t>(
+      StableHash(lease.endpoint.id.value(), state));
+}
+
+std::uint8_t AgeOf(const Lease& lease, TimePoint now) {
+  const Duration age = std::max(now - lease.renewed, Duration::zero());
+  const std::int64_t steps = age / (lease.lifetime / kAgeSteps) + 1;
+  return static_cast<std::uint8_t>(std::min<std::int64_t>(steps, 255));
+}
+
+TimePoint RenewedFromAge(const Lease& lease, std::uint8_t age, TimePoint now) {
+  return now - age * (lease.lifetime / kAgeSteps);
+}
+
+void ToUpdate(const Lease& lease, TimePoint now, pb::LeaseUpdate& update) {
+  const Endpoint& it = lease.endpoint;
+  update.set_id(it.id.value());
+  update.set_service_id(it.service.value());
+  update.set_name(it.name);
+  update.set_address(it.address.Packed());
+  update.set_slots(it.slots);
+  update.set_state(lease.state == LeaseState::kGone      ? pb::ENDPOINT_GONE
+                   : lease.state == LeaseState::kLeaving ? pb::ENDPOINT_LEAVING
+                                                         : pb::ENDPOINT_READY);
+  update.set_epoch(it.epoch);
+  update.set_version(it.version);
+  update.set_claim(lease.claim);
+  update.set_ttl_ms(Milliseconds(lease.expires() - now));
+  update.set_lifetime_ms(Milliseconds(lease.lifetime));
+  update.set_load_percent(it.load_percent);
+  update.set_age_ms(Milliseconds(now - it.registered));
+}
+
+std::optional<Lease> FromUpdate(const pb::LeaseUpdate& update, TimePoint now) {
+  Lease lease;
+  Endpoint& it = lease.endpoint;
+  it.service = ServiceId{update.service_id()};
+  it.id = EndpointIdOf(it.service, update.name(), update.epoch());
+  if (it.id.value() != update.id() || update.lifetime_ms() == 0 ||
+      update.slots() == 0 || update.ttl_ms() > update.lifetime_ms()) {
+    return std::nullopt;
+  }
+  it.name = update.name();
+  it.address = SocketAddress::FromPacked(update.address());
+  it.slots = update.slots();
+  it.epoch = update.epoch();
+  it.version = update.version();
+  it.registered = now - milliseconds(update.age_ms());
+  it.load_percent = update.load_percent();
+  lease.claim = update.claim();
+  lease.lifetime = milliseconds(update.lifetime_ms());
+  lease.renewed = now + milliseconds(update.ttl_ms()) - lease.lifetime;
+  lease.renewed_here = TimePoint::min();
+  lease.changed = now;
+  it.load_reported = lease.renewed;
+  switch (update.state()) {
+    case pb::ENDPOINT_LEAVING:
+      lease.state = LeaseState::kLeaving;
+      break;
+    case pb::ENDPOINT_GONE:
+      lease.state = LeaseState::kGone;
+      break;
+    default:
+      lease.state = LeaseState::kReady;
+  }
+  return lease;
+}
+
+}  // namespace vanillalatch::internal
--- /dev/null
+++ b/src/registry/lease_store.cc
@@ -0,0 +1,138 @@
+#include "src/registry/lease_store.h"
+
+#include <algorithm>
+
+namespace vanillalatch::internal {
+namespace {
+
+// True if the difference is more than a renewal.
+bool Differs(const Endpoint& a, const Endpoint& b) {
+  return a.state != b.state || a.version != b.version || a.slots != b.slots;
+}
+
+}  // namespace
+
+Lease* LeaseStore::Find(EndpointId id) {
+  const auto it = leases_.find(id);
+  return it == leases_.end() ? nullptr : &it->second;
+}
+
+Lease* LeaseStore::FindByAddress(SocketAddress address) {
+  const auto it = by_address_.find(address);
+  return it == by_address_.end() ? nullptr : Find(it->second);
+}
+
+Lease* LeaseStore::FindNewest(ServiceId service, const std::string& name) {
+  const auto it = by_name_.find(std::pair(service, name));
+  return it == by_name_.end() ? nullptr : Find(it->second);
+}
+
+Lease& LeaseStore::Insert(Lease lease) {
+  const Endpoint endpoint = lease.endpoint;
+  const bool live = lease.live();
+  const std::size_t bucket = BucketOf(endpoint.id);
+  std::vector<EndpointId>& ids = buckets_[bucket];
+  ids.insert(std::lower_bound(ids.begin(), ids.end(), endpoint.id),
+             endpoint.id);
+  changed_[bucket] = std::max(changed_[bucket], lease.changed);
+  if (live) {
+    by_address_[endpoint.address] = endpoint.id;
+  }
+  const Lease* newest = FindNewest(endpoint.service, endpoint.name);
+  if (newest == nullptr || newest->endpoint.epoch < endpoint.epoch) {
+    by_name_[std::pair(endpoint.service, endpoint.name)] = endpoint.id;
+  }
+  return leases_[endpoint.id] = std::move(lease);
+}
+
+void LeaseStore::Erase(EndpointId id) {
+  const auto it = leases_.find(id);
+  const Endpoint& endpoint = it->second.endpoint;
+  const auto name = by_name_.find(std::pair(endpoint.service, endpoint.name));
+  if (name != by_name_.end() && name->second == id) {
+    by_name_.erase(name);
+  }
+  std::vector<EndpointId>& ids = buckets_[BucketOf(id)];
+  ids.erase(std::lower_bound(ids.begin(), ids.end(), id));
+  leases_.erase(it);
+}
+
+bool LeaseStore::Apply(Lease& lease, LeaseEvent event, TimePoint now) {
+  const std::optional<LeaseState> next = NextLeaseState(lease.state, event);
+  if (!next) {
+    return false;
+  }
+  if (*next == lease.state) {
+    return true;
+  }
+  lease.state = *next;
+  lease.changed = now;
+  changed_[BucketOf(lease.endpoint.id)] = now;
+  const SocketAddress address = lease.endpoint.address;
+  const auto holder = by_address_.find(address);
+  if (lease.live()) {
+    by_address_[address] = lease.endpoint.id;
+  } else if (holder != by_address_.end() &&
+             holder->second == lease.endpoint.id) {
+    by_address_.erase(holder);
+  }
+  return true;
+}
+
+std::span<const Endpoint> LeaseStore::ViewOf(ServiceId service) const {
+  const auto it = views_.find(service);
+  return it == views_.end() ? std::span<const Endpoint>()
+                            : std::span<const Endpoint>(it->second.endpoints);
+}
+
+std::uint64_t LeaseStore::VersionOf(ServiceId service) const {
+  const auto it = views_.find(service);
+  return it == views_.end() ? 0 : it->second.version;
+}
+
+const Endpoint* LeaseStore::FindInView(EndpointId id) const {
+  const auto lease = leases_.find(id);
+  if (lease == leases_.end()) {
+    return nullptr;
+  }
+  const std::span<const Endpoint> view = ViewOf(lease->second.endpoint.service);
+  const auto it = std::lower_bound(
+      view.begin(), view.end(), id,
+      [](const Endpoint& a, EndpointId b) { return a.id < b; });
+  return it != view.end() && it->id == id ? &*it : nullptr;
+}
+
+EndpointId LeaseStore::AddressInView(SocketAddress address) const {
+  const auto it = by_address_.find(address);
+  return it == by_address_.end() ? EndpointId{} : it->second;
+}
+
+void LeaseStore::Show(const Lease& lease, bool doubted) {
+  View& view = views_[lease.endpoint.service];
+  std::vector<Endpoint>& all = view.endpoints;
+  const auto it = std::lower_bound(
+      all.begin(), all.end(), lease.endpoint.id,
+      [](const Endpoint& a, EndpointId b) { return a.id < b; });
+  const bool shown = it != all.end() && it->id == lease.endpoint.id;
+  if (!lease.live()) {
+    if (shown) {
+      all.erase(it);
+      ++view.version;
+    }
+    return;
+  }
+  Endpoint endpoint = lease.endpoint;
+  endpoint.expires = lease.expires();
+  endpoint.state = doubted || lease.state == LeaseState::kLeaving
+                       ? EndpointState::kLeaving
+                       : EndpointState::kReady;
+  if (!shown) {
+    all.insert(it, std::move(endpoint));
+    ++view.version;
+    return;
+  }
+  view.version += Differs(*it, endpoint) ? 1 : 0;
+  *it = std::move(endpoint);
+}
+
+}  // namespace vanillalatch::internal
