Serve a request end to end over several entry VMs

A caller's datagram goes from any entry VM to the service's dispatcher, to a backend server that registered itself, and back from the dispatcher. Between the VMs the duty to answer is handed on with acknowledgements; a second record is confirmed before a request that may not be repeated is sent. EntryNode gains open_requests().

--- a/include/vanillalatch/entry/entry_node.h
+++ b/include/vanillalatch/entry/entry_node.h
@@ -73,6 +73,8 @@
 
   virtual Revision revision() const = 0;
   virtual const EntryCounters& counters() const = 0;
+  // Requests that this VM has to answer or holds a second record of.
+  virtual std::size_t open_requests() const = 0;
   // The sync request to send to a control VM; admin_address is left empty.
   virtual pb::SyncRequest Report(TimePoint now) const = 0;
   // The hops recorded for one request, oldest first.
--- /dev/null
+++ b/src/entry/entry_world_test.cc
@@ -0,0 +1,440 @@
+#include "src/entry/entry_world.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <tuple>
+#include <utility>
+
+#include "vanillalatch/base/hash.h"
+#include "vanillalatch/placement/rendezvous.h"
+
+namespace vanillalatch::internal {
+namespace {
+
+constexpr std::uint16_t kCallerPort = 5683;
+constexpr std::uint16_t kBackendPort = 5684;
+constexpr std::uint16_t kPeerPort = 7000;
+constexpr std::uint32_t kVmNet = 0x7f000000;  // 127.0.0.N
+// Times are Unix times from here on, in milliseconds.
+constexpr std::int64_t kUnixEpochMs = 1'700'000'000'000;
+
+SocketAddress VmAddress(std::size_t n, SocketRole role) {
+  const auto ip = kVmNet + 1 + static_cast<std::uint32_t>(n);
+  switch (role) {
+    case SocketRole::kCaller:
+      return {ip, kCallerPort};
+    case SocketRole::kBackend:
+      return {ip, kBackendPort};
+    default:
+      return {ip, kPeerPort};
+  }
+}
+
+std::string Seconds(TimePoint at) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%9.4f",
+                std::chrono::duration<double>(at.time_since_epoch()).count());
+  return text;
+}
+
+}  // namespace
+
+EntryWorld::EntryWorld(std::uint64_t seed)
+    : random_(seed),
+      seed_(seed),
+      now_(std::chrono::seconds(1)),
+      parser_(CoapParser::Create().value()) {
+  catalog_.set_revision(1);
+}
+
+void EntryWorld::Do(const scenario::Step& step) {
+  static const std::map<
+      std::string, void (EntryWorld::*)(const scenario::Step&), std::less<>>
+      kVerbs = {{"vms", &EntryWorld::Vms},
+                {"service", &EntryWorld::AddService},
+                {"delete", &EntryWorld::AddService},
+                {"backend", &EntryWorld::AddBackend},
+                {"set", &EntryWorld::BackendStep},
+                {"leave", &EntryWorld::BackendStep},
+                {"send", &EntryWorld::Send},
+                {"many", &EntryWorld::Many},
+                {"resend", &EntryWorld::Send},
+                {"cancel", &EntryWorld::Send},
+                {"kill", &EntryWorld::VmStep},
+                {"start", &EntryWorld::VmStep},
+                {"stop", &EntryWorld::VmStep},
+                {"freeze", &EntryWorld::VmStep},
+                {"thaw", &EntryWorld::VmStep},
+                {"drain", &EntryWorld::VmStep},
+                {"undrain", &EntryWorld::VmStep},
+                {"network", &EntryWorld::Network},
+                {"cut", &EntryWorld::Network},
+                {"heal", &EntryWorld::Network},
+                {"expect", &EntryWorld::Expect}};
+  if (step.verb == "run") {
+    RunFor(step.Time(0));
+    return;
+  }
+  const auto it = kVerbs.find(step.verb);
+  if (it == kVerbs.end()) {
+    throw scenario::Failure("no such verb: " + step.verb);
+  }
+  (this->*it->second)(step);
+}
+
+void EntryWorld::Vms(const scenario::Step& step) {
+  vms_.resize(step.Number(0));
+  for (std::size_t n = 0; n < vms_.size(); ++n) {
+    vms_[n].name = "vm-" + std::to_string(n + 1);
+    StartVm(n);
+  }
+}
+
+void EntryWorld::StartVm(std::size_t n) {
+  Vm& vm = vms_[n];
+  EntryOptions options;
+  options.membership.name = vm.name;
+  options.membership.data_center = "north";
+  options.membership.peer = VmAddress(n, SocketRole::kPeer);
+  options.membership.incarnation = vm.incarnation;
+  vm.incarnation += 1000;
+  for (std::size_t it = 0; it < vms_.size(); ++it) {
+    if (it != n) {
+      options.membership.seeds.push_back(VmAddress(it, SocketRole::kPeer));
+    }
+  }
+  options.unix_epoch_ms = kUnixEpochMs;
+  vm.node = EntryNode::Create(options, now_, seed_ * 1000 + n).value();
+  vm.frozen = false;
+  vm.stopping = false;
+  vm.waiting.clear();
+  Outbox out;
+  vm.node->OnCatalog(now_, catalog_, out);
+  Drain(n, out);
+}
+
+// service NAME [work=sessions], delete NAME
+void EntryWorld::AddService(const scenario::Step& step) {
+  catalog_.set_revision(catalog_.revision() + 1);
+  if (step.verb == "delete") {
+    auto& services = *catalog_.mutable_services();
+    services.erase(std::remove_if(services.begin(), services.end(),
+                                  [&](const auto& it) {
+                                    return it.name() == step.Word(0);
+                                  }),
+                   services.end());
+  } else {
+    pb::Service& service = *catalog_.add_services();
+    catalog_.set_next_service_id(catalog_.next_service_id() + 1);
+    service.set_id(catalog_.next_service_id());
+    service.set_name(step.Word(0));
+    service.set_work(step.Named("work", "requests") == "sessions"
+                         ? pb::WORK_SESSIONS
+                         : pb::WORK_REQUESTS);
+    pb::ClassTarget& target = *service.add_classes();
+    target.set_id(service.id());
+    target.set_name("all");
+    target.set_latency_ms(1000);
+    target.set_success_permille(990);
+    target.set_share_percent(100);
+  }
+  ApplyCatalog();
+}
+
+void EntryWorld::ApplyCatalog() {
+  for (std::size_t n = 0; n < vms_.size(); ++n) {
+    if (vms_[n].node != nullptr) {
+      Outbox out;
+      vms_[n].node->OnCatalog(now_, catalog_, out);
+      Drain(n, out);
+    }
+  }
+}
+
+// vm-2, or the VM of a rank for a service: rank0:records.
+std::size_t EntryWorld::VmIndex(const std::string& text) const {
+  if (!text.starts_with("rank")) {
+    return std::stoul(text.substr(3)) - 1;
+  }
+  const std::string service = text.substr(6);
+  std::vector<Member> members;
+  for (const Vm& it : vms_) {
+    if (it.node != nullptr && !it.stopping) {
+      members.push_back({NodeId{StableHash(it.name)}, it.name, {}, {}, 0});
+    }
+  }
+  std::sort(members.begin(), members.end(),
+            [](const Member& a, const Member& b) { return a.id < b.id; });
+  for (const pb::Service& it : catalog_.services()) {
+    if (it.name() == service) {
+      const NodeId id =
+          DispatcherOf(ServiceId{it.id()}, members, text[4] - '0').value();
+      for (std::size_t n = 0; n < vms_.size(); ++n) {
+        if (NodeId{StableHash(vms_[n].name)} == id) {
+          return n;
+        }
+      }
+    }
+  }
+  throw scenario::Failure("no such VM: " + text);
+}
+
+void EntryWorld::VmStep(const scenario::Step& step) {
+  const std::size_t n = VmIndex(step.Word(0));
+  Vm& vm = vms_[n];
+  Write(step.verb + " " + vm.name);
+  Outbox out;
+  if (step.verb == "kill") {
+    vm.node = nullptr;
+  } else if (step.verb == "start") {
+    StartVm(n);
+  } else if (step.verb == "freeze") {
+    vm.frozen = true;
+  } else if (step.verb == "thaw") {
+    vm.frozen = false;
+    for (auto& it : std::exchange(vm.waiting, {})) {
+      it();
+    }
+  } else if (step.verb == "stop") {
+    vm.stopping = true;
+    vm.node->BeginStop(now_, out);
+    Drain(n, out);
+  } else {
+    catalog_.set_revision(catalog_.revision() + 1);
+    catalog_.clear_draining_vms();
+    vm.stopping = step.verb == "drain";
+    if (vm.stopping) {
+      catalog_.add_draining_vms(vm.name);
+    }
+    ApplyCatalog();
+  }
+}
+
+// network loss=N duplicate=N delay=T jitter=T (permille); cut A B; heal
+void EntryWorld::Network(const scenario::Step& step) {
+  if (step.verb == "heal") {
+    cuts_.clear();
+  } else if (step.verb == "cut") {
+    const std::size_t a = VmIndex(step.Word(0));
+    const std::size_t b = VmIndex(step.Word(1));
+    cuts_.insert({a, b});
+    if (step.Named("way", "both") == "both") {
+      cuts_.insert({b, a});
+    }
+  } else {
+    loss_permille_ = static_cast<int>(step.NamedNumber("loss", 0));
+    duplicate_permille_ = static_cast<int>(step.NamedNumber("duplicate", 0));
+    delay_ = step.NamedTime("delay", std::chrono::microseconds(200));
+    jitter_ = step.NamedTime("jitter", std::chrono::microseconds(100));
+  }
+}
+
+void EntryWorld::After(Duration delay, std::function<void()> run) {
+  events_.push({now_ + delay, order_++, std::move(run)});
+}
+
+void EntryWorld::RunFor(Duration time) {
+  const TimePoint end = now_ + time;
+  After(time, [] {});
+  while (now_ < end) {
+    RunNext();
+    if (!violation_.empty()) {
+      throw scenario::Failure(violation_);
+    }
+  }
+}
+
+// The earliest of all: a VM's tick, or something that arrives.
+void EntryWorld::RunNext() {
+  std::size_t due = vms_.size();
+  TimePoint at = events_.top().at;
+  for (std::size_t n = 0; n < vms_.size(); ++n) {
+    const Vm& vm = vms_[n];
+    if (vm.node != nullptr && !vm.frozen && vm.node->NextWake() < at) {
+      at = vm.node->NextWake();
+      due = n;
+    }
+  }
+  now_ = std::max(now_, at);
+  if (due == vms_.size()) {
+    const std::function<void()> run = events_.top().run;
+    events_.pop();
+    run();
+    return;
+  }
+  Vm& vm = vms_[due];
+  Outbox out;
+  vm.node->OnTick(now_, out);
+  Drain(due, out);
+  if (vm.stopping && vm.node->Stopped(now_)) {
+    Write(vm.name + " has stopped");
+    vm.node = nullptr;
+  }
+}
+
+void EntryWorld::Drain(std::size_t n, Outbox& out) {
+  for (const Outbox::Item& it : out.items()) {
+    const ByteSpan bytes = out.Bytes(it);
+    Transmit(VmAddress(n, it.socket), it.to, {bytes.begin(), bytes.end()});
+  }
+}
+
+void EntryWorld::Transmit(SocketAddress from, SocketAddress to, Bytes bytes) {
+  std::uniform_int_distribution<int> permille(0, 999);
+  const int copies = permille(random_) < duplicate_permille_ ? 2 : 1;
+  for (int n = 0; n < copies; ++n) {
+    if (permille(random_) < loss_permille_) {
+      continue;
+    }
+    const auto jitter = std::uniform_int_distribution<std::int64_t>(
+        0, jitter_.count())(random_);
+    After(delay_ + Duration(jitter),
+          [this, from, to, bytes] { Arrive(from, to, bytes); });
+  }
+}
+
+void EntryWorld::Arrive(SocketAddress from, SocketAddress to,
+                        const Bytes& bytes) {
+  for (std::size_t n = 0; n < vms_.size(); ++n) {
+    for (const SocketRole role :
+         {SocketRole::kCaller, SocketRole::kBackend, SocketRole::kPeer}) {
+      if (VmAddress(n, role) == to) {
+        Deliver(n, role, from, bytes);
+        return;
+      }
+    }
+  }
+  for (auto& [name, backend] : backends_) {
+    if (backend.address == to && backend.running) {
+      OnBackendDatagram(backend, from, bytes);
+      return;
+    }
+  }
+  OnCallerDatagram(to, from, bytes);
+}
+
+void EntryWorld::Deliver(std::size_t n, SocketRole role, SocketAddress from,
+                         Bytes bytes) {
+  Vm& vm = vms_[n];
+  const auto sender = static_cast<std::size_t>(from.ip - kVmNet - 1);
+  if (vm.node == nullptr ||
+      (role == SocketRole::kPeer && cuts_.contains({sender, n}))) {
+    return;
+  }
+  if (vm.frozen) {
+    vm.waiting.push_back([this, n, role, from, bytes = std::move(bytes)] {
+      Deliver(n, role, from, bytes);
+    });
+    return;
+  }
+  Outbox out;
+  vm.node->OnDatagram(now_, {role, from, bytes}, out);
+  Drain(n, out);
+}
+
+void EntryWorld::Write(const std::string& line) {
+  journal_ += Seconds(now_) + " " + line + "\n";
+}
+
+void EntryWorld::Violation(const std::string& text) {
+  Write("VIOLATION: " + text);
+  violation_ = violation_.empty() ? text : violation_;
+}
+
+void EntryWorld::Check(bool ok, const std::string& text) const {
+  if (!ok) {
+    throw scenario::Failure(text);
+  }
+}
+
+void EntryWorld::Expect(const scenario::Step& step) {
+  const std::string& what = step.Word(0);
+  if (what == "answer") {
+    ExpectAnswer(step, Find(step.Word(1)));
+  } else if (what == "none") {
+    Check(Find(step.Word(1)).answers == 0, "it was answered");
+  } else if (what == "runs") {
+    const Request& request = Find(step.Word(1));
+    Check(request.runs == step.Number(2),
+          "it ran " + std::to_string(request.runs) + " times");
+  } else if (what == "same") {
+    Check(Find(step.Word(1)).served_by == Find(step.Word(2)).served_by,
+          "they were served by different backend servers");
+  } else if (what == "requests") {
+    const std::uint64_t n = backends_.at(step.Word(1)).requests;
+    Check(n == step.Number(2), "it got " + std::to_string(n));
+  } else if (what == "resets") {
+    const std::uint64_t n = backends_.at(step.Word(1)).resets;
+    Check(n == step.Number(2), "it got " + std::to_string(n));
+  } else if (what == "stopped") {
+    Check(vms_[VmIndex(step.Word(1))].node == nullptr, "it has not stopped");
+  } else if (what == "quiet") {
+    ExpectQuiet();
+  } else if (what == "all") {
+    ExpectFlows(step);
+  } else {
+    throw scenario::Failure("no such expectation: " + what);
+  }
+}
+
+// expect answer NAME CODE [text=...] [within=T] [max-age=yes]
+void EntryWorld::ExpectAnswer(const scenario::Step& step,
+                              const Request& request) {
+  Check(request.answers > 0, "no answer");
+  const std::string code = std::to_string(request.code >> 5) + "." +
+                           (request.code % 32 < 10 ? "0" : "") +
+                           std::to_string(request.code % 32);
+  Check(code == step.Word(2), "answer is " + code + " " + request.body);
+  const std::string text = step.Named("text", "");
+  Check(request.body.starts_with(text), "answer says " + request.body);
+  const Duration within = step.NamedTime("within", std::chrono::hours(1));
+  Check(request.answered - request.sent <= within,
+        "answered only at" + Seconds(request.answered));
+  Check(step.Named("max-age", "no") == "no" || request.max_age > 0,
+        "no Max-Age");
+}
+
+// No VM has a slot in use or an open request.
+void EntryWorld::ExpectQuiet() {
+  for (const Vm& vm : vms_) {
+    if (vm.node == nullptr) {
+      continue;
+    }
+    Check(vm.node->open_requests() == 0,
+          vm.name + " has " + std::to_string(vm.node->open_requests()) +
+              " open requests");
+    const pb::SyncRequest report = vm.node->Report(now_);
+    for (const pb::ServiceReport& service : report.services()) {
+      for (const pb::EndpointReport& it : service.endpoints()) {
+        Check(it.busy() == 0, vm.name + " counts " + std::to_string(it.busy()) +
+                                  " slots of " + it.name());
+      }
+    }
+  }
+}
+
+// expect all [code=CLASS] [answered=yes]: of every request.
+void EntryWorld::ExpectFlows(const scenario::Step& step) {
+  for (const auto& [name, request] : requests_) {
+    Check(request.answers > 0, name + " has no answer");
+    const std::string wanted = step.Named("code", "");
+    Check(wanted.empty() || std::to_string(request.code >> 5) == wanted,
+          name + " was answered " + std::to_string(request.code >> 5) + "." +
+              std::to_string(request.code % 32) + " " + request.body);
+  }
+  std::map<SocketAddress, std::set<std::string>> flows;
+  for (const auto& [name, request] : requests_) {
+    flows[request.caller].insert(request.served_by.begin(),
+                                 request.served_by.end());
+  }
+  const auto broken =
+      std::count_if(flows.begin(), flows.end(),
+                    [](const auto& it) { return it.second.size() > 1; });
+  const std::string limit = step.Named("broken", "");
+  Check(limit.empty() ||
+            static_cast<std::uint64_t>(broken) <= step.NamedNumber("broken", 0),
+        std::to_string(broken) + " of " + std::to_string(flows.size()) +
+            " flows were broken");
+}
+
+}  // namespace vanillalatch::internal
--- /dev/null
+++ b/src/entry/service_state.h
@@ -0,0 +1,84 @@
+// What one entry VM keeps of one service of the catalog.
+#ifndef VANILLALATCH_SRC_ENTRY_SERVICE_STATE_H_
+#define VANILLALATCH_SRC_ENTRY_SERVICE_STATE_H_
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
+#include "catalog.pb.h"
+#include "vanillalatch/base/strong.h"
+#include "vanillalatch/base/time.h"
+#include "vanillalatch/flow/pin_table.h"
+#include "vanillalatch/placement/session_placer.h"
+#include "vanillalatch/placement/slot_scheduler.h"
+
+namespace vanillalatch::internal {
+
+// The endpoint that serves an answer of many blocks.
+struct BlockPin {
+  EndpointId endpoint;
+  std::uint64_t tag = 0;  // Hash of the answer's ETag; 0: it has none.
+  TimePoint expires;
+};
+
+// Asking the members for their open requests of a service.
+struct Collection {
+  std::uint64_t sequence = 0;
+  TimePoint ends;
+  TimePoint resend;
+  // Parts still missing by member; kUnknownParts before its first reply.
+  absl::flat_hash_map<NodeId, std::uint32_t> missing;
+  absl::flat_hash_set<std::uint64_t> seen;  // Member and part.
+  bool earlier_known = false;               // Another VM dispatched before.
+  bool earlier_lost = false;                // And it is gone.
+};
+inline constexpr std::uint32_t kUnknownParts = 0xffffffff;
+
+// Sending everything that is kept of a service to another VM.
+struct TransferState {
+  NodeId to;  // 0: nothing to send.
+  std::uint64_t sequence = 0;
+  std::vector<RequestId> finished;  // Still to be sent.
+  // Where the part that was sent begins, and where the next one will.
+  std::size_t finished_at = 0;
+  std::size_t finished_next = 0;
+  std::size_t pins_at = 0;
+  std::size_t pins_next = 0;
+  bool last = false;  // The part that was sent is the last one.
+  TimePoint resend = kNever;
+};
+
+struct ServiceState {
+  explicit ServiceState(PinTable table) : pins(std::move(table)) {}
+
+  pb::Service config;
+  std::unique_ptr<SlotScheduler> scheduler;
+  std::unique_ptr<SessionPlacer> placer;
+  PinTable pins;
+  absl::flat_hash_map<std::uint64_t, BlockPin> blocks;
+  std::uint64_t endpoints_version = 0;
+
+  bool dispatches = false;  // This VM has rank 0.
+  bool ready = false;       // It has collected what the members hold.
+  NodeId dispatcher;        // Rank 0 as known; 0: none.
+  NodeId former;            // Rank 0 before it; 0: none.
+  NodeId successor;         // Rank 1 as known; 0: none.
+  // This VM knows of every request that a caller may still resend.
+  bool complete = false;
+  // Set if it does not and nobody can tell: requests from before this time
+  // that may not be repeated have an unknown outcome.
+  TimePoint unsure_before = TimePoint::min();
+
+  Collection collection;
+  TransferState transfer;
+
+  ServiceId id() const { return ServiceId{config.id()}; }
+  bool has_sessions() const { return config.work() == pb::WORK_SESSIONS; }
+};
+
+}  // namespace vanillalatch::internal
+
+#endif  // VANILLALATCH_SRC_ENTRY_SERVICE_STATE_H_
--- /dev/null
+++ b/src/entry/takeover.cc
@@ -0,0 +1,323 @@
+// Changes of members: who dispatches each service, and what becomes of the
+// requests of a VM that left or died.
+#include <algorithm>
+#include <utility>
+
+#include "src/entry/entry_node_impl.h"
+#include "vanillalatch/placement/rendezvous.h"
+
+namespace vanillalatch::internal {
+
+// A VM with seeds first waits to hear from another member: it may have
+// dispatched under its name before, and others know what it did.
+bool EntryNodeImpl::Joined() const {
+  return options_.membership.seeds.empty() || members_->members().size() > 1 ||
+         now_ >= started_ + kJoinLimit;
+}
+
+void EntryNodeImpl::OnMembersChanged() {
+  joined_ = joined_ || Joined();
+  for (auto& [id, service] : services_) {
+    ReviewService(service);
+  }
+  ReviewRecords(NodeId{});
+}
+
+void EntryNodeImpl::ReviewService(ServiceState& service) {
+  if (!joined_) {
+    return;
+  }
+  const auto members = members_->members();
+  const NodeId old_dispatcher = service.dispatcher;
+  const NodeId old_successor = service.successor;
+  service.dispatcher =
+      DispatcherOf(service.id(), members, 0).value_or(NodeId{});
+  service.successor = DispatcherOf(service.id(), members, 1).value_or(NodeId{});
+  if (service.dispatcher == old_dispatcher &&
+      service.successor == old_successor) {
+    return;
+  }
+  if (service.dispatcher != old_dispatcher && old_dispatcher != NodeId{}) {
+    service.former = old_dispatcher;
+  }
+  const bool dispatched =
+      std::exchange(service.dispatches, service.dispatcher == self_);
+  ReviewKnowledge(service, old_dispatcher, old_successor);
+  if (service.dispatches && !dispatched) {
+    BeginCollection(service);
+  } else if (!service.dispatches) {
+    service.ready = false;
+    service.collection = {};
+  }
+}
+
+// Who knows everything, and who must be told it. A dispatcher that does not
+// know, and has lost the VM that did, can't tell a resend from a new request.
+void EntryNodeImpl::ReviewKnowledge(ServiceState& service,
+                                    NodeId old_dispatcher,
+                                    NodeId old_successor) {
+  const bool was_holder = old_dispatcher == self_ || old_successor == self_;
+  const bool is_holder = service.dispatches || service.successor == self_;
+  if (service.dispatches && old_dispatcher == NodeId{} &&
+      members_->members().size() == 1) {
+    service.complete = true;
+  }
+  const bool source_lost =
+      old_dispatcher == self_
+          ? old_successor != NodeId{} && IsGone(old_successor)
+          : old_dispatcher != NodeId{} && IsGone(old_dispatcher);
+  if (service.dispatches && !service.complete && source_lost) {
+    service.unsure_before = now_;
+  }
+  if (service.complete && was_holder) {
+    const NodeId to =
+        service.dispatches ? service.successor : service.dispatcher;
+    const NodeId told =
+        old_dispatcher == self_ ? old_successor : old_dispatcher;
+    if (to != told && to != NodeId{}) {
+      BeginTransfer(service, to);
+    }
+  }
+  if (!is_holder && service.transfer.to == NodeId{}) {
+    service.complete = false;
+  }
+}
+
+void EntryNodeImpl::BeginCollection(ServiceState& service) {
+  Collection& collection = service.collection;
+  collection = {};
+  collection.sequence = next_sequence_++;
+  collection.ends = now_ + kCollectLimit;
+  for (const Member& it : members_->members()) {
+    if (it.id != self_ && it.state != MemberState::kDead) {
+      collection.missing[it.id] = kUnknownParts;
+    }
+  }
+  service.ready = false;
+  if (collection.missing.empty()) {
+    StartServing(service);
+    return;
+  }
+  SendCollect(service);
+}
+
+void EntryNodeImpl::SendCollect(ServiceState& service) {
+  for (const auto& [id, parts] : service.collection.missing) {
+    pb::RequestMessage message;
+    message.mutable_collect()->set_sequence(service.collection.sequence);
+    message.mutable_collect()->set_service_id(service.config.id());
+    SendPeer(id, message);
+  }
+  service.collection.resend = now_ + kPeerResend;
+}
+
+void EntryNodeImpl::TickCollection(ServiceState& service) {
+  Collection& collection = service.collection;
+  absl::erase_if(collection.missing,
+                 [&](const auto& it) { return IsGone(it.first); });
+  if (!service.dispatches || service.ready) {
+    return;
+  }
+  if (collection.missing.empty() || now_ >= collection.ends) {
+    StartServing(service);
+  } else if (now_ >= collection.resend) {
+    SendCollect(service);
+  }
+}
+
+void EntryNodeImpl::OnCollect(NodeId from, const pb::Collect& collect) {
+  std::vector<pb::CollectReply> parts(1);
+  std::size_t room = kPeerPayload;
+  records_.ForEach([&](const RequestRecord& record) {
+    const bool held_elsewhere =
+        record.state == RequestState::kHeld && record.next != from;
+    if (record.service.value() != collect.service_id() ||
+        (!held_elsewhere && record.state != RequestState::kSent)) {
+      return;
+    }
+    pb::OpenRequest open;
+    FillHandover(record, *open.mutable_request());
+    open.set_duty(held_elsewhere ? record.next.value() : self_.value());
+    open.set_endpoint(record.endpoint.value());
+    const std::size_t size = open.ByteSizeLong();
+    if (size > room && parts.back().open_size() > 0) {
+      parts.emplace_back();
+      room = kPeerPayload;
+    }
+    room -= std::min(room, size);
+    *parts.back().add_open() = std::move(open);
+  });
+  const ServiceState* service = FindService(ServiceId{collect.service_id()});
+  for (std::size_t n = 0; n < parts.size(); ++n) {
+    pb::RequestMessage message;
+    pb::CollectReply& reply = *message.mutable_collect_reply();
+    reply.Swap(&parts[n]);
+    reply.set_sequence(collect.sequence());
+    reply.set_service_id(collect.service_id());
+    reply.set_part(static_cast<std::uint32_t>(n));
+    reply.set_parts(static_cast<std::uint32_t>(parts.size()));
+    reply.set_earlier_dispatcher(
+        service == nullptr ? 0 : EarlierDispatcher(*service, from).value());
+    SendPeer(from, message);
+  }
+}
+
+// The dispatcher that this VM knew before `newer`; 0 if none.
+NodeId EntryNodeImpl::EarlierDispatcher(const ServiceState& service,
+                                        NodeId newer) {
+  return service.dispatcher == newer ? service.former : service.dispatcher;
+}
+
+void EntryNodeImpl::OnCollectReply(NodeId from, const pb::CollectReply& reply) {
+  ServiceState* service = FindService(ServiceId{reply.service_id()});
+  if (service == nullptr || service->ready ||
+      service->collection.sequence != reply.sequence()) {
+    return;
+  }
+  Collection& collection = service->collection;
+  const auto it = collection.missing.find(from);
+  const std::uint64_t part_key = from.value() ^ reply.part();
+  if (it == collection.missing.end() ||
+      !collection.seen.insert(part_key).second) {
+    return;
+  }
+  if (it->second == kUnknownParts) {
+    it->second = reply.parts();
+  }
+  const NodeId earlier{reply.earlier_dispatcher()};
+  collection.earlier_known |= earlier != NodeId{} && earlier != self_;
+  collection.earlier_lost |= collection.earlier_known && IsGone(earlier);
+  for (const pb::OpenRequest& open : reply.open()) {
+    TakeOpenRequest(*service, open);
+  }
+  if (--it->second == 0) {
+    collection.missing.erase(it);
+  }
+  if (collection.missing.empty()) {
+    if (!collection.earlier_known) {
+      service->complete = true;
+    } else if (collection.earlier_lost && !service->complete) {
+      service->unsure_before = now_;
+    }
+    StartServing(*service);
+  }
+}
+
+// An open request of another VM: the slot that it has is counted, and the duty
+// of a lost VM is taken.
+void EntryNodeImpl::TakeOpenRequest(ServiceState& service,
+                                    const pb::OpenRequest& open) {
+  const NodeId duty{open.duty()};
+  RequestRecord* record = records_.Find(RequestId{open.request().request_id()});
+  if (record != nullptr && record->state != RequestState::kHeld) {
+    return;
+  }
+  if (record == nullptr) {
+    record = RecordOf(open.request());
+  }
+  if (record == nullptr) {
+    return;
+  }
+  if (IsGone(duty) || duty == self_) {
+    record->unsettled = 1;
+    record->next = duty;
+    ReviewHeld(*record);
+    return;
+  }
+  record->next = duty;
+  record->acknowledged = true;
+  records_.WakeAt(*record, record->deadline);
+  const EndpointId endpoint{open.endpoint()};
+  if (endpoint != EndpointId{} && !record->adopted &&
+      IsOfService(endpoint, service)) {
+    record->adopted = true;
+    service.scheduler->Adopt(
+        now_, Work{record->id, record->work_class, record->deadline, {}, {}},
+        endpoint);
+  }
+}
+
+void EntryNodeImpl::StartServing(ServiceState& service) {
+  service.ready = true;
+  service.collection.missing.clear();
+  std::vector<RequestId> parked;
+  records_.ForEach([&](const RequestRecord& record) {
+    if (record.state == RequestState::kParked &&
+        record.service == service.id()) {
+      parked.push_back(record.id);
+    }
+  });
+  for (const RequestId it : parked) {
+    RequestRecord* record = records_.Find(it);
+    if (record != nullptr && record->state == RequestState::kParked) {
+      Route(*record);
+    }
+  }
+}
+
+void EntryNodeImpl::ReviewRecords(NodeId restarted) {
+  std::vector<RequestId> open;
+  records_.ForEach([&](const RequestRecord& record) {
+    if (record.state != RequestState::kFinished) {
+      open.push_back(record.id);
+    }
+  });
+  // In order, so that the same events give the same actions.
+  std::sort(open.begin(), open.end());
+  for (const RequestId it : open) {
+    RequestRecord* record = records_.Find(it);
+    if (record == nullptr || FindService(record->service) == nullptr) {
+      continue;
+    }
+    if (HasDuty(*record)) {
+      ReviewDuty(*record, restarted);
+    } else if (record->state == RequestState::kHeld &&
+               record->next != NodeId{} &&
+               (IsGone(record->next) || record->next == restarted)) {
+      record->unsettled = 1;
+      ReviewHeld(*record);
+    }
+  }
+}
+
+// The VM with the duty is lost, and may have sent the request.
+void EntryNodeImpl::ReviewHeld(RequestRecord& record) {
+  ReleaseAdopted(record);
+  record.acknowledged = false;
+  const ServiceState& service = *FindService(record.service);
+  if (service.dispatches) {
+    ++counters_.taken_over;
+    Note(record.id, HopEvent::kTakenOver, record.next.value());
+  }
+  Route(record);
+}
+
+// Hands on what waits here when another VM dispatches, and renews the second
+// record when its holder is lost.
+void EntryNodeImpl::ReviewDuty(RequestRecord& record, NodeId restarted) {
+  ServiceState& service = *FindService(record.service);
+  const bool elsewhere = service.dispatcher != NodeId{} && !service.dispatches;
+  if (elsewhere && record.state == RequestState::kQueued) {
+    LeaveScheduler(service, record, WorkOutcome::kCancelled);
+    Park(record, kParkedRetry);
+  }
+  if (elsewhere && record.state == RequestState::kParked) {
+    Route(record);
+    return;
+  }
+  const bool holder_lost =
+      record.holder != NodeId{} &&
+      (IsGone(record.holder) || record.holder == restarted);
+  if (!holder_lost) {
+    return;
+  }
+  record.granted = false;
+  record.holder = NodeId{};
+  if (record.state == RequestState::kPlaced ||
+      record.state == RequestState::kSent) {
+    record.sends = 0;
+    SendHold(record);
+  }
+}
+
+}  // namespace vanillalatch::internal
--- /dev/null
+++ b/src/entry/transfer.cc
@@ -0,0 +1,187 @@
+// Everything that a dispatcher keeps of a service, sent to the next VM in rank
+// or to a new dispatcher a part at a time.
+#include <algorithm>
+
+#include "src/entry/entry_node_impl.h"
+
+namespace vanillalatch::internal {
+namespace {
+
+constexpr std::size_t kPinsInPart = 32;
+constexpr std::size_t kPinBytes = 24;
+constexpr std::size_t kDoneOverhead = 48;  // Bytes without the answer.
+
+}  // namespace
+
+void EntryNodeImpl::BeginTransfer(ServiceState& service, NodeId to) {
+  service.transfer = {};
+  TransferState& transfer = service.transfer;
+  transfer.to = to;
+  records_.ForEach([&](const RequestRecord& record) {
+    if (record.state == RequestState::kFinished && !record.idempotent &&
+        record.service == service.id()) {
+      transfer.finished.push_back(record.id);
+    }
+  });
+  SendTransferPart(service);
+}
+
+void EntryNodeImpl::TickTransfer(ServiceState& service) {
+  if (service.transfer.to == NodeId{}) {
+    return;
+  }
+  if (IsGone(service.transfer.to)) {
+    EndTransfer(service);
+  } else if (now_ >= service.transfer.resend) {
+    SendTransferPart(service);
+  }
+}
+
+void EntryNodeImpl::EndTransfer(ServiceState& service) {
+  service.transfer = {};
+  if (!service.dispatches && service.successor != self_) {
+    service.complete = false;
+  }
+}
+
+// Sends the part that starts at the transfer's place. Its place moves on with
+// the acknowledgement.
+void EntryNodeImpl::SendTransferPart(ServiceState& service) {
+  TransferState& transfer = service.transfer;
+  if (transfer.sequence == 0) {
+    transfer.sequence = next_sequence_++;
+  }
+  pb::RequestMessage message;
+  pb::Transfer& part = *message.mutable_transfer();
+  part.set_sequence(transfer.sequence);
+  part.set_service_id(service.config.id());
+  std::size_t room = kPeerPayload;
+  std::size_t at = transfer.finished_at;
+  for (; at < transfer.finished.size(); ++at) {
+    const RequestRecord* record = records_.Find(transfer.finished[at]);
+    if (record == nullptr) {
+      continue;
+    }
+    const std::size_t size = kDoneOverhead + record->answer.size();
+    if (size > room && part.finished_size() > 0) {
+      break;
+    }
+    FillDone(*record, *part.add_finished());
+    room -= std::min(room, size);
+  }
+  transfer.finished_next = at;
+  transfer.pins_next = transfer.pins_at;
+  const bool all_finished = at == transfer.finished.size();
+  if (all_finished && room > kPinsInPart * kPinBytes) {
+    transfer.pins_next =
+        service.pins.VisitSome(transfer.pins_at, kPinsInPart,
+                               [&](SocketAddress caller, EndpointId endpoint) {
+                                 pb::Pin& pin = *part.add_pins();
+                                 pin.set_caller(caller.Packed());
+                                 pin.set_endpoint(endpoint.value());
+                               });
+    part.set_last(transfer.pins_next == 0);
+  }
+  transfer.last = part.last();
+  transfer.resend = now_ + kPeerResend;
+  SendPeer(transfer.to, message);
+}
+
+void EntryNodeImpl::OnTransfer(NodeId from, const pb::Transfer& part) {
+  ServiceState* service = FindService(ServiceId{part.service_id()});
+  if (service == nullptr) {
+    return;  // Sent again until the catalog is here.
+  }
+  for (const pb::Done& it : part.finished()) {
+    TakeDone(it);
+  }
+  for (const pb::Pin& it : part.pins()) {
+    const SocketAddress caller = SocketAddress::FromPacked(it.caller());
+    if (!service->pins.Touch(caller, now_)) {
+      PutPin(*service, caller, EndpointId{it.endpoint()});
+    }
+  }
+  if (part.last()) {
+    service->complete = true;
+    service->unsure_before = TimePoint::min();
+  }
+  pb::RequestMessage message;
+  message.mutable_transfer_ack()->set_sequence(part.sequence());
+  SendPeer(from, message);
+}
+
+void EntryNodeImpl::OnTransferAck(NodeId from, const pb::TransferAck& ack) {
+  for (auto& [id, service] : services_) {
+    TransferState& transfer = service.transfer;
+    if (transfer.to != from || transfer.sequence != ack.sequence()) {
+      continue;
+    }
+    if (transfer.last) {
+      EndTransfer(service);
+      return;
+    }
+    transfer.finished_at = transfer.finished_next;
+    transfer.pins_at = transfer.pins_next;
+    transfer.sequence = 0;
+    SendTransferPart(service);
+    return;
+  }
+}
+
+// Pins a flow whose endpoint another VM chose.
+void EntryNodeImpl::PutPin(ServiceState& service, SocketAddress caller,
+                           EndpointId endpoint) {
+  const std::optional<EndpointId> known = service.pins.Touch(caller, now_);
+  if (known == endpoint) {
+    return;
+  }
+  if (known) {
+    service.placer->Close(*known);
+  }
+  if (service.pins.Put(caller, endpoint, now_)) {
+    service.placer->Open(endpoint);
+  }
+}
+
+void EntryNodeImpl::OnPinQuery(NodeId from, const pb::PinQuery& query) {
+  ServiceState* service = FindService(ServiceId{query.service_id()});
+  if (service == nullptr) {
+    return;
+  }
+  const std::optional<EndpointId> known =
+      service->pins.Touch(SocketAddress::FromPacked(query.caller()), now_);
+  pb::RequestMessage message;
+  message.mutable_pin_reply()->set_caller(query.caller());
+  message.mutable_pin_reply()->set_service_id(query.service_id());
+  message.mutable_pin_reply()->set_endpoint(
+      known.value_or(EndpointId{}).value());
+  SendPeer(from, message);
+}
+
+// Goes on with the flow's requests that waited for this.
+void EntryNodeImpl::OnPinReply(NodeId from, const pb::PinReply& reply) {
+  ServiceState* service = FindService(ServiceId{reply.service_id()});
+  if (service == nullptr) {
+    return;
+  }
+  const SocketAddress caller = SocketAddress::FromPacked(reply.caller());
+  if (reply.endpoint() != 0 && !service->pins.Touch(caller, now_)) {
+    PutPin(*service, caller, EndpointId{reply.endpoint()});
+  }
+  std::vector<RequestId> waiting;
+  records_.ForEach([&](RequestRecord& record) {
+    if (record.state == RequestState::kParked && record.caller == caller &&
+        record.service == service->id() && record.pin_queries > 0) {
+      record.pin_queries = kMaxPinQueries;
+      waiting.push_back(record.id);
+    }
+  });
+  for (const RequestId it : waiting) {
+    RequestRecord* record = records_.Find(it);
+    if (record != nullptr && record->state == RequestState::kParked) {
+      Route(*record);
+    }
+  }
+}
+
+}  // namespace vanillalatch::internal
--- /dev/null
+++ b/src/request/record_table.cc
@@ -0,0 +1,139 @@
+#include "vanillalatch/request/record_table.h"
+
+#include <algorithm>
+
+namespace vanillalatch {
+namespace {
+
+std::uint64_t MessageKey(SocketAddress caller, std::uint16_t message_id) {
+  return (caller.Packed() << 16) | message_id;
+}
+
+}  // namespace
+
+Result<RecordTable> RecordTable::Create(RecordTableOptions options) {
+  if (options.max_records == 0) {
+    return Error(ErrorKind::kInvalidArgument, "room for no request record");
+  }
+  return RecordTable(options);
+}
+
+RequestRecord* RecordTable::Insert(RequestId id, TimePoint now) {
+  if (records_.size() >= options_.max_records && !MakeRoom()) {
+    return nullptr;
+  }
+  auto& slot = records_[id];
+  slot = std::make_unique<RequestRecord>();
+  slot->id = id;
+  slot->received = now;
+  return slot.get();
+}
+
+RequestRecord* RecordTable::Find(RequestId id) {
+  const auto it = records_.find(id);
+  return it == records_.end() ? nullptr : it->second.get();
+}
+
+RequestRecord* RecordTable::FindByMessage(SocketAddress caller,
+                                          std::uint16_t message_id) {
+  const auto it = by_message_.find(MessageKey(caller, message_id));
+  return it == by_message_.end() ? nullptr : Find(it->second);
+}
+
+void RecordTable::IndexMessage(const RequestRecord& record) {
+  by_message_[MessageKey(record.caller, record.message_id)] = record.id;
+}
+
+void RecordTable::Finish(RequestRecord& record, TimePoint now,
+                         std::vector<std::uint8_t> answer) {
+  Advance(record, RequestEvent::kFinish);
+  record.request = {};
+  record.answer = std::move(answer);
+  record.expires =
+      now + (record.idempotent ? options_.keep_idempotent : options_.keep);
+  answer_bytes_ += record.answer.size();
+  ++finished_;
+  (record.idempotent ? finished_idempotent_ : finished_once_)
+      .push_back(record.id);
+  WakeAt(record, record.expires);
+  DropAnswers();
+}
+
+void RecordTable::WakeAt(RequestRecord& record, TimePoint at) {
+  if (record.state == RequestState::kFinished) {
+    at = std::min(at, record.expires);
+  }
+  record.wake = at;
+  if (at != kNever) {
+    due_.emplace(at, record.id);
+  }
+}
+
+RequestRecord* RecordTable::NextDue(TimePoint now) {
+  while (!due_.empty() && due_.top().first <= now) {
+    const auto [at, id] = due_.top();
+    due_.pop();
+    RequestRecord* record = Find(id);
+    if (record == nullptr || record->wake != at) {
+      continue;
+    }
+    record->wake = kNever;
+    if (record->state == RequestState::kFinished && now >= record->expires) {
+      Erase(*record);
+      continue;
+    }
+    return record;
+  }
+  return nullptr;
+}
+
+TimePoint RecordTable::NextWake() const {
+  return due_.empty() ? kNever : due_.top().first;
+}
+
+void RecordTable::Erase(RequestRecord& record) {
+  const auto it =
+      by_message_.find(MessageKey(record.caller, record.message_id));
+  if (it != by_message_.end() && it->second == record.id) {
+    by_message_.erase(it);
+  }
+  if (record.state == RequestState::kFinished) {
+    --finished_;
+    answer_bytes_ -= record.answer.size();
+  }
+  records_.erase(RequestId(record.id));
+}
+
+// Forgets the oldest answer to a request that may be repeated: a resend of it
+// runs again, which has no second effect.
+bool RecordTable::MakeRoom() {
+  while (!finished_idempotent_.empty()) {
+    RequestRecord* record = Find(finished_idempotent_.front());
+    finished_idempotent_.pop_front();
+    if (record != nullptr && record->idempotent &&
+        record->state == RequestState::kFinished) {
+      Erase(*record);
+      return true;
+    }
+  }
+  return false;
+}
+
+// Keeps the records but drops the oldest answers above the limit.
+void RecordTable::DropAnswers() {
+  for (std::deque<RequestId>* it : {&finished_idempotent_, &finished_once_}) {
+    while (answer_bytes_ > options_.max_answer_bytes && !it->empty()) {
+      RequestRecord* record = Find(it->front());
+      if (record != nullptr && record->state == RequestState::kFinished) {
+        answer_bytes_ -= record->answer.size();
+        record->answer = {};
+      }
+      it->pop_front();
+    }
+    while (!it->empty() && Find(it->front()) == nullptr) {
+      it->pop_front();
+    }
+  }
+}
+
+}  // namespace vanillalatch
