--- a/src/entry/exchanges.cc
+++ b/src/entry/exchanges.cc
@@ -1,5 +1,7 @@
 // Requests on their way to backend servers, and the answers that come back.
 #include <algorithm>
+#include <limits>
+#include <utility>
 
 #include "src/entry/entry_node_impl.h"
 
@@ -46,7 +48,8 @@
 }
 
 // The caller's message with our message id and token, what is left of the
-// deadline, and the request's identity.
+// deadline, and the request's identity. Options go out in the order of their
+// numbers.
 void EntryNodeImpl::BuildForBackend(const RequestRecord& record,
                                     std::uint16_t message_id) {
   const CoapMessage& message = *parsers_.stored.Parse(record.request);
@@ -55,28 +58,27 @@
   buffer_.clear();
   CoapBuilder builder(buffer_, CoapType::kConfirmable, message.code, message_id,
                       CoapToken::FromInteger(record.exchange));
-  const auto ours = [](CoapOption number) {
-    return number == kOptionDeadline || number == kOptionRequestId;
-  };
-  bool deadline_written = false;
-  const auto write_deadline = [&] {
-    if (!deadline_written) {
+  CoapOption written = 0;
+  const auto write_ours_below = [&](std::uint32_t number) {
+    if (written < kOptionDeadline && kOptionDeadline < number) {
       builder.UintOption(kOptionDeadline,
                          static_cast<std::uint64_t>(left.count()));
-      deadline_written = true;
+      written = kOptionDeadline;
+    }
+    if (written < kOptionRequestId && kOptionRequestId < number) {
+      builder.Option(kOptionRequestId,
+                     CoapToken::FromInteger(record.id.value()).span());
+      written = kOptionRequestId;
     }
   };
   for (const CoapMessage::OptionValue& it : message.options()) {
-    if (it.number > kOptionDeadline) {
-      write_deadline();
-    }
-    if (!ours(it.number)) {
-      builder.Option(it.number, it.value);
+    if (it.number == kOptionDeadline || it.number == kOptionRequestId) {
+      continue;
     }
+    write_ours_below(it.number);
+    builder.Option(it.number, it.value);
   }
-  write_deadline();
-  builder.Option(kOptionRequestId,
-                 CoapToken::FromInteger(record.id.value()).span());
+  write_ours_below(std::numeric_limits<std::uint32_t>::max());
   builder.Payload(message.payload);
 }
 
