Keep requests at most once through lost, frozen and stopping VMs

A new dispatcher first collects the open requests of the members, and is sent everything that its predecessor keeps. A second record is granted to one dispatcher; a refusal is sent only when the VMs that could run the request elsewhere have heard of it. Each was found missing by a scenario: - cancel: freed slots did not start what waits (verdicts were not run); - two-dispatchers: an isolated dispatcher without successor sent on its own; - frozen: a thawed dispatcher said 'not run' of what its successor ran; - lost-dispatcher: a successor counted as ignorant after a start in steps.

Run: build/entry_tests

--- a/include/vanillalatch/request/record_table.h
+++ b/include/vanillalatch/request/record_table.h
@@ -51,6 +51,9 @@
   void Finish(RequestRecord& record, TimePoint now,
               std::vector<std::uint8_t> answer);
 
+  // Changes the recorded answer of a finished request.
+  void ReplaceAnswer(RequestRecord& record, std::vector<std::uint8_t> answer);
+
   void WakeAt(RequestRecord& record, TimePoint at);
   // Takes the next record that is due. Records whose time to be forgotten has
   // come are erased instead of returned.
--- a/include/vanillalatch/request/request_record.h
+++ b/include/vanillalatch/request/request_record.h
@@ -47,6 +47,9 @@
   std::uint64_t fingerprint = 0;
   RequestState state = RequestState::kHeld;
   bool idempotent = true;
+  bool orphaned = false;  // A VM that had the duty is lost.
+  // The answer says "not run": it is sent once nobody else may run it.
+  bool answer_due = false;
   bool granted = false;          // A second record is held for this VM.
   bool acknowledged = false;     // By `next`.
   bool adopted = false;          // Counted in a slot for another dispatcher.
--- a/src/entry/callers.cc
+++ b/src/entry/callers.cc
@@ -116,6 +116,9 @@
   record.message_id = message.message_id;
   record.token = message.token;
   records_.IndexMessage(record);
+  if (record.answer_due) {
+    return;
+  }
   if (record.state == RequestState::kFinished && !record.answer.empty()) {
     ++counters_.replayed;
     Note(record.id, HopEvent::kReplayed, record.answer[1]);
@@ -228,6 +231,7 @@
   records_.Finish(record, now_,
                   ErrorMessage(ErrorKind::kCancelled, Duration::zero()));
   SendDone(record);
+  RunVerdicts();
 }
 
 }  // namespace vanillalatch::internal
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -52,7 +52,8 @@
 void EntryNodeImpl::Submit(RequestRecord& record) {
   ServiceState& service = *FindService(record.service);
   if (!record.idempotent &&
-      (record.unsettled > 0 || IsUnsure(service, record))) {
+      (record.unsettled > 0 || OrphanMayHaveRun(service, record) ||
+       IsUnsure(service, record) || MayRunElsewhere(record))) {
     record.unsettled = 1;
     GiveUp(record, ErrorKind::kOutcomeUnknown, kRetryLater);
     return;
@@ -76,7 +77,7 @@
 // True if nobody can tell whether the request, which may not be repeated, is a
 // resend of one that the lost holders had.
 bool EntryNodeImpl::IsUnsure(const ServiceState& service,
-                             const RequestRecord& record) {
+                             const RequestRecord& record) const {
   if (service.unsure_before == TimePoint::min()) {
     return false;
   }
@@ -86,6 +87,29 @@
   return now_ < service.unsure_before + options_.exchange_lifetime;
 }
 
+// A lost VM had the duty. It may have sent the request only with a grant, and
+// every living VM has said what it granted: unless another VM was lost with it.
+bool EntryNodeImpl::OrphanMayHaveRun(const ServiceState& service,
+                                     const RequestRecord& record) const {
+  if (!record.orphaned) {
+    return false;
+  }
+  return !service.complete || !service.all_collected ||
+         lost_before_ + kLossMemory > now_;
+}
+
+// In the smaller part of a data centre that fell apart, only what was issued
+// just now can't be a resend of a request that the larger part has run.
+bool EntryNodeImpl::MayRunElsewhere(const RequestRecord& record) const {
+  return InMinority() &&
+         (record.issued == kNever || record.issued + kFreshRequest < now_);
+}
+
+NodeId EntryNodeImpl::HolderFor(const ServiceState& service) const {
+  return !service.complete && !service.sources.empty() ? service.sources.front()
+                                                       : service.successor;
+}
+
 // Starts and refuses what the schedulers decided. A start may free a slot, and
 // so bring further verdicts: they join the list that is being worked off.
 void EntryNodeImpl::RunVerdicts() {
@@ -125,7 +149,7 @@
 // may not be repeated or that opens a flow, else if no ingress has one.
 bool EntryNodeImpl::NeedsHold(const ServiceState& service,
                               const RequestRecord& record) const {
-  if (service.successor == NodeId{} || record.granted) {
+  if (HolderFor(service) == NodeId{} || record.granted) {
     return false;
   }
   return !record.idempotent || record.new_flow || record.tell.empty();
@@ -162,7 +186,10 @@
 // nothing may have run.
 void EntryNodeImpl::GiveUp(RequestRecord& record, ErrorKind kind,
                            Duration retry_after) {
-  if (record.unsettled > 0 && AnswerFor(kind).not_run) {
+  const bool known_nowhere_else =
+      !InMinority() && now_ >= thawed_at_ + kThawSettle;
+  if (AnswerFor(kind).not_run &&
+      (record.unsettled > 0 || !known_nowhere_else)) {
     kind = record.idempotent ? ErrorKind::kDeadlineExceeded
                              : ErrorKind::kOutcomeUnknown;
   }
@@ -174,15 +201,20 @@
   ++(refused ? counters_.refused : counters_.given_up);
   Note(record.id, refused ? HopEvent::kRefused : HopEvent::kGivenUp,
        static_cast<std::uint64_t>(kind));
-  Conclude(record, ErrorMessage(kind, retry_after));
+  Conclude(record, ErrorMessage(kind, retry_after), refused);
 }
 
-// Records the final answer, sends it, and tells the VMs that hold a record.
+// Records the final answer, sends it, and tells the VMs that hold a record. An
+// answer that says "not run" waits until they have heard: a VM that takes this
+// one for dead could let the request run after all.
 void EntryNodeImpl::Conclude(RequestRecord& record,
-                             std::vector<std::uint8_t> answer) {
+                             std::vector<std::uint8_t> answer, bool not_run) {
   record.sends = 0;
+  record.answer_due = not_run && !record.tell.empty();
   records_.Finish(record, now_, std::move(answer));
-  AnswerCaller(record);
+  if (!record.answer_due) {
+    AnswerCaller(record);
+  }
   SendDone(record);
   RunVerdicts();
 }
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -65,6 +65,9 @@
       now_(now) {}
 
 void EntryNodeImpl::Begin(TimePoint now, Outbox& out) {
+  if (now > now_ + kFreezeGap) {
+    thawed_at_ = now;
+  }
   now_ = std::max(now_, now);
   out_ = &out;
 }
--- a/src/entry/entry_node_impl.h
+++ b/src/entry/entry_node_impl.h
@@ -34,6 +34,20 @@
 inline constexpr Duration kCollectLimit = std::chrono::milliseconds(300);
 // A VM with seeds waits this long for the first other member.
 inline constexpr Duration kJoinLimit = std::chrono::seconds(2);
+// In the smaller part of a data centre, a request issued this long ago may be a
+// resend: callers wait longer before they resend.
+inline constexpr Duration kFreshRequest = std::chrono::seconds(1);
+// From this many VMs on, of two equal parts only one is the larger.
+inline constexpr std::size_t kTieBreakMembers = 4;
+// Without an event for this long, this VM was frozen, and others may have taken
+// it for dead. What it then says of requests is unsure until it has heard.
+inline constexpr Duration kFreezeGap = std::chrono::milliseconds(500);
+inline constexpr Duration kThawSettle = std::chrono::seconds(2);
+// Two losses within this time may have taken both records of a request.
+inline constexpr Duration kLossMemory = std::chrono::seconds(15);
+// A VM that is neither dispatcher nor next in rank any more can still transfer
+// what it knows for this long.
+inline constexpr Duration kKnowledgeKept = std::chrono::seconds(3);
 // Clocks of callers and entry VMs may differ by this much.
 inline constexpr Duration kClockSkew = std::chrono::seconds(2);
 // A duty is handed on at most this often before it stays where it is.
@@ -131,7 +145,12 @@
   void HandOver(RequestRecord& record, NodeId to);
   void TakeDuty(RequestRecord& record);
   void Submit(RequestRecord& record);
-  bool IsUnsure(const ServiceState& service, const RequestRecord& record);
+  bool IsUnsure(const ServiceState& service, const RequestRecord& record) const;
+  bool OrphanMayHaveRun(const ServiceState& service,
+                        const RequestRecord& record) const;
+  bool MayRunElsewhere(const RequestRecord& record) const;
+  // The VM that must confirm a second record; 0: there is none.
+  NodeId HolderFor(const ServiceState& service) const;
   void RunVerdicts();
   void Place(ServiceState& service, RequestRecord& record, EndpointId endpoint);
   bool NeedsHold(const ServiceState& service,
@@ -144,7 +163,8 @@
   // Back to waiting, from any state with the duty; offered again later.
   void Park(RequestRecord& record, Duration retry);
   void GiveUp(RequestRecord& record, ErrorKind kind, Duration retry_after);
-  void Conclude(RequestRecord& record, std::vector<std::uint8_t> answer);
+  void Conclude(RequestRecord& record, std::vector<std::uint8_t> answer,
+                bool not_run = false);
 
   // pinning.cc
   bool ChoosePin(ServiceState& service, RequestRecord& record, Work& work);
@@ -201,7 +221,8 @@
                        RequestRecord& record);
   RequestRecord* RecordOf(const pb::Handover& handover);
   void OnDone(NodeId from, const pb::Done& done);
-  void TakeDone(const pb::Done& done);
+  void TakeDone(NodeId from, const pb::Done& done);
+  void DoubtRefusal(RequestRecord& record);
   void OnDoneAck(NodeId from, const pb::DoneAck& ack);
   void OnCancel(const pb::Cancel& cancel);
 
@@ -216,9 +237,14 @@
   // takeover.cc
   bool Joined() const;
   void OnMembersChanged();
+  void NoteLosses();
+  // True if most of the data centre's VMs were lost without notice.
+  bool InMinority() const;
   void ReviewService(ServiceState& service);
-  void ReviewKnowledge(ServiceState& service, NodeId old_dispatcher,
-                       NodeId old_successor);
+  void ReviewKnowledge(ServiceState& service, NodeId old_successor);
+  void ReviewSources(ServiceState& service);
+  void BecomeComplete(ServiceState& service);
+  void FinishCollection(ServiceState& service);
   void BeginCollection(ServiceState& service);
   void SendCollect(ServiceState& service);
   void TickCollection(ServiceState& service);
@@ -273,12 +299,18 @@
 
   std::uint64_t members_version_ = 0;
   absl::flat_hash_map<NodeId, std::uint64_t> instances_;  // Of peers.
+  absl::flat_hash_map<NodeId, MemberState> member_states_;
+  absl::flat_hash_map<NodeId, TimePoint> lost_members_;  // Without notice.
+  // When a member died last, and the one before: without notice.
+  TimePoint lost_at_ = TimePoint::min();
+  TimePoint lost_before_ = TimePoint::min();
   SocketAddress peer_from_;  // Sender of the peer datagram being handled.
   bool joined_ = false;
   bool stopping_ = false;
   bool drained_by_catalog_ = false;  // Announced by membership.
   TimePoint left_;
   TimePoint slow_tick_;
+  TimePoint thawed_at_ = TimePoint(-kThawSettle);
 
   EntryCounters counters_;
   std::deque<Hop> hops_;
--- a/src/entry/entry_world_test.cc
+++ b/src/entry/entry_world_test.cc
@@ -187,7 +187,9 @@
   if (step.verb == "kill") {
     vm.node = nullptr;
   } else if (step.verb == "start") {
-    StartVm(n);
+    if (vm.node == nullptr) {
+      StartVm(n);
+    }
   } else if (step.verb == "freeze") {
     vm.frozen = true;
   } else if (step.verb == "thaw") {
@@ -196,6 +198,7 @@
       it();
     }
   } else if (step.verb == "stop") {
+    Check(vm.node != nullptr, "it does not run");
     vm.stopping = true;
     vm.node->BeginStop(now_, out);
     Drain(n, out);
@@ -368,8 +371,20 @@
     Check(n == step.Number(2), "it got " + std::to_string(n));
   } else if (what == "stopped") {
     Check(vms_[VmIndex(step.Word(1))].node == nullptr, "it has not stopped");
+  } else if (what == "answers") {
+    const int n = Find(step.Word(1)).answers;
+    Check(n == static_cast<int>(step.Number(2)),
+          "it was answered " + std::to_string(n) + " times");
+  } else if (what == "dropped") {
+    std::uint64_t n = 0;
+    for (const Vm& it : vms_) {
+      n += it.node == nullptr ? 0 : it.node->counters().dropped_answers;
+    }
+    Check(n == step.Number(1), std::to_string(n) + " were dropped");
   } else if (what == "quiet") {
     ExpectQuiet();
+  } else if (what == "answered") {
+    ExpectFlows({});
   } else if (what == "all") {
     ExpectFlows(step);
   } else {
--- a/src/entry/holds.cc
+++ b/src/entry/holds.cc
@@ -10,13 +10,18 @@
 // only entry VM of the data centre goes ahead.
 void EntryNodeImpl::SendHold(RequestRecord& record) {
   const ServiceState& service = *FindService(record.service);
-  if (service.successor == NodeId{}) {
-    if (record.state == RequestState::kPlaced) {
+  const NodeId holder = HolderFor(service);
+  if (holder == NodeId{}) {
+    if (record.state == RequestState::kPlaced && !record.idempotent &&
+        MayRunElsewhere(record)) {
+      record.unsettled = 1;
+      GiveUp(record, ErrorKind::kOutcomeUnknown, kRetryLater);
+    } else if (record.state == RequestState::kPlaced) {
       SendToBackend(record);
     }
     return;
   }
-  record.holder = service.successor;
+  record.holder = holder;
   Tell(record, record.holder);
   pb::RequestMessage message;
   pb::Hold& hold = *message.mutable_hold();
@@ -53,7 +58,9 @@
       return pb::HoldReply::TAKEN;
     }
   }
-  if (service->second.dispatcher != from ||
+  const NodeId fence = service->second.fence;
+  const bool overruled = fence != NodeId{} && fence != from && !IsGone(fence);
+  if (service->second.dispatcher != from || overruled ||
       (record != nullptr && HasDuty(*record))) {
     return pb::HoldReply::NOT_DISPATCHER;
   }
--- a/src/entry/peers.cc
+++ b/src/entry/peers.cc
@@ -1,6 +1,7 @@
 // Messages between the entry VMs of one data centre: the hand-over of the duty
 // to answer a request, and the news that it is answered.
 #include <algorithm>
+#include <utility>
 
 #include "src/entry/entry_node_impl.h"
 
@@ -79,8 +80,15 @@
   std::uint64_t& known = instances_[from];
   const bool restarted = known != 0 && known != instance;
   known = instance;
-  if (restarted) {
-    ReviewRecords(from);
+  if (!restarted) {
+    return;
+  }
+  lost_before_ = std::exchange(lost_at_, now_);
+  ReviewRecords(from);
+  for (auto& [id, service] : services_) {
+    if (service.dispatches && service.complete && service.successor == from) {
+      BeginTransfer(service, from);
+    }
   }
 }
 
@@ -120,6 +128,7 @@
   handover.set_datagram(record.request.data(), record.request.size());
   handover.set_hops(record.hops);
   handover.set_maybe_sent(record.unsettled > 0);
+  handover.set_orphaned(record.orphaned);
   const auto left = std::chrono::duration_cast<std::chrono::microseconds>(
       std::max(record.deadline - now_, Duration::zero()));
   handover.set_left_us(static_cast<std::uint32_t>(left.count()));
@@ -154,6 +163,7 @@
   record->deadline = now_ + std::chrono::microseconds(handover.left_us());
   record->hops = handover.hops();
   record->unsettled = handover.maybe_sent() ? 1 : 0;
+  record->orphaned = handover.orphaned();
   return record;
 }
 
@@ -231,7 +241,11 @@
   if (record.state != RequestState::kFinished) {
     return;
   }
+  const std::size_t told = record.tell.size();
   EraseIf(record.tell, [&](NodeId it) { return IsGone(it); });
+  if (record.answer_due && record.tell.size() < told) {
+    DoubtRefusal(record);
+  }
   for (const NodeId it : record.tell) {
     pb::RequestMessage message;
     FillDone(record, *message.mutable_done());
@@ -244,6 +258,15 @@
       record, record.tell.empty() ? kNever : now_ + Backoff(record.sends++));
 }
 
+// A VM that was to hear of the refusal can't be reached: it may be alive, and
+// have the request run elsewhere.
+void EntryNodeImpl::DoubtRefusal(RequestRecord& record) {
+  record.answer_due = false;
+  record.unsettled = 1;
+  records_.ReplaceAnswer(record, ErrorMessage(LateKind(record), kRetryLater));
+  AnswerCaller(record);
+}
+
 void EntryNodeImpl::FillDone(const RequestRecord& record,
                              pb::Done& done) const {
   done.set_request_id(record.id.value());
@@ -255,14 +278,20 @@
 }
 
 void EntryNodeImpl::OnDone(NodeId from, const pb::Done& done) {
-  TakeDone(done);
+  const RequestRecord* record = records_.Find(RequestId{done.request_id()});
+  const bool superseded =
+      record != nullptr && (HasDuty(*record) || record->next != from);
+  if (!superseded) {
+    TakeDone(from, done);
+  }
   pb::RequestMessage message;
   message.mutable_done_ack()->set_request_id(done.request_id());
+  message.mutable_done_ack()->set_superseded(superseded);
   SendPeer(from, message);
 }
 
 // Keeps the final answer of a request that another VM answered.
-void EntryNodeImpl::TakeDone(const pb::Done& done) {
+void EntryNodeImpl::TakeDone(NodeId from, const pb::Done& done) {
   RequestRecord* record = records_.Find(RequestId{done.request_id()});
   if (record == nullptr) {
     if (!done.not_idempotent()) {
@@ -276,19 +305,15 @@
     record->service = ServiceId{done.service_id()};
     record->idempotent = false;
     record->fingerprint = done.fingerprint();
+    record->next = from;
   }
-  if (record->state == RequestState::kFinished ||
-      record->state == RequestState::kSent) {
+  if (record->state != RequestState::kHeld) {
     return;
   }
-  if (ServiceState* service = FindService(record->service)) {
-    LeaveScheduler(*service, *record, WorkOutcome::kCancelled);
-  }
   ReleaseAdopted(*record);
   record->sends = 0;
   records_.Finish(*record, now_, {done.answer().begin(), done.answer().end()});
   SendDone(*record);
-  RunVerdicts();
 }
 
 void EntryNodeImpl::OnDoneAck(NodeId from, const pb::DoneAck& ack) {
@@ -297,8 +322,15 @@
     return;
   }
   EraseIf(record->tell, [&](NodeId it) { return it == from; });
-  if (record->tell.empty()) {
-    records_.WakeAt(*record, kNever);
+  if (ack.superseded()) {
+    record->answer_due = false;  // The VM with the duty answers.
+  }
+  if (!record->tell.empty()) {
+    return;
+  }
+  records_.WakeAt(*record, kNever);
+  if (std::exchange(record->answer_due, false)) {
+    AnswerCaller(*record);
   }
 }
 
--- a/src/entry/pinning.cc
+++ b/src/entry/pinning.cc
@@ -45,7 +45,8 @@
 // A dispatcher that does not hold every flow yet asks the next VM in rank. True
 // if it waits for the reply.
 bool EntryNodeImpl::AskAboutFlow(ServiceState& service, RequestRecord& record) {
-  if (service.complete || service.successor == NodeId{} ||
+  const NodeId holder = HolderFor(service);
+  if (service.complete || holder == NodeId{} ||
       record.pin_queries >= kMaxPinQueries) {
     return false;
   }
@@ -53,7 +54,7 @@
   pb::RequestMessage message;
   message.mutable_pin_query()->set_caller(record.caller.Packed());
   message.mutable_pin_query()->set_service_id(service.config.id());
-  SendPeer(service.successor, message);
+  SendPeer(holder, message);
   Park(record, kParkedRetry);
   return true;
 }
--- a/src/entry/service_state.h
+++ b/src/entry/service_state.h
@@ -32,8 +32,8 @@
   // Parts still missing by member; kUnknownParts before its first reply.
   absl::flat_hash_map<NodeId, std::uint32_t> missing;
   absl::flat_hash_set<std::uint64_t> seen;  // Member and part.
-  bool earlier_known = false;               // Another VM dispatched before.
-  bool earlier_lost = false;                // And it is gone.
+  absl::flat_hash_set<NodeId> earlier;      // Dispatchers that members knew.
+  absl::flat_hash_set<NodeId> unserved;     // Members that never dispatched.
 };
 inline constexpr std::uint32_t kUnknownParts = 0xffffffff;
 
@@ -66,8 +66,17 @@
   NodeId dispatcher;        // Rank 0 as known; 0: none.
   NodeId former;            // Rank 0 before it; 0: none.
   NodeId successor;         // Rank 1 as known; 0: none.
+  // The VM that this one has collected from may no longer be overruled by an
+  // older dispatcher; 0: none has asked.
+  NodeId fence;
+  bool served = false;  // This VM has dispatched the service.
   // This VM knows of every request that a caller may still resend.
   bool complete = false;
+  TimePoint complete_until;  // It did so until then, and was then replaced.
+  // VMs that know everything and have promised to transfer it.
+  std::vector<NodeId> sources;
+  // All living members have said what they hold.
+  bool all_collected = false;
   // Set if it does not and nobody can tell: requests from before this time
   // that may not be repeated have an unknown outcome.
   TimePoint unsure_before = TimePoint::min();
--- a/src/entry/takeover.cc
+++ b/src/entry/takeover.cc
@@ -17,12 +17,52 @@
 
 void EntryNodeImpl::OnMembersChanged() {
   joined_ = joined_ || Joined();
+  NoteLosses();
   for (auto& [id, service] : services_) {
     ReviewService(service);
+    ReviewSources(service);
   }
   ReviewRecords(NodeId{});
 }
 
+void EntryNodeImpl::NoteLosses() {
+  for (const Member& it : members_->members()) {
+    MemberState& known = member_states_[it.id];
+    const bool lost = it.state == MemberState::kDead &&
+                      known != MemberState::kDead &&
+                      known != MemberState::kLeaving;
+    known = it.state;
+    if (lost) {
+      lost_before_ = std::exchange(lost_at_, now_);
+      lost_members_[it.id] = now_;
+    } else if (it.state != MemberState::kDead) {
+      lost_members_.erase(it.id);
+    }
+  }
+}
+
+bool EntryNodeImpl::InMinority() const {
+  const auto recent = [&](const auto& it) {
+    return it.second + options_.exchange_lifetime > now_;
+  };
+  const auto lost = static_cast<std::size_t>(
+      std::count_if(lost_members_.begin(), lost_members_.end(), recent));
+  const auto members = members_->members();
+  const auto alive = static_cast<std::size_t>(std::count_if(
+      members.begin(), members.end(),
+      [](const Member& it) { return it.state != MemberState::kDead; }));
+  if (alive != lost || alive + lost < kTieBreakMembers) {
+    return alive < lost;
+  }
+  // Equal parts: the one with the smallest id counts as the larger.
+  const NodeId first = std::min_element(members.begin(), members.end(),
+                                        [](const Member& a, const Member& b) {
+                                          return a.id < b.id;
+                                        })
+                           ->id;
+  return lost_members_.contains(first);
+}
+
 void EntryNodeImpl::ReviewService(ServiceState& service) {
   if (!joined_) {
     return;
@@ -42,7 +82,7 @@
   }
   const bool dispatched =
       std::exchange(service.dispatches, service.dispatcher == self_);
-  ReviewKnowledge(service, old_dispatcher, old_successor);
+  ReviewKnowledge(service, old_successor);
   if (service.dispatches && !dispatched) {
     BeginCollection(service);
   } else if (!service.dispatches) {
@@ -51,35 +91,40 @@
   }
 }
 
-// Who knows everything, and who must be told it. A dispatcher that does not
-// know, and has lost the VM that did, can't tell a resend from a new request.
+// Who knows everything, and who must be told it.
 void EntryNodeImpl::ReviewKnowledge(ServiceState& service,
-                                    NodeId old_dispatcher,
                                     NodeId old_successor) {
-  const bool was_holder = old_dispatcher == self_ || old_successor == self_;
-  const bool is_holder = service.dispatches || service.successor == self_;
-  if (service.dispatches && old_dispatcher == NodeId{} &&
-      members_->members().size() == 1) {
-    service.complete = true;
-  }
-  const bool source_lost =
-      old_dispatcher == self_
-          ? old_successor != NodeId{} && IsGone(old_successor)
-          : old_dispatcher != NodeId{} && IsGone(old_dispatcher);
-  if (service.dispatches && !service.complete && source_lost) {
-    service.unsure_before = now_;
+  const bool holds = service.dispatches || service.successor == self_;
+  if (service.complete && !holds) {
+    service.complete = false;
+    service.complete_until = now_ + kKnowledgeKept;
   }
-  if (service.complete && was_holder) {
-    const NodeId to =
-        service.dispatches ? service.successor : service.dispatcher;
-    const NodeId told =
-        old_dispatcher == self_ ? old_successor : old_dispatcher;
-    if (to != told && to != NodeId{}) {
-      BeginTransfer(service, to);
-    }
+  if (service.dispatches && service.complete &&
+      service.successor != old_successor && service.successor != NodeId{}) {
+    BeginTransfer(service, service.successor);
   }
-  if (!is_holder && service.transfer.to == NodeId{}) {
-    service.complete = false;
+}
+
+// A dispatcher that does not know everything, and has lost every VM that did,
+// can't tell a resend from a new request.
+void EntryNodeImpl::ReviewSources(ServiceState& service) {
+  if (service.sources.empty()) {
+    return;
+  }
+  std::erase_if(service.sources, [&](NodeId it) { return IsGone(it); });
+  if (service.dispatches && !service.complete && service.sources.empty()) {
+    service.unsure_before = now_;
+  }
+}
+
+// The whole knowledge has arrived, or there was none to be had.
+void EntryNodeImpl::BecomeComplete(ServiceState& service) {
+  service.complete = true;
+  service.unsure_before = TimePoint::min();
+  service.sources.clear();
+  if (service.dispatches && service.successor != NodeId{} &&
+      service.transfer.to != service.successor) {
+    BeginTransfer(service, service.successor);
   }
 }
 
@@ -94,8 +139,10 @@
     }
   }
   service.ready = false;
+  service.all_collected = false;
+  service.sources.clear();
   if (collection.missing.empty()) {
-    StartServing(service);
+    FinishCollection(service);
     return;
   }
   SendCollect(service);
@@ -119,12 +166,34 @@
     return;
   }
   if (collection.missing.empty() || now_ >= collection.ends) {
-    StartServing(service);
+    FinishCollection(service);
   } else if (now_ >= collection.resend) {
     SendCollect(service);
   }
 }
 
+// What the replies say about requests that no living VM may know of.
+void EntryNodeImpl::FinishCollection(ServiceState& service) {
+  Collection& collection = service.collection;
+  service.all_collected = collection.missing.empty();
+  if (service.former != NodeId{}) {
+    collection.earlier.insert(service.former);
+  }
+  collection.earlier.erase(self_);
+  const bool nothing_before =
+      service.all_collected &&
+      std::all_of(collection.earlier.begin(), collection.earlier.end(),
+                  [&](NodeId it) { return collection.unserved.contains(it); });
+  if (!service.complete && service.sources.empty()) {
+    if (nothing_before) {
+      BecomeComplete(service);
+    } else {
+      service.unsure_before = now_;
+    }
+  }
+  StartServing(service);
+}
+
 void EntryNodeImpl::OnCollect(NodeId from, const pb::Collect& collect) {
   std::vector<pb::CollectReply> parts(1);
   std::size_t room = kPeerPayload;
@@ -147,7 +216,12 @@
     room -= std::min(room, size);
     *parts.back().add_open() = std::move(open);
   });
-  const ServiceState* service = FindService(ServiceId{collect.service_id()});
+  ServiceState* service = FindService(ServiceId{collect.service_id()});
+  if (service == nullptr) {
+    return;  // Asked again, or done without.
+  }
+  service->fence = from;
+  const bool complete = service->complete || now_ < service->complete_until;
   for (std::size_t n = 0; n < parts.size(); ++n) {
     pb::RequestMessage message;
     pb::CollectReply& reply = *message.mutable_collect_reply();
@@ -156,10 +230,14 @@
     reply.set_service_id(collect.service_id());
     reply.set_part(static_cast<std::uint32_t>(n));
     reply.set_parts(static_cast<std::uint32_t>(parts.size()));
-    reply.set_earlier_dispatcher(
-        service == nullptr ? 0 : EarlierDispatcher(*service, from).value());
+    reply.set_earlier_dispatcher(EarlierDispatcher(*service, from).value());
+    reply.set_served(service->served);
+    reply.set_complete(complete);
     SendPeer(from, message);
   }
+  if (complete && service->transfer.to != from) {
+    BeginTransfer(*service, from);
+  }
 }
 
 // The dispatcher that this VM knew before `newer`; 0 if none.
@@ -184,9 +262,15 @@
   if (it->second == kUnknownParts) {
     it->second = reply.parts();
   }
-  const NodeId earlier{reply.earlier_dispatcher()};
-  collection.earlier_known |= earlier != NodeId{} && earlier != self_;
-  collection.earlier_lost |= collection.earlier_known && IsGone(earlier);
+  if (reply.earlier_dispatcher() != 0) {
+    collection.earlier.insert(NodeId{reply.earlier_dispatcher()});
+  }
+  if (!reply.served()) {
+    collection.unserved.insert(from);
+  }
+  if (reply.complete() && reply.part() == 0) {
+    service->sources.push_back(from);
+  }
   for (const pb::OpenRequest& open : reply.open()) {
     TakeOpenRequest(*service, open);
   }
@@ -194,12 +278,7 @@
     collection.missing.erase(it);
   }
   if (collection.missing.empty()) {
-    if (!collection.earlier_known) {
-      service->complete = true;
-    } else if (collection.earlier_lost && !service->complete) {
-      service->unsure_before = now_;
-    }
-    StartServing(*service);
+    FinishCollection(*service);
   }
 }
 
@@ -219,7 +298,6 @@
     return;
   }
   if (IsGone(duty) || duty == self_) {
-    record->unsettled = 1;
     record->next = duty;
     ReviewHeld(*record);
     return;
@@ -239,6 +317,7 @@
 
 void EntryNodeImpl::StartServing(ServiceState& service) {
   service.ready = true;
+  service.served = true;
   service.collection.missing.clear();
   std::vector<RequestId> parked;
   records_.ForEach([&](const RequestRecord& record) {
@@ -274,15 +353,19 @@
     } else if (record->state == RequestState::kHeld &&
                record->next != NodeId{} &&
                (IsGone(record->next) || record->next == restarted)) {
-      record->unsettled = 1;
       ReviewHeld(*record);
     }
   }
 }
 
-// The VM with the duty is lost, and may have sent the request.
+// The VM with the duty is lost. It may have sent the request if it was granted
+// that.
 void EntryNodeImpl::ReviewHeld(RequestRecord& record) {
   ReleaseAdopted(record);
+  record.orphaned = true;
+  if (record.grantee != 0) {
+    record.unsettled = 1;
+  }
   record.acknowledged = false;
   const ServiceState& service = *FindService(record.service);
   if (service.dispatches) {
--- a/src/entry/transfer.cc
+++ b/src/entry/transfer.cc
@@ -39,9 +39,6 @@
 
 void EntryNodeImpl::EndTransfer(ServiceState& service) {
   service.transfer = {};
-  if (!service.dispatches && service.successor != self_) {
-    service.complete = false;
-  }
 }
 
 // Sends the part that starts at the transfer's place. Its place moves on with
@@ -93,7 +90,7 @@
     return;  // Sent again until the catalog is here.
   }
   for (const pb::Done& it : part.finished()) {
-    TakeDone(it);
+    TakeDone(from, it);
   }
   for (const pb::Pin& it : part.pins()) {
     const SocketAddress caller = SocketAddress::FromPacked(it.caller());
@@ -102,8 +99,7 @@
     }
   }
   if (part.last()) {
-    service->complete = true;
-    service->unsure_before = TimePoint::min();
+    BecomeComplete(*service);
   }
   pb::RequestMessage message;
   message.mutable_transfer_ack()->set_sequence(part.sequence());
--- a/src/request/record_table.cc
+++ b/src/request/record_table.cc
@@ -59,6 +59,13 @@
   DropAnswers();
 }
 
+void RecordTable::ReplaceAnswer(RequestRecord& record,
+                                std::vector<std::uint8_t> answer) {
+  answer_bytes_ += answer.size();
+  answer_bytes_ -= record.answer.size();
+  record.answer = std::move(answer);
+}
+
 void RecordTable::WakeAt(RequestRecord& record, TimePoint at) {
   if (record.state == RequestState::kFinished) {
     at = std::min(at, record.expires);
