Tell 'not run' only where it is known, and free every slot

Records of idempotent requests are kept as long as those of others, the oldest go first when the table is full.

--- a/include/vanillalatch/request/record_table.h
+++ b/include/vanillalatch/request/record_table.h
@@ -25,12 +25,12 @@
 namespace vanillalatch {
 
 struct RecordTableOptions {
-  std::size_t max_records = 200'000;
+  std::size_t max_records = 100'000;
   std::size_t max_answer_bytes = 64 << 20;  // Kept for replay.
   // How long final answers are kept: of requests that may not be repeated,
   // and of those that may.
   Duration keep = std::chrono::seconds(247);
-  Duration keep_idempotent = std::chrono::seconds(5);
+  Duration keep_idempotent = std::chrono::seconds(247);
 };
 
 class RecordTable {
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -34,6 +34,7 @@
 }
 
 void EntryNodeImpl::TakeDuty(RequestRecord& record) {
+  ReleaseAdopted(record);
   const ServiceState& service = *FindService(record.service);
   if (record.state == RequestState::kHeld) {
     Advance(record, RequestEvent::kTake);
@@ -158,7 +159,11 @@
 void EntryNodeImpl::LeaveScheduler(ServiceState& service, RequestRecord& record,
                                    WorkOutcome outcome) {
   if (record.state == RequestState::kQueued) {
-    service.scheduler->Cancel(now_, record.id);
+    if (!service.scheduler->Cancel(now_, record.id)) {
+      // It has got a slot just now.
+      service.scheduler->Finish(now_, record.id, WorkOutcome::kCancelled,
+                                verdicts_);
+    }
   } else if (record.state == RequestState::kPlaced ||
              record.state == RequestState::kSent) {
     service.scheduler->Finish(now_, record.id, outcome, verdicts_);
@@ -182,14 +187,30 @@
   records_.WakeAt(record, std::min(now_ + retry, record.deadline));
 }
 
+// True if this VM would know of it if the request had run, here or elsewhere.
+bool EntryNodeImpl::SurelyNotRun(const RequestRecord& record) {
+  const ServiceState* service = FindService(record.service);
+  if (service == nullptr) {
+    return true;  // Deleted: judged by what this VM sent.
+  }
+  if (!service->dispatches || !service->ready || InMinority() ||
+      now_ < thawed_at_ + kThawSettle) {
+    return false;
+  }
+  const bool older =
+      record.issued == kNever
+          ? now_ < service->knows_since + options_.exchange_lifetime
+          : record.issued < service->knows_since + kClockSkew;
+  return service->knows_since == TimePoint::min() || !older ||
+         (!record.idempotent && service->complete);
+}
+
 // The final answer at once, and the truth: a kind that says "not run" only if
 // nothing may have run.
 void EntryNodeImpl::GiveUp(RequestRecord& record, ErrorKind kind,
                            Duration retry_after) {
-  const bool known_nowhere_else =
-      !InMinority() && now_ >= thawed_at_ + kThawSettle;
   if (AnswerFor(kind).not_run &&
-      (record.unsettled > 0 || !known_nowhere_else)) {
+      (record.unsettled > 0 || !SurelyNotRun(record))) {
     kind = record.idempotent ? ErrorKind::kDeadlineExceeded
                              : ErrorKind::kOutcomeUnknown;
   }
@@ -209,6 +230,7 @@
 // one for dead could let the request run after all.
 void EntryNodeImpl::Conclude(RequestRecord& record,
                              std::vector<std::uint8_t> answer, bool not_run) {
+  ReleaseAdopted(record);
   record.sends = 0;
   record.answer_due = not_run && !record.tell.empty();
   records_.Finish(record, now_, std::move(answer));
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -25,8 +25,7 @@
   }
   RecordTableOptions record_options;
   record_options.keep = options.exchange_lifetime;
-  record_options.keep_idempotent =
-      std::min(record_options.keep_idempotent, options.exchange_lifetime);
+  record_options.keep_idempotent = options.exchange_lifetime;
   auto records = RecordTable::Create(record_options);
   if (!records.ok()) {
     return records.error();
@@ -127,6 +126,8 @@
   if (now_ >= slow_tick_) {
     slow_tick_ = now_ + kSlowTick;
     ForgetIdle();
+    GreetMembers();
+    NoteDispatchers();
   }
 }
 
--- a/src/entry/entry_node_impl.h
+++ b/src/entry/entry_node_impl.h
@@ -162,6 +162,7 @@
                       WorkOutcome outcome);
   // The same for work that another dispatcher has in a slot.
   void ReleaseAdopted(RequestRecord& record);
+  bool SurelyNotRun(const RequestRecord& record);
   // Back to waiting, from any state with the duty; offered again later.
   void Park(RequestRecord& record, Duration retry);
   void GiveUp(RequestRecord& record, ErrorKind kind, Duration retry_after);
@@ -212,6 +213,8 @@
   // True if the VM has died, or is not known.
   bool IsGone(NodeId id) const;
   void NoteInstance(NodeId from, std::uint64_t instance);
+  void GreetMembers();
+  void OnHello(NodeId from, const pb::Hello& hello);
   void Tell(RequestRecord& record, NodeId id);
   void FillHandover(const RequestRecord& record, pb::Handover& handover) const;
   void SendHandover(RequestRecord& record);
@@ -252,7 +255,7 @@
   void TickCollection(ServiceState& service);
   void OnCollect(NodeId from, const pb::Collect& collect);
   void OnCollectReply(NodeId from, const pb::CollectReply& reply);
-  static NodeId EarlierDispatcher(const ServiceState& service, NodeId newer);
+  void NoteDispatchers();
   void TakeOpenRequest(ServiceState& service, const pb::OpenRequest& open);
   void StartServing(ServiceState& service);
   // Looks again at every record after a change of members; what `restarted`
@@ -306,6 +309,7 @@
   // When a member died last, and the one before: without notice.
   TimePoint lost_at_ = TimePoint::min();
   TimePoint lost_before_ = TimePoint::min();
+  absl::flat_hash_set<NodeId> greeted_;  // Know this VM's instance.
   SocketAddress peer_from_;  // Sender of the peer datagram being handled.
   bool joined_ = false;
   bool stopping_ = false;
--- a/src/entry/entry_world.h
+++ b/src/entry/entry_world.h
@@ -107,6 +107,7 @@
   void ApplyCatalog();
   void StartVm(std::size_t n);
   void VmStep(const scenario::Step& step);
+  void Recover(const scenario::Step& step);
   void Network(const scenario::Step& step);
   void Expect(const scenario::Step& step);
   void ExpectAnswer(const scenario::Step& step, const Request& request);
@@ -157,6 +158,7 @@
   std::uint64_t next_token_ = 1;
   pb::Catalog catalog_;
 
+  Duration lifetime_ = std::chrono::seconds(247);
   int loss_permille_ = 0;
   int duplicate_permille_ = 0;
   Duration delay_ = std::chrono::microseconds(200);
--- a/src/entry/peers.cc
+++ b/src/entry/peers.cc
@@ -70,6 +70,8 @@
       return OnPinQuery(from, message.pin_query());
     case pb::RequestMessage::kPinReply:
       return OnPinReply(from, message.pin_reply());
+    case pb::RequestMessage::kHello:
+      return OnHello(from, message.hello());
     case pb::RequestMessage::BODY_NOT_SET:
       ++counters_.malformed;
   }
@@ -80,10 +82,12 @@
   std::uint64_t& known = instances_[from];
   const bool restarted = known != 0 && known != instance;
   known = instance;
+  NoteDispatchers();
   if (!restarted) {
     return;
   }
   lost_before_ = std::exchange(lost_at_, now_);
+  greeted_.erase(from);
   ReviewRecords(from);
   for (auto& [id, service] : services_) {
     if (service.dispatches && service.complete && service.successor == from) {
@@ -92,6 +96,28 @@
   }
 }
 
+void EntryNodeImpl::GreetMembers() {
+  for (const Member& it : members_->members()) {
+    if (it.state == MemberState::kDead) {
+      greeted_.erase(it.id);
+    } else if (it.id != self_ && !greeted_.contains(it.id)) {
+      pb::RequestMessage message;
+      message.mutable_hello();
+      SendPeer(it.id, message);
+    }
+  }
+}
+
+void EntryNodeImpl::OnHello(NodeId from, const pb::Hello& hello) {
+  if (hello.acknowledged()) {
+    greeted_.insert(from);
+    return;
+  }
+  pb::RequestMessage message;
+  message.mutable_hello()->set_acknowledged(true);
+  SendPeer(from, message);
+}
+
 const Member* EntryNodeImpl::FindMember(NodeId id) const {
   for (const Member& it : members_->members()) {
     if (it.id == id) {
--- a/src/entry/service_state.h
+++ b/src/entry/service_state.h
@@ -32,8 +32,10 @@
   // Parts still missing by member; kUnknownParts before its first reply.
   absl::flat_hash_map<NodeId, std::uint32_t> missing;
   absl::flat_hash_set<std::uint64_t> seen;  // Member and part.
-  absl::flat_hash_set<NodeId> earlier;      // Dispatchers that members knew.
-  absl::flat_hash_set<NodeId> unserved;     // Members that never dispatched.
+  // Starts of dispatchers that members knew, and of members that never
+  // dispatched.
+  absl::flat_hash_set<std::uint64_t> earlier;
+  absl::flat_hash_set<std::uint64_t> unserved;
 };
 inline constexpr std::uint32_t kUnknownParts = 0xffffffff;
 
@@ -64,12 +66,15 @@
   bool dispatches = false;  // This VM has rank 0.
   bool ready = false;       // It has collected what the members hold.
   NodeId dispatcher;        // Rank 0 as known; 0: none.
-  NodeId former;            // Rank 0 before it; 0: none.
-  NodeId successor;         // Rank 1 as known; 0: none.
+  // Starts of dispatchers that this VM has known, and until when.
+  absl::flat_hash_map<std::uint64_t, TimePoint> known_dispatchers;
+  NodeId successor;  // Rank 1 as known; 0: none.
   // The VM that this one has collected from may no longer be overruled by an
   // older dispatcher; 0: none has asked.
   NodeId fence;
   bool served = false;  // This VM has dispatched the service.
+  // Every request that was sent since then was sent by this VM.
+  TimePoint knows_since = TimePoint::min();
   // This VM knows of every request that a caller may still resend.
   bool complete = false;
   TimePoint complete_until;  // It did so until then, and was then replaced.
--- a/src/entry/takeover.cc
+++ b/src/entry/takeover.cc
@@ -63,6 +63,18 @@
   return lost_members_.contains(first);
 }
 
+// Remembers who dispatches now, for those who ask later.
+void EntryNodeImpl::NoteDispatchers() {
+  for (auto& [id, service] : services_) {
+    const auto it = instances_.find(service.dispatcher);
+    if (it != instances_.end()) {
+      service.known_dispatchers[it->second] = now_ + options_.exchange_lifetime;
+    }
+    absl::erase_if(service.known_dispatchers,
+                   [&](const auto& known) { return known.second <= now_; });
+  }
+}
+
 void EntryNodeImpl::ReviewService(ServiceState& service) {
   if (!joined_) {
     return;
@@ -78,9 +90,6 @@
       (!service.dispatches || service.ready)) {
     return;
   }
-  if (service.dispatcher != old_dispatcher && old_dispatcher != NodeId{}) {
-    service.former = old_dispatcher;
-  }
   const bool dispatched =
       std::exchange(service.dispatches, service.dispatcher == self_);
   ReviewKnowledge(service, old_successor);
@@ -175,23 +184,26 @@
 void EntryNodeImpl::FinishCollection(ServiceState& service) {
   Collection& collection = service.collection;
   service.all_collected = collection.missing.empty();
-  if (service.former != NodeId{}) {
-    collection.earlier.insert(service.former);
+  for (const auto& [instance, until] : service.known_dispatchers) {
+    collection.earlier.insert(instance);
   }
-  collection.earlier.erase(self_);
+  collection.earlier.erase(instance_);
   const bool ignorant = !service.complete && service.sources.empty();
   if (ignorant && now_ < started_ + kJoinSettle &&
       !options_.membership.seeds.empty()) {
     BeginCollection(service);  // There may be members that it has not seen.
     return;
   }
+  service.knows_since = now_;
   const bool nothing_before =
       service.all_collected &&
-      std::all_of(collection.earlier.begin(), collection.earlier.end(),
-                  [&](NodeId it) { return collection.unserved.contains(it); });
+      std::all_of(
+          collection.earlier.begin(), collection.earlier.end(),
+          [&](std::uint64_t it) { return collection.unserved.contains(it); });
   if (ignorant) {
     if (nothing_before) {
       BecomeComplete(service);
+      service.knows_since = TimePoint::min();
     } else {
       service.unsure_before = now_;
     }
@@ -235,7 +247,9 @@
     reply.set_service_id(collect.service_id());
     reply.set_part(static_cast<std::uint32_t>(n));
     reply.set_parts(static_cast<std::uint32_t>(parts.size()));
-    reply.set_earlier_dispatcher(EarlierDispatcher(*service, from).value());
+    for (const auto& [instance, until] : service->known_dispatchers) {
+      reply.add_earlier(instance);
+    }
     reply.set_served(service->served);
     reply.set_complete(complete);
     SendPeer(from, message);
@@ -245,12 +259,6 @@
   }
 }
 
-// The dispatcher that this VM knew before `newer`; 0 if none.
-NodeId EntryNodeImpl::EarlierDispatcher(const ServiceState& service,
-                                        NodeId newer) {
-  return service.dispatcher == newer ? service.former : service.dispatcher;
-}
-
 void EntryNodeImpl::OnCollectReply(NodeId from, const pb::CollectReply& reply) {
   ServiceState* service = FindService(ServiceId{reply.service_id()});
   if (service == nullptr || service->ready ||
@@ -267,11 +275,9 @@
   if (it->second == kUnknownParts) {
     it->second = reply.parts();
   }
-  if (reply.earlier_dispatcher() != 0) {
-    collection.earlier.insert(NodeId{reply.earlier_dispatcher()});
-  }
+  collection.earlier.insert(reply.earlier().begin(), reply.earlier().end());
   if (!reply.served()) {
-    collection.unserved.insert(from);
+    collection.unserved.insert(incoming_.request().instance());
   }
   if (reply.complete() && reply.part() == 0) {
     service->sources.push_back(from);
