Place by classes, shares, health and forecasts of the wait

One dispatcher's queue replaces first come, first served: classes below their share first, the tightest latency first among them; a request that can't meet its deadline or target is refused at once with a time to come back; endpoints are chosen by busy share among those that answer well.

--- a/include/vanillalatch/placement/slot_scheduler.h
+++ b/include/vanillalatch/placement/slot_scheduler.h
@@ -15,10 +15,10 @@
 #include <memory>
 #include <optional>
 #include <span>
-#include <string>
 #include <vector>
 
 #include "control.pb.h"
+#include "vanillalatch/admission/class_target.h"
 #include "vanillalatch/base/error.h"
 #include "vanillalatch/base/result.h"
 #include "vanillalatch/base/strong.h"
@@ -27,15 +27,6 @@
 
 namespace vanillalatch {
 
-// The target of one class, as admission uses it.
-struct ClassTarget {
-  ClassId id;
-  std::string name;
-  Duration latency = std::chrono::seconds(1);
-  std::uint32_t success_permille = 990;
-  std::uint32_t share_percent = 0;  // Of the service's slots.
-};
-
 // One request that wants a slot.
 struct Work {
   RequestId request;
--- /dev/null
+++ b/src/placement/admission_gate.cc
@@ -0,0 +1,122 @@
+#include "src/placement/admission_gate.h"
+
+#include <algorithm>
+
+namespace vanillalatch::internal {
+namespace {
+
+// A class may always wait for this part of its target.
+constexpr int kLeastPatienceDivisor = 4;
+
+Duration Times(Duration duration, double factor) {
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(duration.count()) * factor));
+}
+
+}  // namespace
+
+Forecast AdmissionGate::Predict(TimePoint now, const Work& work) {
+  const ClassState& state = classes_.Of(work.work_class);
+  Forecast forecast;
+  forecast.answer = AnswerTimeOf(now, state);
+  const Duration high = state.answer_time.KnownAt(now)
+                            ? state.answer_time.high()
+                            : forecast.answer;
+  forecast.patience = std::max(state.target.latency - high,
+                               state.target.latency / kLeastPatienceDivisor);
+  if (work.pinned) {
+    PredictPinned(now, work, forecast);
+  } else {
+    PredictUnpinned(now, work, forecast);
+  }
+  return forecast;
+}
+
+void AdmissionGate::PredictPinned(TimePoint now, const Work& work,
+                                  Forecast& forecast) {
+  const EndpointTrack* track = pool_.Find(*work.pinned);
+  if (track == nullptr) {
+    return;
+  }
+  if (track->answer_time().KnownAt(now)) {
+    forecast.answer = track->answer_time().mean();
+  }
+  forecast.spacing = forecast.answer / track->endpoint().slots;
+  if (!track->HasFreePinnedSlot()) {
+    const auto ahead = static_cast<double>(queue_.PinnedTo(*work.pinned) + 1);
+    forecast.wait = Times(forecast.spacing, ahead);
+  }
+}
+
+void AdmissionGate::PredictUnpinned(TimePoint now, const Work& work,
+                                    Forecast& forecast) {
+  const ClassState& state = classes_.Of(work.work_class);
+  const double slots = std::max(1U, pool_.UsableSlots(now));
+  const double own_slots = classes_.SlotsFor(now, state, slots);
+  forecast.spacing = Times(forecast.answer, 1 / own_slots);
+  if (queue_.size() == 0 && pool_.FreeSlots(now) > 0) {
+    return;
+  }
+  const auto own = static_cast<double>(queue_.SizeOf(work.work_class) + 1);
+  forecast.wait = Times(forecast.spacing, own);
+  for (const ClassState* it : classes_.by_latency()) {
+    if (it == &state) {
+      break;
+    }
+    const auto tighter = static_cast<double>(queue_.SizeOf(it->target.id));
+    forecast.wait += Times(AnswerTimeOf(now, *it), tighter / slots);
+  }
+}
+
+std::optional<ErrorKind> AdmissionGate::Check(TimePoint now, const Work& work,
+                                              const Forecast& forecast) {
+  if (now >= work.deadline) {
+    return ErrorKind::kDeadlineUnmeetable;
+  }
+  if (work.pinned) {
+    const EndpointTrack* track = pool_.Find(*work.pinned);
+    if (track == nullptr || !track->present()) {
+      return ErrorKind::kNoEndpoint;
+    }
+  } else if (!pool_.AnyInService()) {
+    return ErrorKind::kNoEndpoint;
+  }
+  if (forecast.wait + forecast.answer > work.deadline - now) {
+    return ErrorKind::kDeadlineUnmeetable;
+  }
+  if (forecast.wait > forecast.patience) {
+    return ErrorKind::kOverloaded;
+  }
+  return std::nullopt;
+}
+
+TimePoint AdmissionGate::ExpiryOf(TimePoint submitted, const Work& work) {
+  const ClassState& state = classes_.Of(work.work_class);
+  const Duration answer = AnswerTimeOf(submitted, state);
+  const Duration latency = state.target.latency;
+  return std::min(work.deadline - answer,
+                  submitted + std::max(latency - answer, latency / 2));
+}
+
+const Waiting* AdmissionGate::Victim(TimePoint now, const Work& work) {
+  const double slots = pool_.UsableSlots(now);
+  const ClassState* worst = &classes_.Of(work.work_class);
+  for (const ClassState* it : classes_.by_latency()) {
+    if (queue_.Youngest(it->target.id) != nullptr &&
+        ClassTable::Excess(now, *it, slots) >
+            ClassTable::Excess(now, *worst, slots)) {
+      worst = it;
+    }
+  }
+  return worst->target.id == work.work_class
+             ? nullptr
+             : queue_.Youngest(worst->target.id);
+}
+
+Duration AdmissionGate::AnswerTimeOf(TimePoint now,
+                                     const ClassState& state) const {
+  return state.answer_time.KnownAt(now) ? state.answer_time.mean()
+                                        : pool_.usual();
+}
+
+}  // namespace vanillalatch::internal
