--- /dev/null
+++ b/src/telemetry/metrics.cc
@@ -0,0 +1,148 @@
+#include "vanillalatch/telemetry/metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/exposer.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <map>
+#include <mutex>
+#include <vector>
+
+namespace vanillalatch {
+namespace {
+
+using Labels = std::map<std::string, std::string>;
+
+constexpr std::string_view kOverflowLabel = "other";
+
+}  // namespace
+
+struct Metrics::State {
+  template <typename T>
+  struct Series {
+    T* value = nullptr;
+    double last_total = 0;
+  };
+
+  // One family with the series that it holds.
+  template <typename T>
+  struct Family {
+    prometheus::Family<T>* family = nullptr;
+    std::map<Labels, Series<T>> series;
+
+    Series<T>& At(const MetricRow& row, LabelValues values) {
+      Labels labels;
+      std::size_t i = 0;
+      for (const std::string_view it : values) {
+        labels.emplace(row.labels[i++], it);
+      }
+      if (!series.contains(labels) && series.size() >= kMaxSeries) {
+        for (auto& [name, value] : labels) {
+          value = kOverflowLabel;
+        }
+      }
+      Series<T>& found = series[labels];
+      if (found.value == nullptr) {
+        found.value = &family->Add(labels);
+      }
+      return found;
+    }
+
+    void Clear() {
+      for (auto& [labels, it] : series) {
+        family->Remove(it.value);
+      }
+      series.clear();
+    }
+  };
+
+  std::shared_ptr<prometheus::Registry> registry =
+      std::make_shared<prometheus::Registry>();
+  std::map<Metric, Family<prometheus::Counter>> counters;
+  std::map<Metric, Family<prometheus::Gauge>> gauges;
+  std::unique_ptr<prometheus::Exposer> exposer;
+  std::mutex mutex;
+};
+
+Metrics::Metrics(std::unique_ptr<State> state) : state_(std::move(state)) {}
+
+Metrics::~Metrics() = default;
+
+Result<std::unique_ptr<Metrics>> Metrics::Create(
+    std::optional<SocketAddress> address, std::string_view vm,
+    std::string_view data_center) {
+  auto state = std::make_unique<State>();
+  const Labels constant = {{"vm", std::string(vm)},
+                           {"data_center", std::string(data_center)}};
+  for (const MetricRow& it : MetricRows()) {
+    const std::string name(it.name);
+    const std::string help(it.help);
+    if (it.counter) {
+      state->counters[it.metric].family = &prometheus::BuildCounter()
+                                               .Name(name)
+                                               .Help(help)
+                                               .Labels(constant)
+                                               .Register(*state->registry);
+    } else {
+      state->gauges[it.metric].family = &prometheus::BuildGauge()
+                                             .Name(name)
+                                             .Help(help)
+                                             .Labels(constant)
+                                             .Register(*state->registry);
+    }
+  }
+  if (address) {
+    try {
+      constexpr std::size_t kThreads = 1;
+      state->exposer =
+          std::make_unique<prometheus::Exposer>(address->ToString(), kThreads);
+      state->exposer->RegisterCollectable(state->registry);
+    } catch (const std::exception& e) {
+      return Error(ErrorKind::kInvalidArgument,
+                   "metrics address " + address->ToString() +
+                       " can't be opened: " + e.what());
+    }
+  }
+  return std::unique_ptr<Metrics>(new Metrics(std::move(state)));
+}
+
+void Metrics::Set(Metric metric, LabelValues labels, double value) {
+  const std::lock_guard lock(state_->mutex);
+  const MetricRow& row = MetricRows()[static_cast<std::size_t>(metric)];
+  state_->gauges.at(metric).At(row, labels).value->Set(value);
+}
+
+void Metrics::Increment(Metric metric, LabelValues labels, double amount) {
+  const std::lock_guard lock(state_->mutex);
+  const MetricRow& row = MetricRows()[static_cast<std::size_t>(metric)];
+  state_->counters.at(metric).At(row, labels).value->Increment(amount);
+}
+
+void Metrics::SetTotal(Metric metric, LabelValues labels, double total) {
+  const std::lock_guard lock(state_->mutex);
+  const MetricRow& row = MetricRows()[static_cast<std::size_t>(metric)];
+  auto& series = state_->counters.at(metric).At(row, labels);
+  const bool restarted = total < series.last_total;
+  series.value->Increment(restarted ? total : total - series.last_total);
+  series.last_total = total;
+}
+
+void Metrics::Clear(Metric metric) {
+  const std::lock_guard lock(state_->mutex);
+  if (const auto it = state_->counters.find(metric);
+      it != state_->counters.end()) {
+    it->second.Clear();
+  }
+  if (const auto it = state_->gauges.find(metric); it != state_->gauges.end()) {
+    it->second.Clear();
+  }
+}
+
+std::string Metrics::Text() const {
+  return prometheus::TextSerializer().Serialize(state_->registry->Collect());
+}
+
+}  // namespace vanillalatch
