--- /dev/null
+++ b/src/cli/catalog_change.cc
@@ -0,0 +1,260 @@
+#include "src/cli/catalog_change.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <map>
+#include <random>
+#include <thread>
+
+#include "src/cli/json_output.h"
+#include "src/cli/text_table.h"
+#include "vanillalatch/base/error.h"
+#include "vanillalatch/catalog/catalog_file.h"
+#include "vanillalatch/jsonc/document.h"
+
+namespace vanillalatch {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr std::chrono::milliseconds kWaitPoll{200};
+// A drain does not depend on what else changed, so it is made again from the
+// catalog that won.
+constexpr int kDrainAttempts = 5;
+
+std::int64_t UnixMsNow() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+ErrorKind KindOfName(const std::string& name) {
+  for (const ErrorAnswer& it : ErrorAnswers()) {
+    if (it.name == name) {
+      return it.kind;
+    }
+  }
+  return ErrorKind::kInternal;
+}
+
+// The change that keeps everything as it is.
+pb::Change SameAs(const pb::Catalog& current, const CtlOptions& options) {
+  pb::Change change;
+  change.set_change_id(options.change_id.empty() ? NewChangeId()
+                                                 : options.change_id);
+  change.set_base_revision(options.from_revision.value_or(current.revision()));
+  change.set_author(options.author);
+  change.set_unix_ms(UnixMsNow());
+  *change.mutable_services() = current.services();
+  *change.mutable_draining_vms() = current.draining_vms();
+  return change;
+}
+
+// Sends a change; throws the error of a refused one.
+pb::ChangeOutcome Send(const pb::Change& change, OperatorClient& client) {
+  pb::ApplyRequest request;
+  *request.mutable_change() = change;
+  pb::ChangeOutcome outcome;
+  try {
+    outcome = client.Apply(request).outcome();
+  } catch (const Error& e) {
+    if (e.kind() != ErrorKind::kNoQuorum) {
+      throw;
+    }
+    // The last answer may be lost; the same id asks for it again.
+    throw Error(e.kind(),
+                std::string(e.what()) +
+                    "; whether the change was accepted is not known: repeat "
+                    "it with --change-id " +
+                    change.change_id() + " --from-revision " +
+                    std::to_string(change.base_revision()));
+  }
+  if (!outcome.accepted()) {
+    throw Error(KindOfName(outcome.error_kind()), outcome.message());
+  }
+  return outcome;
+}
+
+void PrintDifference(const std::vector<std::string>& lines, Console console) {
+  for (const std::string& it : lines) {
+    console.out << it << "\n";
+  }
+}
+
+bool IsCurrent(const pb::EntryStatus& entry, std::uint64_t revision) {
+  return entry.last_sync().revision() >= revision;
+}
+
+bool IsInForce(const pb::StatusReply& status, std::uint64_t revision) {
+  const auto& entries = status.entries();
+  return !entries.empty() &&
+         std::all_of(entries.begin(), entries.end(),
+                     [&](const auto& it) { return IsCurrent(it, revision); });
+}
+
+// One row a data centre; the VMs that lag are named.
+void PrintInForce(const pb::StatusReply& status, std::uint64_t revision,
+                  std::ostream& out) {
+  struct Count {
+    int current = 0;
+    int all = 0;
+    std::string lagging;
+  };
+  std::map<std::string, Count> by_data_center;
+  for (const pb::EntryStatus& it : status.entries()) {
+    Count& count = by_data_center[it.last_sync().data_center()];
+    ++count.all;
+    if (IsCurrent(it, revision)) {
+      ++count.current;
+    } else {
+      count.lagging += (count.lagging.empty() ? "" : ", ") +
+                       it.last_sync().vm() + " (revision " +
+                       std::to_string(it.last_sync().revision()) + ", heard " +
+                       FormatDuration(std::chrono::milliseconds(it.age_ms())) +
+                       " ago)";
+    }
+  }
+  TextTable table({"DATA CENTRE", "IN FORCE ON", "LAGGING"});
+  for (const auto& [name, count] : by_data_center) {
+    table.Add({name,
+               std::to_string(count.current) + " of " +
+                   std::to_string(count.all) + " entry VMs",
+               count.lagging.empty() ? "none" : count.lagging});
+  }
+  table.Print(out);
+}
+
+// Polls until a revision is in force on every entry VM.
+void WaitInForce(std::uint64_t revision, const CtlOptions& options,
+                 OperatorClient& client, Console console) {
+  const Clock::time_point deadline =
+      Clock::now() +
+      std::chrono::duration_cast<Clock::duration>(options.wait_timeout);
+  pb::StatusReply status = client.Status();
+  while (!IsInForce(status, revision) && Clock::now() < deadline) {
+    std::this_thread::sleep_for(kWaitPoll);
+    status = client.Status();
+  }
+  if (!options.json) {
+    PrintInForce(status, revision, console.out);
+  }
+  if (!IsInForce(status, revision)) {
+    throw Error(
+        ErrorKind::kDeadlineExceeded,
+        "revision " + std::to_string(revision) +
+            " is accepted, but not yet in force on every entry VM" +
+            (status.entries().empty() ? ": no entry VM has reported yet" : ""));
+  }
+}
+
+void PrintOutcome(const pb::ChangeOutcome& outcome, const CtlOptions& options,
+                  Console console) {
+  if (options.json) {
+    PrintJson(outcome, console.out);
+  } else {
+    console.out << "accepted as revision " << outcome.revision() << "\n";
+  }
+}
+
+void CheckVmIsKnown(const std::string& vm, const pb::StatusReply& status) {
+  std::string names;
+  for (const pb::EntryStatus& it : status.entries()) {
+    if (it.last_sync().vm() == vm) {
+      return;
+    }
+    names += (names.empty() ? "" : ", ") + it.last_sync().vm();
+  }
+  throw Error(ErrorKind::kNotFound,
+              "no entry VM \"" + vm + "\"; known are: " + names);
+}
+
+// Adds or removes `vm`; false if there is nothing to change.
+bool ChangeDraining(const std::string& vm, bool draining, pb::Change& change) {
+  auto& vms = *change.mutable_draining_vms();
+  const auto it = std::find(vms.begin(), vms.end(), vm);
+  if ((it != vms.end()) == draining) {
+    return false;
+  }
+  if (draining) {
+    change.add_draining_vms(vm);
+  } else {
+    vms.erase(it);
+  }
+  return true;
+}
+
+}  // namespace
+
+std::string NewChangeId() {
+  std::random_device source;
+  std::string id;
+  constexpr int kWords = 4;
+  for (int i = 0; i < kWords; ++i) {
+    std::array<char, 9> buf{};
+    std::snprintf(buf.data(), buf.size(), "%08x", source());
+    id += buf.data();
+  }
+  return id;
+}
+
+int ApplyFile(const CtlOptions& options, OperatorClient& client,
+              Console console) {
+  const std::string& path = options.arguments.front();
+  const pb::Change file =
+      ParseCatalogFile(path, ReadWholeFile(path).value()).value();
+  const pb::Catalog current = client.Get().catalog();
+  pb::Change change = SameAs(current, options);
+  *change.mutable_services() = file.services();
+  const std::vector<std::string> difference =
+      DescribeDifference(current, change);
+  if (!options.json) {
+    PrintDifference(difference, console);
+  }
+  // A repeated change must reach the control VMs: only they know its answer.
+  const bool repeated = !options.change_id.empty();
+  if (difference.empty() && !repeated) {
+    console.err << "nothing to change\n";
+  }
+  if (options.dry_run) {
+    return 0;
+  }
+  std::uint64_t revision = current.revision();
+  if (!difference.empty() || repeated) {
+    const pb::ChangeOutcome outcome = Send(change, client);
+    PrintOutcome(outcome, options, console);
+    revision = outcome.revision();
+  }
+  if (options.wait) {
+    WaitInForce(revision, options, client, console);
+  }
+  return 0;
+}
+
+int SetDraining(const CtlOptions& options, bool draining,
+                OperatorClient& client, Console console) {
+  const std::string& vm = options.arguments.front();
+  if (draining) {
+    CheckVmIsKnown(vm, client.Status());
+  }
+  for (int i = 1;; ++i) {
+    pb::Change change = SameAs(client.Get().catalog(), options);
+    if (!ChangeDraining(vm, draining, change)) {
+      console.err << vm
+                  << (draining ? " is drained already" : " is not drained")
+                  << "\n";
+      return 0;
+    }
+    try {
+      PrintOutcome(Send(change, client), options, console);
+      return 0;
+    } catch (const Error& e) {
+      if (e.kind() != ErrorKind::kConflict || i == kDrainAttempts) {
+        throw;
+      }
+    }
+  }
+}
+
+}  // namespace vanillalatch
--- /dev/null
+++ b/src/cli/status_text.cc
@@ -0,0 +1,194 @@
+#include "src/cli/status_text.h"
+
+#include <array>
+#include <cstdio>
+#include <ctime>
+#include <vector>
+
+#include "src/cli/text_table.h"
+
+namespace vanillalatch {
+namespace {
+
+// Without news for longer than this, a VM is shown as silent.
+constexpr std::uint32_t kSilentAfterMs = 5000;
+constexpr std::uint64_t kWholePermille = 1000;
+
+std::string PermilleText(std::uint64_t permille) {
+  return std::to_string(permille / 10) + "." + std::to_string(permille % 10) +
+         "%";
+}
+
+std::string MillisecondsText(std::uint32_t microseconds) {
+  std::array<char, 32> buf{};
+  std::snprintf(buf.data(), buf.size(), "%.1f ms", microseconds / 1000.0);
+  return buf.data();
+}
+
+std::string AgeText(std::uint32_t age_ms) {
+  std::array<char, 32> buf{};
+  std::snprintf(buf.data(), buf.size(), "%.1f s", age_ms / 1000.0);
+  return buf.data();
+}
+
+const pb::Service* FindService(const pb::Catalog& catalog, std::uint32_t id) {
+  for (const pb::Service& it : catalog.services()) {
+    if (it.id() == id) {
+      return &it;
+    }
+  }
+  return nullptr;
+}
+
+std::string ServiceName(const pb::Catalog& catalog, std::uint32_t id) {
+  const pb::Service* service = FindService(catalog, id);
+  return service == nullptr ? "deleted service " + std::to_string(id)
+                            : service->name();
+}
+
+const pb::ClassTarget* FindClass(const pb::Service* service, std::uint32_t id) {
+  if (service != nullptr) {
+    for (const pb::ClassTarget& it : service->classes()) {
+      if (it.id() == id) {
+        return &it;
+      }
+    }
+  }
+  return nullptr;
+}
+
+void PrintControls(const pb::StatusReply& status, std::ostream& out) {
+  TextTable table(
+      {"CONTROL VM", "DATA CENTRE", "ROLE", "TERM", "LOG INDEX", "REVISION"});
+  for (const pb::ControlStatus& it : status.controls()) {
+    table.Add({it.vm(), it.data_center(), it.role(), std::to_string(it.term()),
+               std::to_string(it.committed_index()),
+               std::to_string(it.revision())});
+  }
+  table.Print(out);
+}
+
+std::string CatalogText(const pb::StatusReply& status,
+                        const pb::EntryStatus& entry) {
+  const std::uint64_t current = status.catalog().revision();
+  const std::uint64_t own = entry.last_sync().revision();
+  const std::string text = "revision " + std::to_string(own);
+  return own >= current
+             ? text + ", current"
+             : text + ", " + std::to_string(current - own) + " behind";
+}
+
+std::string EntryState(const pb::EntryStatus& entry) {
+  return entry.age_ms() > kSilentAfterMs ? "silent" : entry.last_sync().state();
+}
+
+void PrintEntries(const pb::StatusReply& status, std::ostream& out) {
+  TextTable table(
+      {"ENTRY VM", "DATA CENTRE", "STATE", "CATALOG", "HEARD", "DISPATCHES"});
+  for (const pb::EntryStatus& it : status.entries()) {
+    std::string services;
+    for (const pb::ServiceReport& report : it.last_sync().services()) {
+      services += (services.empty() ? "" : ", ") +
+                  ServiceName(status.catalog(), report.service_id());
+    }
+    table.Add({it.last_sync().vm(), it.last_sync().data_center(),
+               EntryState(it), CatalogText(status, it),
+               AgeText(it.age_ms()) + " ago", services});
+  }
+  table.Print(out);
+}
+
+void PrintClasses(const pb::StatusReply& status, std::ostream& out) {
+  TextTable table({"SERVICE", "CLASS", "DATA CENTRE", "P99", "TARGET",
+                   "WAITING", "ANSWERED", "WITHIN TARGET"});
+  for (const pb::EntryStatus& entry : status.entries()) {
+    for (const pb::ServiceReport& report : entry.last_sync().services()) {
+      const pb::Service* service =
+          FindService(status.catalog(), report.service_id());
+      for (const pb::ClassReport& it : report.classes()) {
+        const pb::ClassTarget* target = FindClass(service, it.class_id());
+        if (target == nullptr) {
+          continue;
+        }
+        table.Add({service->name(), target->name(),
+                   entry.last_sync().data_center(),
+                   MillisecondsText(it.p99_us()),
+                   std::to_string(target->latency_ms()) + " ms",
+                   std::to_string(it.queued()), std::to_string(it.answered()),
+                   TargetVerdict(*target, it)});
+      }
+    }
+  }
+  table.Print(out);
+}
+
+void PrintEndpoints(const pb::StatusReply& status, std::ostream& out) {
+  TextTable table({"SERVICE", "ENDPOINT", "DATA CENTRE", "ADDRESS", "STATE",
+                   "SLOTS BUSY", "REQUESTS"});
+  for (const pb::EntryStatus& entry : status.entries()) {
+    for (const pb::ServiceReport& report : entry.last_sync().services()) {
+      for (const pb::EndpointReport& it : report.endpoints()) {
+        table.Add(
+            {ServiceName(status.catalog(), report.service_id()), it.name(),
+             entry.last_sync().data_center(), it.address(), it.state(),
+             std::to_string(it.busy()) + " of " + std::to_string(it.slots()),
+             std::to_string(it.requests())});
+      }
+    }
+  }
+  table.Print(out);
+}
+
+}  // namespace
+
+std::string TargetVerdict(const pb::ClassTarget& target,
+                          const pb::ClassReport& report) {
+  const std::uint64_t total =
+      report.answered() + report.refused() + report.failed();
+  if (total == 0) {
+    return "no requests yet";
+  }
+  if (report.within() * kWholePermille >= total * target.success_permille()) {
+    return "met";
+  }
+  const std::uint64_t late = report.answered() - report.within();
+  return "missed: " + PermilleText(report.within() * kWholePermille / total) +
+         " of " + PermilleText(target.success_permille()) + " in time; " +
+         std::to_string(report.refused()) + " refused, " +
+         std::to_string(report.failed()) + " failed, " + std::to_string(late) +
+         " late";
+}
+
+std::string UtcTimeText(std::int64_t unix_ms) {
+  const std::time_t seconds = unix_ms / 1000;
+  std::tm parts{};
+  gmtime_r(&seconds, &parts);
+  std::array<char, 32> buf{};
+  std::strftime(buf.data(), buf.size(), "%Y-%m-%d %H:%M:%SZ", &parts);
+  return buf.data();
+}
+
+void PrintStatus(const pb::StatusReply& status, std::ostream& out) {
+  out << "Catalog: revision " << status.catalog().revision() << ", "
+      << status.catalog().services_size() << " services\n\n";
+  PrintControls(status, out);
+  out << "\n";
+  PrintEntries(status, out);
+  out << "\n";
+  PrintClasses(status, out);
+  out << "\n";
+  PrintEndpoints(status, out);
+}
+
+void PrintHistory(const pb::HistoryReply& history, std::ostream& out) {
+  TextTable table({"REVISION", "TIME", "AUTHOR", "FROM", "RESULT", "CHANGE"});
+  for (const pb::ChangeOutcome& it : history.outcomes()) {
+    table.Add({std::to_string(it.revision()), UtcTimeText(it.unix_ms()),
+               it.author(), std::to_string(it.base_revision()),
+               it.accepted() ? "accepted" : it.error_kind(),
+               it.accepted() ? it.summary() : it.message()});
+  }
+  table.Print(out);
+}
+
+}  // namespace vanillalatch
