Publish figures, hops and state changes of a process once a second

Cause: metrics, traces and logs had no source. Ruled out: publishing from inside the decisions (they do no I/O). Before: empty metrics. After: EntryView and ControlStatus are brought to metrics, the trace file and the log by one fiber; SIGHUP takes over the log settings, a file that is not valid changes nothing.

--- a/src/runtime/entry_shell.cc
+++ b/src/runtime/entry_shell.cc
@@ -1,11 +1,10 @@
 #include "src/runtime/entry_shell.h"
 
-#include <algorithm>
-#include <charconv>
 #include <random>
 #include <utility>
 
 #include "vanillalatch/base/hop.h"
+#include "vanillalatch/telemetry/trace.h"
 
 namespace vanillalatch {
 namespace {
@@ -34,19 +33,6 @@
   return options;
 }
 
-// The subject of a hop as operators read it.
-std::string SubjectText(const Hop& hop) {
-  switch (hop.event) {
-    case HopEvent::kReceived:
-      return SocketAddress::FromPacked(hop.subject).ToString();
-    case HopEvent::kRefused:
-    case HopEvent::kGivenUp:
-      return std::string(AnswerFor(static_cast<ErrorKind>(hop.subject)).name);
-    default:
-      return std::to_string(hop.subject);
-  }
-}
-
 }  // namespace
 
 Result<std::unique_ptr<EntryShell>> EntryShell::Create(
@@ -118,7 +104,17 @@
   server_->Stop();
 }
 
-Duration EntryShell::catalog_age() const { return Now() - last_quorum_; }
+EntryView EntryShell::View() {
+  const TimePoint now = Now();
+  EntryView view;
+  view.counters = &node_->counters();
+  view.catalog = &catalog_;
+  view.report = node_->Report(now);
+  view.catalog_age = now - last_quorum_;
+  view.hops = node_->TakeHops();
+  view.unix_epoch_ms = unix_epoch_ms_;
+  return view;
+}
 
 void EntryShell::ServeSocket(SocketRole role, FdWaiter& waiter) {
   UdpSocket& socket = sockets_[static_cast<std::size_t>(role)];
@@ -165,6 +161,9 @@
   if (reply->has_catalog()) {
     node_->OnCatalog(Now(), reply->catalog(), out_);
     Flush();
+    if (node_->revision().value() == reply->catalog().revision()) {
+      catalog_ = reply->catalog();
+    }
   }
   if (reply->from_quorum()) {
     last_quorum_ = Now();
@@ -175,22 +174,29 @@
 void EntryShell::ServeAdmin() {
   ExplainCall call;
   while (mailbox_.pop(call) == boost::fibers::channel_op_status::success) {
-    const std::string& text = call.request->request_id();
-    std::uint64_t id = 0;
-    std::from_chars(text.data(), text.data() + text.size(), id, 16);
-    pb::ExplainReply reply;
-    for (const Hop& it : node_->HopsOf(RequestId(id))) {
-      pb::Hop& hop = *reply.add_hops();
-      hop.set_vm(vm_);
-      hop.set_unix_us(unix_epoch_ms_ * 1000 +
-                      it.at.time_since_epoch().count() / 1000);
-      hop.set_event(std::string(HopEventName(it.event)));
-      hop.set_subject(SubjectText(it));
-    }
-    call.Reply(reply);
+    call.Reply(Explain(call.request->request_id()));
   }
 }
 
+pb::ExplainReply EntryShell::Explain(const std::string& request_id) const {
+  pb::ExplainReply reply;
+  const Result<RequestId> id = ParseRequestId(request_id);
+  if (!id.ok()) {
+    return reply;
+  }
+  for (const Hop& it : node_->HopsOf(*id)) {
+    pb::Hop& hop = *reply.add_hops();
+    hop.set_vm(vm_);
+    hop.set_unix_us(unix_epoch_ms_ * 1000 +
+                    std::chrono::duration_cast<std::chrono::microseconds>(
+                        it.at.time_since_epoch())
+                        .count());
+    hop.set_event(std::string(HopEventName(it.event)));
+    hop.set_subject(HopSubjectText(it));
+  }
+  return reply;
+}
+
 void EntryShell::Flush() {
   for (const Outbox::Item& it : out_.items()) {
     sockets_[static_cast<std::size_t>(it.socket)].Queue(it.to, out_.Bytes(it));
--- a/src/runtime/entry_shell.h
+++ b/src/runtime/entry_shell.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <vector>
 
+#include "src/runtime/publisher.h"
 #include "src/runtime/udp_socket.h"
 #include "src/runtime/wakeup.h"
 #include "vanillalatch/entry/entry_node.h"
@@ -27,11 +28,8 @@
   // Planned stop; suspends the calling fiber until open requests have ended.
   void Stop();
 
-  const EntryNode& node() const { return *node_; }
-  // Hops since the last call, for the trace file.
-  std::vector<Hop> TakeHops() { return node_->TakeHops(); }
-  // Since the last answer of a control VM that has a quorum.
-  Duration catalog_age() const;
+  // What there is to publish now; takes the hops since the last call.
+  EntryView View();
 
  private:
   static constexpr std::size_t kSockets = 3;  // By SocketRole.
@@ -45,6 +43,7 @@
   void ServeAdmin();
   // One call to a control VM. False if it failed.
   bool SyncOnce(const std::string& address);
+  pb::ExplainReply Explain(const std::string& request_id) const;
   // Sends what the node decided.
   void Flush();
 
@@ -54,6 +53,7 @@
   std::string admin_address_;
   std::int64_t unix_epoch_ms_;
   std::string vm_;
+  pb::Catalog catalog_;  // In force.
   Outbox out_;
   Wakeup wakeup_;
   ControlClient client_;
--- a/src/runtime/serve.cc
+++ b/src/runtime/serve.cc
@@ -9,11 +9,15 @@
 
 #include "src/runtime/control_shell.h"
 #include "src/runtime/entry_shell.h"
+#include "src/runtime/publisher.h"
 #include "vanillalatch/runtime/reactor.h"
+#include "vanillalatch/telemetry/log.h"
 
 namespace vanillalatch {
 namespace {
 
+constexpr std::chrono::seconds kPublishEvery{1};
+
 // Receives the signals of the process as a file. Made before any thread, so
 // that no other thread takes them.
 class SignalFile {
@@ -62,11 +66,35 @@
   }
 }
 
+void Publish(Publisher& publisher, EntryShell* entry, ControlShell* control) {
+  if (entry != nullptr) {
+    publisher.Publish(entry->View());
+  }
+  if (control != nullptr) {
+    publisher.Publish(control->node().Status());
+  }
+}
+
+// Takes over the log settings; a file that is not valid changes nothing.
+void ReloadLog(const std::string& settings_path, const std::string& vm) {
+  const Result<Settings> settings = ReadSettings(settings_path);
+  if (!settings.ok()) {
+    LogEvent(LogLevel::kError, "settings_refused",
+             {{"reason", std::string(settings.error().what())}});
+    return;
+  }
+  StartLogging(settings->log_level, settings->log_file, vm);
+  LogEvent(LogLevel::kInfo, "settings_reloaded",
+           {{"level", settings->log_level}});
+}
+
 }  // namespace
 
 int RunServe(const Settings& settings, const std::string& settings_path) {
   const SignalFile signals;
+  StartLogging(settings.log_level, settings.log_file, settings.vm);
   Reactor& reactor = Reactor::StartOnThisThread();
+  Publisher publisher = Publisher::Create(settings).value();
   std::unique_ptr<ControlShell> control;
   std::unique_ptr<EntryShell> entry;
   if (settings.control) {
@@ -77,13 +105,25 @@
     entry = EntryShell::Create(settings).value();
     entry->Start(reactor);
   }
-  WaitForStop(signals, reactor.Watch(signals.fd()), [] {});
+  LogEvent(LogLevel::kInfo, "started",
+           {{"entry", entry != nullptr}, {"control", control != nullptr}});
+  boost::fibers::fiber([&] {
+    for (;;) {
+      Publish(publisher, entry.get(), control.get());
+      boost::this_fiber::sleep_for(kPublishEvery);
+    }
+  }).detach();
+  WaitForStop(signals, reactor.Watch(signals.fd()),
+              [&] { ReloadLog(settings_path, settings.vm); });
+  LogEvent(LogLevel::kInfo, "stopping");
   if (entry != nullptr) {
     entry->Stop();
   }
   if (control != nullptr) {
     control->Stop();
   }
+  Publish(publisher, entry.get(), control.get());
+  LogEvent(LogLevel::kInfo, "stopped");
   // Sockets and open calls end with the process; fibers that still wait for
   // them are not resumed.
   std::_Exit(0);
