--- a/include/vanillalatch/catalog/state_machine.h
+++ b/include/vanillalatch/catalog/state_machine.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <string_view>
 
+#include "absl/container/flat_hash_map.h"
 #include "catalog.pb.h"
 #include "vanillalatch/base/result.h"
 
@@ -45,8 +46,13 @@
                std::deque<pb::ChangeOutcome> outcomes);
 
  private:
+  void Remember(const pb::ChangeOutcome& outcome);
+
   pb::Catalog catalog_;
   std::deque<pb::ChangeOutcome> outcomes_;
+  std::size_t first_ = 0;  // Running number of the oldest outcome.
+  // Running number of the outcome of each change id.
+  absl::flat_hash_map<std::string, std::size_t> by_id_;
 };
 
 }  // namespace vanillalatch
--- /dev/null
+++ b/src/catalog/state_machine.cc
@@ -0,0 +1,217 @@
+#include "vanillalatch/catalog/state_machine.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "vanillalatch/base/error.h"
+
+namespace vanillalatch {
+namespace {
+
+constexpr std::uint32_t kWholePercent = 100;
+constexpr std::uint32_t kWholePermille = 1000;
+
+std::string ClassFault(const pb::Service& service,
+                       const pb::ClassTarget& target) {
+  const std::string where =
+      "service " + service.name() + ": class " + target.name() + ": ";
+  if (target.name().empty()) {
+    return "service " + service.name() + ": a class has no name";
+  }
+  if (target.latency_ms() == 0) {
+    return where + "the latency must be above zero";
+  }
+  if (target.success_permille() > kWholePermille) {
+    return where + "the success share is above 100%";
+  }
+  if (target.share_percent() > kWholePercent) {
+    return where + "the capacity share is above 100%";
+  }
+  return "";
+}
+
+std::string ServiceFault(const pb::Service& service) {
+  if (service.name().empty()) {
+    return "a service has no name";
+  }
+  const std::string where = "service " + service.name() + ": ";
+  std::set<std::string> names;
+  std::set<std::string> prefixes;
+  std::uint32_t shares = 0;
+  int defaults = 0;
+  for (const pb::ClassTarget& it : service.classes()) {
+    if (std::string fault = ClassFault(service, it); !fault.empty()) {
+      return fault;
+    }
+    if (!names.insert(it.name()).second) {
+      return where + "class " + it.name() + " stands twice";
+    }
+    for (const std::string& prefix : it.path_prefixes()) {
+      if (!prefixes.insert(prefix).second) {
+        return where + "path " + prefix + " belongs to two classes";
+      }
+    }
+    shares += it.share_percent();
+    defaults += it.path_prefixes().empty() ? 1 : 0;
+  }
+  if (shares > kWholePercent) {
+    return where + "the capacity shares add up to more than 100%";
+  }
+  return defaults > 1 ? where + "two classes without paths" : "";
+}
+
+const pb::Service* FindService(const pb::Catalog& catalog,
+                               const std::string& name) {
+  const auto it = std::find_if(
+      catalog.services().begin(), catalog.services().end(),
+      [&](const pb::Service& service) { return service.name() == name; });
+  return it == catalog.services().end() ? nullptr : &*it;
+}
+
+std::uint32_t ClassIdOf(const pb::Service* service, const std::string& name) {
+  if (service == nullptr) {
+    return 0;
+  }
+  for (const pb::ClassTarget& it : service->classes()) {
+    if (it.name() == name) {
+      return it.id();
+    }
+  }
+  return 0;
+}
+
+std::uint32_t TakeId(std::uint32_t known, std::uint32_t& next) {
+  if (known != 0) {
+    return known;
+  }
+  return next++;
+}
+
+// The catalog after `change`: known names keep their ids, others get new ones.
+pb::Catalog NextCatalog(const pb::Catalog& current, const pb::Change& change) {
+  std::uint32_t next_service = std::max(current.next_service_id(), 1U);
+  std::uint32_t next_class = std::max(current.next_class_id(), 1U);
+  pb::Catalog catalog;
+  catalog.set_revision(current.revision() + 1);
+  *catalog.mutable_services() = change.services();
+  *catalog.mutable_draining_vms() = change.draining_vms();
+  for (pb::Service& service : *catalog.mutable_services()) {
+    const pb::Service* old = FindService(current, service.name());
+    service.set_id(TakeId(old == nullptr ? 0 : old->id(), next_service));
+    for (pb::ClassTarget& it : *service.mutable_classes()) {
+      it.set_id(TakeId(ClassIdOf(old, it.name()), next_class));
+    }
+  }
+  catalog.set_next_service_id(next_service);
+  catalog.set_next_class_id(next_class);
+  return catalog;
+}
+
+std::string Summary(const pb::Catalog& before, const pb::Catalog& after) {
+  int added = 0;
+  int changed = 0;
+  int kept = 0;
+  for (const pb::Service& it : after.services()) {
+    const pb::Service* old = FindService(before, it.name());
+    if (old == nullptr) {
+      ++added;
+      continue;
+    }
+    ++kept;
+    changed += old->SerializeAsString() == it.SerializeAsString() ? 0 : 1;
+  }
+  const int removed = before.services_size() - kept;
+  return "services added " + std::to_string(added) + ", changed " +
+         std::to_string(changed) + ", removed " + std::to_string(removed) +
+         "; VMs draining " + std::to_string(after.draining_vms_size());
+}
+
+void Refuse(ErrorKind kind, const std::string& message,
+            pb::ChangeOutcome& outcome) {
+  outcome.set_error_kind(std::string(AnswerFor(kind).name));
+  outcome.set_message(message);
+}
+
+}  // namespace
+
+std::string CatalogFault(const pb::Change& change) {
+  std::set<std::string> names;
+  for (const pb::Service& it : change.services()) {
+    if (std::string fault = ServiceFault(it); !fault.empty()) {
+      return fault;
+    }
+    if (!names.insert(it.name()).second) {
+      return "service " + it.name() + " stands twice";
+    }
+  }
+  std::set<std::string> vms;
+  for (const std::string& it : change.draining_vms()) {
+    if (it.empty() || !vms.insert(it).second) {
+      return "draining VM \"" + it + "\" is empty or stands twice";
+    }
+  }
+  return "";
+}
+
+pb::ChangeOutcome CatalogState::Apply(const pb::Change& change) {
+  if (std::optional<pb::ChangeOutcome> known = OutcomeOf(change.change_id())) {
+    return *known;
+  }
+  pb::ChangeOutcome outcome;
+  outcome.set_change_id(change.change_id());
+  outcome.set_author(change.author());
+  outcome.set_base_revision(change.base_revision());
+  outcome.set_unix_ms(change.unix_ms());
+  const std::string fault = CatalogFault(change);
+  if (!fault.empty()) {
+    Refuse(ErrorKind::kInvalidArgument, fault, outcome);
+  } else if (change.base_revision() != catalog_.revision()) {
+    Refuse(ErrorKind::kConflict,
+           "the catalog is at revision " + std::to_string(catalog_.revision()) +
+               ", the change was made from " +
+               std::to_string(change.base_revision()),
+           outcome);
+  } else {
+    pb::Catalog next = NextCatalog(catalog_, change);
+    outcome.set_accepted(true);
+    outcome.set_summary(Summary(catalog_, next));
+    catalog_ = std::move(next);
+  }
+  outcome.set_revision(catalog_.revision());
+  Remember(outcome);
+  return outcome;
+}
+
+std::optional<pb::ChangeOutcome> CatalogState::OutcomeOf(
+    std::string_view change_id) const {
+  const auto it = by_id_.find(std::string(change_id));
+  if (it == by_id_.end()) {
+    return std::nullopt;
+  }
+  return outcomes_[it->second - first_];
+}
+
+void CatalogState::Restore(const pb::Catalog& catalog,
+                           std::deque<pb::ChangeOutcome> outcomes) {
+  catalog_ = catalog;
+  outcomes_.clear();
+  by_id_.clear();
+  for (const pb::ChangeOutcome& it : outcomes) {
+    Remember(it);
+  }
+}
+
+void CatalogState::Remember(const pb::ChangeOutcome& outcome) {
+  if (!outcome.change_id().empty()) {
+    by_id_[outcome.change_id()] = first_ + outcomes_.size();
+  }
+  outcomes_.push_back(outcome);
+  if (outcomes_.size() > kOutcomesKept) {
+    by_id_.erase(outcomes_.front().change_id());
+    outcomes_.pop_front();
+    ++first_;
+  }
+}
+
+}  // namespace vanillalatch
--- /dev/null
+++ b/src/consensus/replica.cc
@@ -0,0 +1,246 @@
+#include "vanillalatch/consensus/replica.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "src/consensus/quorum.h"
+#include "src/consensus/replica_impl.h"
+
+namespace vanillalatch {
+
+Result<std::unique_ptr<Replica>> Replica::Create(ReplicaOptions options,
+                                                 StoredReplica stored,
+                                                 TimePoint now,
+                                                 std::uint64_t seed) {
+  if (options.heartbeat <= Duration::zero() ||
+      options.election_timeout <= options.heartbeat) {
+    return Error(ErrorKind::kInvalidArgument,
+                 "the election timeout must be above the heartbeat");
+  }
+  const bool named = std::any_of(
+      options.initial.begin(), options.initial.end(),
+      [&](const pb::Replica& it) { return it.vm() == options.self.vm(); });
+  if (!named) {
+    return Error(ErrorKind::kInvalidArgument,
+                 options.self.vm() + " is not among the control VMs");
+  }
+  Result<internal::RoleMachine> roles = internal::RoleMachine::Create();
+  if (!roles.ok()) {
+    return roles.error();
+  }
+  return std::unique_ptr<Replica>(std::make_unique<internal::ReplicaImpl>(
+      std::move(options), std::move(stored), std::move(*roles), now, seed));
+}
+
+namespace internal {
+
+ReplicaImpl::ReplicaImpl(ReplicaOptions options, StoredReplica stored,
+                         RoleMachine roles, TimePoint now, std::uint64_t seed)
+    : options_(std::move(options)),
+      roles_(std::move(roles)),
+      random_(seed),
+      vote_(std::move(stored.vote)),
+      log_(std::move(stored.log)),
+      snapshot_(std::move(stored.snapshot)),
+      heartbeat_due_(now),
+      introduce_due_(now) {
+  if (snapshot_) {
+    commit_ = snapshot_->index();
+    handed_out_ = commit_;
+  }
+  ResetElection(now);
+  ReloadConfiguration(now);
+}
+
+void ReplicaImpl::OnMessage(TimePoint now,
+                            const pb::ConsensusMessage& message) {
+  if (message.has_introduce()) {
+    HandleIntroduce(now, message);
+    return;
+  }
+  // A message to an identity that was lost with its disk is not for us.
+  if (message.to() != self()) {
+    return;
+  }
+  NoteHeard(now, message.from());
+  if (AcceptTerm(now, message)) {
+    Dispatch(now, message);
+  }
+}
+
+void ReplicaImpl::Dispatch(TimePoint now, const pb::ConsensusMessage& message) {
+  switch (message.body_case()) {
+    case pb::ConsensusMessage::kVoteRequest:
+      HandleVoteRequest(now, message);
+      break;
+    case pb::ConsensusMessage::kVoteReply:
+      HandleVoteReply(now, message);
+      break;
+    case pb::ConsensusMessage::kAppendRequest:
+      HandleAppendRequest(now, message);
+      break;
+    case pb::ConsensusMessage::kAppendReply:
+      HandleAppendReply(now, message);
+      break;
+    case pb::ConsensusMessage::kInstallSnapshot:
+      HandleInstallSnapshot(now, message);
+      break;
+    case pb::ConsensusMessage::kCampaignNow:
+      HandleCampaignNow(now);
+      break;
+    default:
+      break;
+  }
+}
+
+void ReplicaImpl::OnTick(TimePoint now) {
+  TryForm(now);
+  if (IsLeader()) {
+    Lead(now);
+  } else if (now >= election_deadline_) {
+    HandleElectionTimeout(now);
+  }
+  IntroduceIfAlone(now);
+}
+
+TimePoint ReplicaImpl::NextWake() const {
+  const TimePoint due = IsLeader() ? heartbeat_due_ : election_deadline_;
+  return IsVoter() ? due : std::min(due, introduce_due_);
+}
+
+ReplicaActions ReplicaImpl::TakeActions() {
+  ReplicaActions actions;
+  actions.install = std::exchange(install_, std::nullopt);
+  if (std::exchange(vote_unsaved_, false)) {
+    actions.vote = vote_;
+  }
+  if (unsaved_from_) {
+    for (std::uint64_t n = *unsaved_from_; n <= log_.last_index(); ++n) {
+      actions.append.push_back(log_.At(n));
+    }
+    unsaved_from_.reset();
+  }
+  actions.sends = std::exchange(sends_, {});
+  while (handed_out_ < commit_) {
+    actions.committed.push_back(log_.At(++handed_out_));
+  }
+  return actions;
+}
+
+void ReplicaImpl::Compact(const pb::Snapshot& snapshot,
+                          std::uint64_t keep_after) {
+  snapshot_ = snapshot;
+  log_.DropThrough(std::min(keep_after, snapshot.index()));
+}
+
+pb::Configuration ReplicaImpl::ConfigurationAt(std::uint64_t index) const {
+  if (const pb::LogEntry* entry = log_.ConfigurationAt(index)) {
+    return entry->configuration();
+  }
+  return snapshot_ ? snapshot_->configuration() : pb::Configuration();
+}
+
+std::optional<pb::Replica> ReplicaImpl::leader() const {
+  const pb::Replica* leader = FindReplica(configuration_, leader_id_);
+  if (leader == nullptr) {
+    return std::nullopt;
+  }
+  return *leader;
+}
+
+bool ReplicaImpl::FromQuorum(TimePoint now) const {
+  if (IsLeader()) {
+    return QuorumHolds(configuration_,
+                       [&](std::uint64_t id) { return IsActive(id, now); });
+  }
+  return HearsLeader(now);
+}
+
+std::optional<TimePoint> ReplicaImpl::LastHeard(std::string_view vm) const {
+  const auto it = last_heard_.find(vm);
+  if (it == last_heard_.end()) {
+    return std::nullopt;
+  }
+  return it->second;
+}
+
+bool ReplicaImpl::IsVoter() const {
+  const pb::Replica* own = FindReplica(configuration_, self());
+  return own != nullptr && !own->learner();
+}
+
+void ReplicaImpl::NoteHeard(TimePoint now, std::uint64_t from) {
+  if (const pb::Replica* sender = FindReplica(configuration_, from)) {
+    last_heard_[sender->vm()] = now;
+  }
+}
+
+void ReplicaImpl::Send(const pb::Replica& to, pb::ConsensusMessage message) {
+  message.set_from(self());
+  message.set_to(to.id());
+  if (message.term() == 0) {
+    message.set_term(term());
+  }
+  sends_.push_back({to.address(), std::move(message)});
+}
+
+void ReplicaImpl::SendTo(std::uint64_t id, pb::ConsensusMessage message) {
+  if (const pb::Replica* to = FindReplica(configuration_, id)) {
+    Send(*to, std::move(message));
+  }
+}
+
+// The sender may stand in a configuration that has not arrived here yet.
+void ReplicaImpl::Reply(const pb::ConsensusMessage& request,
+                        pb::ConsensusMessage reply) {
+  pb::Replica to;
+  if (const pb::Replica* known = FindReplica(configuration_, request.from())) {
+    to = *known;
+  } else {
+    to.set_id(request.from());
+    to.set_address(request.reply_address());
+  }
+  if (!to.address().empty()) {
+    Send(to, std::move(reply));
+  }
+}
+
+void ReplicaImpl::SetVote(std::uint64_t term, std::uint64_t candidate) {
+  vote_.set_term(term);
+  vote_.set_candidate(candidate);
+  vote_unsaved_ = true;
+}
+
+void ReplicaImpl::AppendEntry(pb::LogEntry entry) {
+  entry.set_index(log_.last_index() + 1);
+  entry.set_term(term());
+  MarkUnsaved(entry.index());
+  log_.Append(std::move(entry));
+}
+
+void ReplicaImpl::MarkUnsaved(std::uint64_t index) {
+  unsaved_from_ = std::min(unsaved_from_.value_or(index), index);
+}
+
+void ReplicaImpl::ReloadConfiguration(TimePoint now) {
+  const pb::LogEntry* entry = log_.ConfigurationAt(log_.last_index());
+  configuration_index_ = entry == nullptr ? 0 : entry->index();
+  configuration_ = ConfigurationAt(log_.last_index());
+  const pb::Replica* own = FindReplica(configuration_, self());
+  if (own == nullptr) {
+    roles_.Handle(RoleEvent::kRemoved);
+  } else {
+    roles_.Handle(own->learner() ? RoleEvent::kMadeLearner
+                                 : RoleEvent::kMadeVoter);
+  }
+  for (const pb::Replica& it : configuration_.replicas()) {
+    peers_.try_emplace(it.id(), Peer{.next = log_.last_index() + 1});
+  }
+  std::erase_if(peers_, [&](const auto& it) {
+    return FindReplica(configuration_, it.first) == nullptr;
+  });
+}
+
+}  // namespace internal
+}  // namespace vanillalatch
--- /dev/null
+++ b/src/consensus/replication.cc
@@ -0,0 +1,287 @@
+#include <algorithm>
+
+#include "src/consensus/quorum.h"
+#include "src/consensus/replica_impl.h"
+
+namespace vanillalatch::internal {
+namespace {
+
+// Entries in one message, bytes.
+constexpr std::size_t kAppendBytes = 256 * 1024;
+// Reads that start within this time share one round.
+constexpr Duration kReadSpacing = std::chrono::milliseconds(20);
+
+}  // namespace
+
+void ReplicaImpl::Lead(TimePoint now) {
+  if (now < heartbeat_due_) {
+    return;
+  }
+  if (!FromQuorum(now)) {
+    roles_.Handle(RoleEvent::kQuorumLost);
+    leader_id_ = 0;
+    ResetElection(now);
+    return;
+  }
+  Broadcast(now);
+  if (stopping_) {
+    HandOver(now);
+  } else {
+    MaintainGroup(now);
+  }
+}
+
+void ReplicaImpl::Broadcast(TimePoint now) {
+  ++round_;
+  last_broadcast_ = now;
+  heartbeat_due_ = now + options_.heartbeat;
+  Replicate(now);
+}
+
+void ReplicaImpl::Replicate(TimePoint now) {
+  for (const pb::Replica& it : configuration_.replicas()) {
+    if (it.id() != self()) {
+      SendAppend(now, it.id());
+    }
+  }
+}
+
+std::optional<std::uint64_t> ReplicaImpl::Propose(TimePoint now,
+                                                  const pb::Change& change) {
+  if (!IsLeader() || stopping_) {
+    return std::nullopt;
+  }
+  pb::LogEntry entry;
+  *entry.mutable_change() = change;
+  AppendEntry(std::move(entry));
+  const std::uint64_t index = log_.last_index();
+  Replicate(now);
+  AdvanceCommit(now);
+  return index;
+}
+
+std::optional<std::uint64_t> ReplicaImpl::BeginRead(TimePoint now) {
+  if (!IsLeader()) {
+    return std::nullopt;
+  }
+  const std::uint64_t round = round_ + 1;
+  if (now >= last_broadcast_ + kReadSpacing) {
+    Broadcast(now);
+  } else {
+    heartbeat_due_ = std::min(heartbeat_due_, last_broadcast_ + kReadSpacing);
+  }
+  return round;
+}
+
+bool ReplicaImpl::ReadConfirmed(std::uint64_t round) const {
+  if (!IsLeader() || commit_ < term_start_) {
+    return false;
+  }
+  return QuorumHolds(configuration_, [&](std::uint64_t id) {
+    const auto it = peers_.find(id);
+    const std::uint64_t acked =
+        id == self() ? round_
+                     : (it == peers_.end() ? 0 : it->second.acked_round);
+    return acked >= round;
+  });
+}
+
+// Sends what the peer lacks; an empty message is the heartbeat.
+void ReplicaImpl::SendAppend(TimePoint now, std::uint64_t id) {
+  Peer& peer = peers_.at(id);
+  std::uint64_t previous = peer.next - 1;
+  if (previous < log_.base().index()) {
+    if (SendSnapshot(now, id, peer)) {
+      return;
+    }
+    previous = log_.base().index();
+  }
+  pb::ConsensusMessage message;
+  pb::AppendRequest& request = *message.mutable_append_request();
+  request.set_previous_index(previous);
+  request.set_previous_term(*log_.TermAt(previous));
+  request.set_commit_index(commit_);
+  request.set_round(round_);
+  if (previous + 1 == peer.next) {
+    for (pb::LogEntry& it : log_.From(peer.next, kAppendBytes)) {
+      *request.add_entries() = std::move(it);
+    }
+    peer.next += static_cast<std::uint64_t>(request.entries_size());
+  }
+  // A replica that may not know the group yet needs to be told the sender.
+  if (peer.match == 0) {
+    message.set_reply_address(options_.self.address());
+  }
+  SendTo(id, std::move(message));
+}
+
+// False if a snapshot went out a short while ago.
+bool ReplicaImpl::SendSnapshot(TimePoint now, std::uint64_t id, Peer& peer) {
+  if (now < peer.snapshot_sent + options_.election_timeout) {
+    return false;
+  }
+  peer.snapshot_sent = now;
+  pb::ConsensusMessage message;
+  *message.mutable_install_snapshot()->mutable_snapshot() = *snapshot_;
+  message.mutable_install_snapshot()->set_round(round_);
+  SendTo(id, std::move(message));
+  return true;
+}
+
+void ReplicaImpl::ReplyAppend(const pb::ConsensusMessage& request, bool success,
+                              std::uint64_t match, std::uint64_t round) {
+  pb::ConsensusMessage message;
+  pb::AppendReply& reply = *message.mutable_append_reply();
+  reply.set_success(success);
+  reply.set_match_index(match);
+  reply.set_round(round);
+  Reply(request, std::move(message));
+}
+
+bool ReplicaImpl::MatchesPrevious(const pb::AppendRequest& request) const {
+  // What is below the base was committed, so it is the same everywhere.
+  return request.previous_index() < log_.base().index() ||
+         log_.TermAt(request.previous_index()) == request.previous_term();
+}
+
+// The last index that may match, for the leader's next try.
+std::uint64_t ReplicaImpl::MismatchHint(
+    const pb::AppendRequest& request) const {
+  const std::uint64_t previous = request.previous_index();
+  if (previous > log_.last_index()) {
+    return log_.last_index();
+  }
+  std::uint64_t hint = previous;
+  const std::optional<std::uint64_t> term = log_.TermAt(previous);
+  while (hint > commit_ && log_.TermAt(hint) == term) {
+    --hint;
+  }
+  return hint;
+}
+
+void ReplicaImpl::HandleAppendRequest(TimePoint now,
+                                      const pb::ConsensusMessage& message) {
+  if (IsLeader()) {
+    return;
+  }
+  BecomeFollower(now, message.term(), message.from());
+  leader_contact_ = now;
+  const pb::AppendRequest& request = message.append_request();
+  if (!MatchesPrevious(request)) {
+    ReplyAppend(message, false, MismatchHint(request), request.round());
+    return;
+  }
+  TakeEntries(now, request);
+  const std::uint64_t match =
+      std::max(request.previous_index() +
+                   static_cast<std::uint64_t>(request.entries_size()),
+               commit_);
+  commit_ = std::max(commit_, std::min(request.commit_index(), match));
+  ReplyAppend(message, true, match, request.round());
+}
+
+void ReplicaImpl::TakeEntries(TimePoint now, const pb::AppendRequest& request) {
+  bool changed = false;
+  for (const pb::LogEntry& it : request.entries()) {
+    const std::optional<std::uint64_t> term = log_.TermAt(it.index());
+    if (it.index() <= log_.base().index() || term == it.term()) {
+      continue;
+    }
+    if (it.index() <= commit_) {
+      throw Error(
+          ErrorKind::kCorrupt,
+          "committed entry " + std::to_string(it.index()) + " would change");
+    }
+    log_.TruncateFrom(it.index());
+    MarkUnsaved(it.index());
+    log_.Append(it);
+    changed = true;
+  }
+  if (changed) {
+    ReloadConfiguration(now);
+  }
+}
+
+void ReplicaImpl::HandleInstallSnapshot(TimePoint now,
+                                        const pb::ConsensusMessage& message) {
+  if (IsLeader()) {
+    return;
+  }
+  BecomeFollower(now, message.term(), message.from());
+  leader_contact_ = now;
+  const pb::Snapshot& snapshot = message.install_snapshot().snapshot();
+  const std::uint64_t index = snapshot.index();
+  if (index > commit_) {
+    // Entries behind a matching one may have been acknowledged: they stay.
+    if (log_.TermAt(index) != snapshot.term()) {
+      pb::LogBase base;
+      base.set_index(index);
+      base.set_term(snapshot.term());
+      log_.Reset(base);
+      snapshot_ = snapshot;
+      install_ = snapshot;
+      unsaved_from_.reset();
+      handed_out_ = index;
+    }
+    commit_ = index;
+    ReloadConfiguration(now);
+  }
+  ReplyAppend(message, true, commit_, message.install_snapshot().round());
+}
+
+void ReplicaImpl::HandleAppendReply(TimePoint now,
+                                    const pb::ConsensusMessage& message) {
+  const auto it = peers_.find(message.from());
+  if (!IsLeader() || it == peers_.end()) {
+    return;
+  }
+  Peer& peer = it->second;
+  const pb::AppendReply& reply = message.append_reply();
+  peer.last_ack = now;
+  peer.acked_round = std::max(peer.acked_round, reply.round());
+  if (!reply.success()) {
+    const std::uint64_t next = std::max(reply.match_index(), peer.match) + 1;
+    if (next < peer.next) {
+      peer.next = next;
+      SendAppend(now, message.from());
+    }
+    return;
+  }
+  peer.match = std::max(peer.match, reply.match_index());
+  peer.next = std::max(peer.next, peer.match + 1);
+  if (peer.next <= log_.last_index()) {
+    SendAppend(now, message.from());
+  }
+  AdvanceCommit(now);
+}
+
+std::uint64_t ReplicaImpl::MatchOf(std::uint64_t id) const {
+  if (id == self()) {
+    return log_.last_index();
+  }
+  const auto it = peers_.find(id);
+  return it == peers_.end() ? 0 : it->second.match;
+}
+
+bool ReplicaImpl::IsActive(std::uint64_t id, TimePoint now) const {
+  if (id == self()) {
+    return true;
+  }
+  const auto it = peers_.find(id);
+  return it != peers_.end() &&
+         now < it->second.last_ack + options_.election_timeout;
+}
+
+// Commits what a majority holds, once an entry of this term is among it.
+void ReplicaImpl::AdvanceCommit(TimePoint now) {
+  const std::uint64_t index = QuorumValue(
+      configuration_, [&](std::uint64_t id) { return MatchOf(id); });
+  if (index <= commit_ || log_.TermAt(index) != term()) {
+    return;
+  }
+  commit_ = index;
+  Replicate(now);
+  MaintainGroup(now);
+}
+
+}  // namespace vanillalatch::internal
--- /dev/null
+++ b/src/control/control_checks_test.cc
@@ -0,0 +1,241 @@
+// What ControlWorld checks: after every event, and where a step asks.
+#include <algorithm>
+#include <utility>
+
+#include "src/control/control_world.h"
+
+namespace vanillalatch {
+
+using scenario::Failure;
+
+void ControlWorld::CheckNode(ControlVm& vm) {
+  if (!vm.node) {
+    return;
+  }
+  const pb::ControlStatus status = vm.node->Status();
+  if (status.term() < vm.last_term) {
+    throw Failure("the term of " + vm.name + " goes back");
+  }
+  vm.last_term = status.term();
+  if (status.role() == "leader") {
+    const auto [it, added] =
+        leader_of_term_.try_emplace(status.term(), vm.name);
+    if (it->second != vm.name) {
+      throw Failure("two leaders in term " + std::to_string(status.term()) +
+                    ": " + it->second + " and " + vm.name);
+    }
+    if (added) {
+      Note(vm.name + " leads in term " + std::to_string(status.term()));
+    }
+  }
+  const Replica& replica =
+      static_cast<const internal::ControlNodeImpl&>(*vm.node).replica();
+  const ReplicatedLog& log = replica.log();
+  std::uint64_t n = std::max(vm.checked, log.base().index());
+  while (n < replica.commit_index()) {
+    ++n;
+    std::string bytes = log.At(n).SerializeAsString();
+    const auto [it, added] = committed_.try_emplace(n, std::move(bytes));
+    if (!added && it->second != log.At(n).SerializeAsString()) {
+      throw Failure("committed entry " + std::to_string(n) + " differs at " +
+                    vm.name);
+    }
+  }
+  vm.checked = n;
+}
+
+void ControlWorld::CheckCatalog(const pb::Catalog& catalog) {
+  const std::string bytes = catalog.SerializeAsString();
+  const auto [it, added] = catalogs_.try_emplace(catalog.revision(), bytes);
+  if (!added && it->second != bytes) {
+    throw Failure("two catalogs with revision " +
+                  std::to_string(catalog.revision()));
+  }
+}
+
+void ControlWorld::CheckSync(const EntryVm& entry,
+                             const pb::SyncReply& reply) const {
+  if (reply.has_catalog() &&
+      reply.catalog().revision() > reply.committed_revision()) {
+    throw Failure(entry.name + " got an uncommitted catalog");
+  }
+}
+
+// A change id keeps its first answer, and a revision belongs to one change.
+void ControlWorld::CheckAnswer(OperatorCall& call,
+                               const pb::ApplyReply& reply) {
+  const pb::ChangeOutcome& outcome = reply.outcome();
+  if (!outcome.accepted() && outcome.error_kind() != "conflict") {
+    return;
+  }
+  const std::string bytes = outcome.SerializeAsString();
+  if (call.first_answer.empty()) {
+    call.first_answer = bytes;
+  } else if (call.first_answer != bytes) {
+    throw Failure("change " + outcome.change_id() +
+                  " gets another answer: " + outcome.ShortDebugString());
+  }
+  CheckCatalog(reply.catalog());
+  if (!outcome.accepted()) {
+    return;
+  }
+  const auto [it, added] =
+      accepted_.try_emplace(outcome.revision(), outcome.change_id());
+  if (!added && it->second != outcome.change_id()) {
+    throw Failure("revision " + std::to_string(outcome.revision()) +
+                  " was given to " + it->second + " and to " +
+                  outcome.change_id());
+  }
+}
+
+void ControlWorld::Expect(Arguments step) {
+  const std::string& what = step.Word(0);
+  if (what == "outcome") {
+    ExpectOutcome(step);
+  } else if (what == "in-force") {
+    ExpectInForce(step);
+  } else if (what == "leader") {
+    ExpectLeader(step);
+  } else if (what == "status") {
+    ExpectStatus(step);
+  } else if (what == "term") {
+    const std::uint64_t term = Control(step.Word(1)).node->Status().term();
+    if (term != marks_[step.Word(2)]) {
+      throw Failure("the term is " + std::to_string(term) + ", not " +
+                    std::to_string(marks_[step.Word(2)]));
+    }
+  } else if (what == "read") {
+    const std::string kind = last_get_ ? last_get_->error_kind() : "no answer";
+    if (kind != step.Named("kind", "")) {
+      throw Failure("the read got \"" + kind + "\"");
+    }
+  } else if (what == "one-wins") {
+    ExpectOneWins(step);
+  } else {
+    throw Failure("unknown expectation " + what);
+  }
+}
+
+// expect outcome ID KIND within=5s contains=WORD
+void ControlWorld::ExpectOutcome(Arguments step) {
+  const std::string& id = step.Word(1);
+  const auto kind = [&]() -> std::string {
+    const OperatorCall& call = Call(id);
+    if (!call.reply) {
+      return "no answer";
+    }
+    return call.reply->outcome().accepted()
+               ? "accepted"
+               : call.reply->outcome().error_kind();
+  };
+  RunUntil(step.NamedTime("within", Duration::zero()),
+           [&] { return kind() == step.Word(2); });
+  if (kind() != step.Word(2)) {
+    throw Failure("the outcome is " + kind());
+  }
+  const std::string message = Call(id).reply->outcome().message();
+  if (message.find(step.Named("contains", "")) == std::string::npos) {
+    throw Failure("the reason is \"" + message + "\"");
+  }
+}
+
+// expect one-wins ID... within=1s: one is accepted, all others conflict and
+// get the current catalog.
+void ControlWorld::ExpectOneWins(Arguments step) {
+  int accepted = 0;
+  int conflicts = 0;
+  const auto count = [&] {
+    accepted = 0;
+    conflicts = 0;
+    for (std::size_t n = 1; n < step.words.size(); ++n) {
+      const OperatorCall& call = Call(step.words[n]);
+      if (!call.reply) {
+        continue;
+      }
+      accepted += call.reply->outcome().accepted() ? 1 : 0;
+      conflicts +=
+          call.reply->outcome().error_kind() == "conflict" &&
+                  call.reply->catalog().revision() >= accepted_revision_
+              ? 1
+              : 0;
+    }
+    return accepted + conflicts + 1 == static_cast<int>(step.words.size());
+  };
+  if (!RunUntil(step.NamedTime("within", Duration::zero()), count) ||
+      accepted != 1) {
+    throw Failure(std::to_string(accepted) + " accepted, " +
+                  std::to_string(conflicts) + " conflicts");
+  }
+}
+
+// expect in-force REVISION within=3s
+void ControlWorld::ExpectInForce(Arguments step) {
+  const std::uint64_t revision = step.Number(1);
+  const TimePoint begin = network_.now();
+  if (!RunUntil(step.NamedTime("within", Duration::zero()),
+                [&] { return AllInForce(revision); })) {
+    std::string behind;
+    for (const auto& [name, entry] : entries_) {
+      behind += " " + name + "=" + std::to_string(entry.revision);
+    }
+    throw Failure("not in force everywhere:" + behind);
+  }
+  const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
+      network_.now() - begin);
+  Note("revision " + std::to_string(revision) + " in force everywhere after " +
+       std::to_string(took.count()) + "ms");
+}
+
+// expect leader within=3s [not=c1] [is=c2]
+void ControlWorld::ExpectLeader(Arguments step) {
+  const TimePoint begin = network_.now();
+  const std::string unwanted = step.Named("not", "");
+  const bool found = RunUntil(step.NamedTime("within", Duration::zero()), [&] {
+    const std::string leader = Leader();
+    return !leader.empty() && leader != unwanted &&
+           leader == step.Named("is", leader);
+  });
+  if (!found) {
+    throw Failure("the leader is \"" + Leader() + "\"");
+  }
+  const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
+      network_.now() - begin);
+  Note("leader found after " + std::to_string(took.count()) + "ms");
+}
+
+// expect status at=c1 entries=3 controls=3 voters=3 kind=
+void ControlWorld::ExpectStatus(Arguments step) {
+  const std::string at = step.Named("at", Leader());
+  const std::uint64_t ticket = ++next_ticket_;
+  last_status_.reset();
+  statuses_[ticket] = [this](const pb::StatusReply& reply) {
+    last_status_ = reply;
+  };
+  Deliver(at, [this, at, ticket] {
+    Use(Control(at), [&](ControlNode& node) {
+      node.OnStatus(network_.now(), Ticket{ticket});
+    });
+  });
+  RunUntil(std::chrono::seconds(1), [&] { return last_status_.has_value(); });
+  if (!last_status_) {
+    throw Failure("no answer");
+  }
+  const auto& controls = last_status_->controls();
+  const auto voters = std::count_if(
+      controls.begin(), controls.end(),
+      [](const pb::ControlStatus& it) { return it.role() != "learner"; });
+  const auto check = [&](std::string_view key, std::uint64_t value) {
+    if (step.NamedNumber(key, value) != value) {
+      throw Failure(std::string(key) + " is " + std::to_string(value) + ": " +
+                    last_status_->ShortDebugString());
+    }
+  };
+  check("entries", static_cast<std::uint64_t>(last_status_->entries_size()));
+  check("controls", static_cast<std::uint64_t>(controls.size()));
+  check("voters", static_cast<std::uint64_t>(voters));
+  if (last_status_->error_kind() != step.Named("kind", "")) {
+    throw Failure("kind is \"" + last_status_->error_kind() + "\"");
+  }
+}
+
+}  // namespace vanillalatch
--- /dev/null
+++ b/src/control/control_node.cc
@@ -0,0 +1,233 @@
+#include "vanillalatch/control/control_node.h"
+
+#include <algorithm>
+#include <deque>
+#include <utility>
+
+#include "src/control/control_node_impl.h"
+
+namespace vanillalatch {
+namespace {
+
+pb::Replica ToReplica(const ControlPeer& peer) {
+  pb::Replica replica;
+  replica.set_vm(peer.vm);
+  replica.set_address(peer.address);
+  replica.set_data_center(peer.data_center);
+  return replica;
+}
+
+ReplicaOptions ToReplicaOptions(const ControlOptions& options,
+                                std::uint64_t id) {
+  ReplicaOptions out;
+  out.heartbeat = options.heartbeat;
+  out.election_timeout = options.election_timeout;
+  for (const ControlPeer& it : options.initial) {
+    out.initial.push_back(ToReplica(it));
+    if (it.vm == options.vm) {
+      out.self = out.initial.back();
+    }
+  }
+  out.self.set_vm(options.vm);
+  out.self.set_id(id);
+  return out;
+}
+
+}  // namespace
+
+Result<std::unique_ptr<ControlNode>> ControlNode::Create(ControlOptions options,
+                                                         Disk& disk,
+                                                         TimePoint now,
+                                                         std::uint64_t seed) {
+  if (options.snapshot_every == 0 || options.sync_hold < Duration::zero()) {
+    return Error(ErrorKind::kInvalidArgument,
+                 "snapshot_every and sync_hold must be positive");
+  }
+  Result<ReplicaStore> store = ReplicaStore::Open(disk, options.vm, seed);
+  if (!store.ok()) {
+    return store.error();
+  }
+  StoredReplica stored = store->TakeLoaded();
+  const std::optional<pb::Snapshot> snapshot = stored.snapshot;
+  Result<std::unique_ptr<Replica>> replica = Replica::Create(
+      ToReplicaOptions(options, store->id()), std::move(stored), now, seed);
+  if (!replica.ok()) {
+    return replica.error();
+  }
+  auto node = std::make_unique<internal::ControlNodeImpl>(
+      std::move(options), std::move(*store), std::move(*replica));
+  if (snapshot) {
+    node->Restore(*snapshot);
+  }
+  return std::unique_ptr<ControlNode>(std::move(node));
+}
+
+namespace internal {
+
+ControlNodeImpl::ControlNodeImpl(ControlOptions options, ReplicaStore store,
+                                 std::unique_ptr<Replica> replica)
+    : options_(std::move(options)),
+      store_(std::move(store)),
+      replica_(std::move(replica)) {}
+
+void ControlNodeImpl::Restore(const pb::Snapshot& snapshot) {
+  state_.Restore(snapshot.catalog(),
+                 std::deque<pb::ChangeOutcome>(snapshot.outcomes().begin(),
+                                               snapshot.outcomes().end()));
+  applied_ = snapshot.index();
+  applied_term_ = snapshot.term();
+  snapshot_index_ = snapshot.index();
+}
+
+void ControlNodeImpl::OnMessage(TimePoint now,
+                                const pb::ConsensusMessage& message) {
+  if (!HandleReport(now, message)) {
+    replica_->OnMessage(now, message);
+  }
+  Pump(now);
+}
+
+void ControlNodeImpl::OnTick(TimePoint now) {
+  replica_->OnTick(now);
+  Pump(now);
+}
+
+TimePoint ControlNodeImpl::NextWake() const {
+  TimePoint wake = replica_->NextWake();
+  for (const ApplyCall& it : applies_) {
+    wake = std::min(wake, it.deadline);
+  }
+  for (const ReadCall& it : reads_) {
+    wake = std::min(wake, it.deadline);
+  }
+  for (const SyncCall& it : syncs_) {
+    wake = std::min(wake, it.deadline);
+  }
+  for (const StatusCall& it : statuses_) {
+    wake = std::min(wake, it.deadline);
+  }
+  return wake;
+}
+
+bool ControlNodeImpl::BeginStop(TimePoint now) {
+  const bool done = replica_->BeginStop(now);
+  Pump(now);
+  return done;
+}
+
+ControlActions ControlNodeImpl::TakeActions() {
+  return std::exchange(actions_, {});
+}
+
+pb::ControlStatus ControlNodeImpl::Status() const {
+  pb::ControlStatus status;
+  status.set_vm(options_.vm);
+  for (const ControlPeer& it : options_.initial) {
+    if (it.vm == options_.vm) {
+      status.set_data_center(it.data_center);
+    }
+  }
+  const ReplicaRole role = replica_->role();
+  const bool learner =
+      role == ReplicaRole::kLearner || role == ReplicaRole::kJoining;
+  status.set_role(IsLeader() ? "leader" : (learner ? "learner" : "voter"));
+  status.set_term(replica_->term());
+  status.set_committed_index(replica_->commit_index());
+  status.set_revision(state_.catalog().revision());
+  return status;
+}
+
+// Carries out what the replica decided, then lets open calls go on, until
+// nothing more follows from it.
+void ControlNodeImpl::Pump(TimePoint now) {
+  if (failed_) {
+    throw Error(ErrorKind::kStorage, "the disk has failed before");
+  }
+  CarryOut(replica_->TakeActions());
+  AdvanceApplies(now);
+  AdvanceReads(now);
+  CarryOut(replica_->TakeActions());
+  // A single voter commits at once.
+  AdvanceApplies(now);
+  AdvanceReads(now);
+  AdvanceSyncs(now);
+  AdvanceStatuses(now);
+  CompactIfDue();
+}
+
+void ControlNodeImpl::CarryOut(ReplicaActions actions) {
+  if (actions.NeedsSync()) {
+    failed_ = true;
+    store_.Save(actions);
+    failed_ = false;
+  }
+  if (actions.install) {
+    Restore(*actions.install);
+  }
+  for (const pb::LogEntry& it : actions.committed) {
+    ApplyEntry(it);
+  }
+  for (ReplicaActions::Send& it : actions.sends) {
+    actions_.sends.push_back({it.address, std::move(it.message)});
+  }
+}
+
+void ControlNodeImpl::ApplyEntry(const pb::LogEntry& entry) {
+  if (entry.has_change()) {
+    state_.Apply(entry.change());
+  }
+  applied_ = entry.index();
+  applied_term_ = entry.term();
+}
+
+void ControlNodeImpl::CompactIfDue() {
+  if (applied_ < snapshot_index_ + options_.snapshot_every) {
+    return;
+  }
+  pb::Snapshot snapshot;
+  snapshot.set_index(applied_);
+  snapshot.set_term(applied_term_);
+  *snapshot.mutable_configuration() = replica_->ConfigurationAt(applied_);
+  *snapshot.mutable_catalog() = state_.catalog();
+  for (const pb::ChangeOutcome& it : state_.outcomes()) {
+    *snapshot.add_outcomes() = it;
+  }
+  // A few entries stay, for replicas that are only a little behind.
+  replica_->Compact(snapshot, applied_ - options_.snapshot_every / 4);
+  failed_ = true;
+  store_.Compact(snapshot, replica_->log());
+  failed_ = false;
+  snapshot_index_ = applied_;
+}
+
+TimePoint ControlNodeImpl::CallDeadline(TimePoint now) const {
+  return now + 2 * options_.election_timeout;
+}
+
+std::string ControlNodeImpl::LeaderAddress() const {
+  const std::optional<pb::Replica> leader = replica_->leader();
+  return leader && !IsLeader() ? leader->address() : "";
+}
+
+std::string ControlNodeImpl::NoQuorumReason(TimePoint now) const {
+  std::string silent;
+  for (const ControlPeer& it : options_.initial) {
+    const std::optional<TimePoint> heard = replica_->LastHeard(it.vm);
+    if (it.vm == options_.vm ||
+        (heard && now < *heard + options_.election_timeout)) {
+      continue;
+    }
+    silent += silent.empty() ? " not heard from " : ", ";
+    silent += it.vm;
+    if (heard) {
+      const auto age =
+          std::chrono::duration_cast<std::chrono::seconds>(now - *heard);
+      silent += " for " + std::to_string(age.count()) + " s";
+    }
+  }
+  return options_.vm + " knows no leader;" +
+         (silent.empty() ? " all control VMs are heard" : silent);
+}
+
+}  // namespace internal
+}  // namespace vanillalatch
--- /dev/null
+++ b/src/control/control_world_test.cc
@@ -0,0 +1,233 @@
+// The machinery of ControlWorld: processes, disks and time.
+#include "src/control/control_world.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "vanillalatch/base/hash.h"
+
+namespace vanillalatch {
+namespace {
+
+// No process wakes up more often than this.
+constexpr Duration kMinimumSleep = std::chrono::microseconds(100);
+constexpr std::string_view kPort = ":7400";
+
+std::string TimeText(TimePoint at) {
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+                      at.time_since_epoch())
+                      .count();
+  std::string fraction = std::to_string(ms % 1000);
+  fraction.insert(0, 3 - fraction.size(), '0');
+  return std::to_string(ms / 1000) + "." + fraction + "s ";
+}
+
+}  // namespace
+
+ControlWorld::ControlWorld(std::uint64_t seed) : network_(seed) {}
+
+void ControlWorld::Note(const std::string& line) {
+  journal_ += TimeText(network_.now()) + line + "\n";
+}
+
+void ControlWorld::AddControls(std::size_t count,
+                               std::uint64_t snapshot_every) {
+  snapshot_every_ = snapshot_every;
+  for (std::size_t n = 1; n <= count; ++n) {
+    const std::string name = "c" + std::to_string(n);
+    controls_[name].name = name;
+  }
+  for (const std::string& it : ControlNames()) {
+    Start(it);
+  }
+}
+
+void ControlWorld::AddControl(const std::string& name) {
+  controls_[name].name = name;
+  Start(name);
+}
+
+std::vector<std::string> ControlWorld::ControlNames() const {
+  std::vector<std::string> names;
+  for (const auto& [name, vm] : controls_) {
+    names.push_back(name);
+  }
+  return names;
+}
+
+ControlOptions ControlWorld::OptionsOf(const std::string& name) const {
+  ControlOptions options;
+  options.vm = name;
+  options.snapshot_every = snapshot_every_;
+  for (const auto& [vm, unused] : controls_) {
+    options.initial.push_back(
+        {vm, vm + std::string(kPort), "d" + vm.substr(1)});
+  }
+  return options;
+}
+
+ControlVm& ControlWorld::Control(const std::string& name) {
+  const auto it = controls_.find(name);
+  if (it == controls_.end()) {
+    throw scenario::Failure("no control VM " + name);
+  }
+  return it->second;
+}
+
+std::string ControlWorld::NameOfAddress(const std::string& address) const {
+  return address.substr(0, address.find(':'));
+}
+
+void ControlWorld::Start(const std::string& name) {
+  ControlVm& vm = Control(name);
+  const std::uint64_t seed = StableHash(network_.random()(), ++vm.starts);
+  vm.checked = 0;
+  vm.wake = kNever;
+  vm.frozen = false;
+  vm.held.clear();
+  try {
+    vm.node =
+        ControlNode::Create(OptionsOf(name), vm.disk, network_.now(), seed)
+            .value();
+    Note(name + " starts at revision " +
+         std::to_string(vm.node->Status().revision()));
+    Use(vm, [&](ControlNode& node) { node.OnTick(network_.now()); });
+  } catch (const DiskCrash&) {
+    Crash(name, true);
+  }
+}
+
+void ControlWorld::Crash(const std::string& name, bool torn) {
+  ControlVm& vm = Control(name);
+  vm.node.reset();
+  vm.held.clear();
+  vm.disk.Crash(network_.random(), torn);
+  Note(name + " crashes");
+}
+
+void ControlWorld::Freeze(const std::string& name) {
+  Control(name).frozen = true;
+  Note(name + " freezes");
+}
+
+void ControlWorld::Thaw(const std::string& name) {
+  ControlVm& vm = Control(name);
+  vm.frozen = false;
+  Note(name + " thaws");
+  for (const auto& it : std::exchange(vm.held, {})) {
+    it();
+  }
+}
+
+void ControlWorld::Isolate(const std::string& name) {
+  for (const auto& [other, vm] : controls_) {
+    if (other != name) {
+      network_.Cut(name, other);
+      network_.Cut(other, name);
+    }
+  }
+}
+
+void ControlWorld::Deliver(const std::string& name,
+                           std::function<void()> work) {
+  ControlVm& vm = Control(name);
+  if (vm.frozen) {
+    vm.held.push_back(std::move(work));
+  } else if (vm.node) {
+    work();
+  }
+}
+
+void ControlWorld::Use(ControlVm& vm,
+                       const std::function<void(ControlNode&)>& work) {
+  if (!vm.node) {
+    return;
+  }
+  try {
+    work(*vm.node);
+  } catch (const DiskCrash&) {
+    Crash(vm.name, true);
+    return;
+  }
+  Carry(vm, vm.node->TakeActions());
+  ScheduleTick(vm);
+  CheckNode(vm);
+}
+
+void ControlWorld::ScheduleTick(ControlVm& vm) {
+  const TimePoint wake =
+      std::max(vm.node->NextWake(), network_.now() + kMinimumSleep);
+  if (wake >= vm.wake) {
+    return;
+  }
+  vm.wake = wake;
+  const std::string name = vm.name;
+  network_.At(wake, [this, name, wake] {
+    if (Control(name).wake == wake) {
+      Control(name).wake = kNever;
+    }
+    Deliver(name, [this, name] {
+      Use(Control(name),
+          [&](ControlNode& node) { node.OnTick(network_.now()); });
+    });
+  });
+}
+
+void ControlWorld::Carry(ControlVm& vm, ControlActions actions) {
+  for (ControlActions::Send& it : actions.sends) {
+    const std::string to = NameOfAddress(it.address);
+    vm.sent_bytes += it.message.ByteSizeLong();
+    network_.Send(vm.name, to, [this, to, message = it.message] {
+      Deliver(to, [this, to, message] {
+        Use(Control(to), [&](ControlNode& node) {
+          node.OnMessage(network_.now(), message);
+        });
+      });
+    });
+  }
+  const auto answer = [&](auto& replies, auto& callers) {
+    for (auto& [ticket, reply] : replies) {
+      auto caller = callers.extract(ticket.value());
+      if (!caller) {
+        throw scenario::Failure("a ticket of " + vm.name +
+                                " is answered twice");
+      }
+      caller.mapped()(reply);
+    }
+  };
+  answer(actions.applies, applies_);
+  answer(actions.gets, gets_);
+  answer(actions.syncs, syncs_);
+  answer(actions.statuses, statuses_);
+}
+
+void ControlWorld::Run(Duration duration) {
+  const TimePoint end = network_.now() + duration;
+  while (network_.Step(end)) {
+  }
+}
+
+bool ControlWorld::RunUntil(Duration limit, const std::function<bool()>& done) {
+  const TimePoint end = network_.now() + limit;
+  while (!done()) {
+    if (!network_.Step(end)) {
+      return done();
+    }
+  }
+  return true;
+}
+
+std::string ControlWorld::Leader() const {
+  std::string leader;
+  std::uint64_t term = 0;
+  for (const auto& [name, vm] : controls_) {
+    if (vm.node && !vm.frozen && vm.node->Status().role() == "leader" &&
+        vm.node->Status().term() > term) {
+      leader = name;
+      term = vm.node->Status().term();
+    }
+  }
+  return leader;
+}
+
+}  // namespace vanillalatch
--- /dev/null
+++ b/src/control/operator_calls.cc
@@ -0,0 +1,196 @@
+#include <algorithm>
+#include <utility>
+
+#include "src/control/control_node_impl.h"
+
+namespace vanillalatch::internal {
+namespace {
+
+// The largest change that is taken, bytes.
+constexpr std::size_t kMaxChangeBytes = 512 * 1024;
+
+std::string KindName(ErrorKind kind) {
+  return std::string(AnswerFor(kind).name);
+}
+
+}  // namespace
+
+void ControlNodeImpl::OnApply(TimePoint now, Ticket ticket,
+                              const pb::ApplyRequest& request) {
+  ApplyCall call{ticket, request.change(), 0, CallDeadline(now)};
+  const std::string fault = call.change.change_id().empty()
+                                ? "the change has no change id"
+                                : CatalogFault(call.change);
+  if (!fault.empty()) {
+    RefuseApply(call, ErrorKind::kInvalidArgument, fault);
+  } else if (call.change.ByteSizeLong() > kMaxChangeBytes) {
+    RefuseApply(
+        call, ErrorKind::kTooLarge,
+        "a change may have " + std::to_string(kMaxChangeBytes) + " bytes");
+  } else {
+    applies_.push_back(std::move(call));
+  }
+  Pump(now);
+}
+
+void ControlNodeImpl::AdvanceApplies(TimePoint now) {
+  std::vector<ApplyCall> open = std::exchange(applies_, {});
+  for (ApplyCall& it : open) {
+    if (!AdvanceApply(now, it)) {
+      applies_.push_back(std::move(it));
+    }
+  }
+}
+
+// True once the call is answered.
+bool ControlNodeImpl::AdvanceApply(TimePoint now, ApplyCall& call) {
+  if (call.index != 0 && applied_ >= call.index) {
+    if (AnswerIfApplied(call)) {
+      return true;
+    }
+    call.index = 0;  // Another leader's entry took its place.
+  }
+  if (call.index == 0 && IsLeader()) {
+    if (AnswerIfApplied(call)) {
+      return true;
+    }
+    ProposeChange(now, call);
+  } else if (call.index == 0 && !LeaderAddress().empty()) {
+    RefuseApply(call, ErrorKind::kNotLeader, "another control VM leads");
+    return true;
+  }
+  if (now < call.deadline) {
+    return false;
+  }
+  if (call.index == 0) {
+    RefuseApply(call, ErrorKind::kNoQuorum,
+                NoQuorumReason(now) + "; the change was not taken");
+  } else {
+    RefuseApply(call, ErrorKind::kOutcomeUnknown,
+                "no majority has confirmed the change yet; send it again with "
+                "the same change id. " +
+                    NoQuorumReason(now));
+  }
+  return true;
+}
+
+bool ControlNodeImpl::AnswerIfApplied(ApplyCall& call) {
+  std::optional<pb::ChangeOutcome> outcome =
+      state_.OutcomeOf(call.change.change_id());
+  if (!outcome) {
+    return false;
+  }
+  AnswerApply(call.ticket, std::move(*outcome));
+  return true;
+}
+
+// A change that is resent while its first entry is on the way shares it.
+void ControlNodeImpl::ProposeChange(TimePoint now, ApplyCall& call) {
+  const ReplicatedLog& log = replica_->log();
+  for (std::uint64_t n = log.last_index(); n > applied_; --n) {
+    if (log.At(n).has_change() &&
+        log.At(n).change().change_id() == call.change.change_id()) {
+      call.index = n;
+      return;
+    }
+  }
+  call.index = replica_->Propose(now, call.change).value_or(0);
+}
+
+void ControlNodeImpl::AnswerApply(Ticket ticket, pb::ChangeOutcome outcome) {
+  pb::ApplyReply reply;
+  *reply.mutable_outcome() = std::move(outcome);
+  *reply.mutable_catalog() = state_.catalog();
+  reply.set_leader_address(LeaderAddress());
+  actions_.applies.emplace_back(ticket, std::move(reply));
+}
+
+void ControlNodeImpl::RefuseApply(const ApplyCall& call, ErrorKind kind,
+                                  const std::string& message) {
+  pb::ChangeOutcome outcome;
+  outcome.set_change_id(call.change.change_id());
+  outcome.set_author(call.change.author());
+  outcome.set_base_revision(call.change.base_revision());
+  outcome.set_unix_ms(call.change.unix_ms());
+  outcome.set_revision(state_.catalog().revision());
+  outcome.set_error_kind(KindName(kind));
+  outcome.set_message(message);
+  AnswerApply(call.ticket, std::move(outcome));
+}
+
+void ControlNodeImpl::OnGet(TimePoint now, Ticket ticket) {
+  reads_.push_back({ticket, ReadKind::kGet, 0, 0, 0, CallDeadline(now)});
+  Pump(now);
+}
+
+void ControlNodeImpl::OnHistory(TimePoint now, Ticket ticket,
+                                const pb::HistoryRequest& request) {
+  reads_.push_back(
+      {ticket, ReadKind::kHistory, request.limit(), 0, 0, CallDeadline(now)});
+  Pump(now);
+}
+
+void ControlNodeImpl::AdvanceReads(TimePoint now) {
+  std::vector<ReadCall> open = std::exchange(reads_, {});
+  for (ReadCall& it : open) {
+    if (!AdvanceRead(now, it)) {
+      reads_.push_back(it);
+    }
+  }
+}
+
+// True once the call is answered.
+bool ControlNodeImpl::AdvanceRead(TimePoint now, ReadCall& call) {
+  if (IsLeader()) {
+    if (call.round == 0 || call.term != replica_->term()) {
+      call.round = replica_->BeginRead(now).value_or(0);
+      call.term = replica_->term();
+    }
+    if (replica_->ReadConfirmed(call.round)) {
+      AnswerRead(call);
+      return true;
+    }
+  } else if (!LeaderAddress().empty()) {
+    RefuseRead(call, ErrorKind::kNotLeader);
+    return true;
+  }
+  if (now < call.deadline) {
+    return false;
+  }
+  RefuseRead(call, ErrorKind::kNoQuorum);
+  return true;
+}
+
+void ControlNodeImpl::AnswerRead(const ReadCall& call) {
+  if (call.kind == ReadKind::kGet) {
+    pb::GetReply reply;
+    *reply.mutable_catalog() = state_.catalog();
+    actions_.gets.emplace_back(call.ticket, std::move(reply));
+    return;
+  }
+  pb::HistoryReply reply;
+  const auto& outcomes = state_.outcomes();
+  for (auto it = outcomes.rbegin(); it != outcomes.rend(); ++it) {
+    if (static_cast<std::uint32_t>(reply.outcomes_size()) == call.limit) {
+      break;
+    }
+    *reply.add_outcomes() = *it;
+  }
+  actions_.histories.emplace_back(call.ticket, std::move(reply));
+}
+
+void ControlNodeImpl::RefuseRead(const ReadCall& call, ErrorKind kind) {
+  if (call.kind == ReadKind::kGet) {
+    pb::GetReply reply;
+    reply.set_error_kind(KindName(kind));
+    reply.set_leader_address(LeaderAddress());
+    actions_.gets.emplace_back(call.ticket, std::move(reply));
+    return;
+  }
+  pb::HistoryReply reply;
+  reply.set_error_kind(KindName(kind));
+  reply.set_leader_address(LeaderAddress());
+  actions_.histories.emplace_back(call.ticket, std::move(reply));
+}
+
+}  // namespace vanillalatch::internal
