Measure the cost of changes, entry VMs and heartbeats at a control VM

Ruled out: gRPC in the measurement (its cost is seen on the processes). Before: none. After: a group of ControlNodes in virtual time over disks in memory.

--- /dev/null
+++ b/src/capacity/measure_control.cc
@@ -0,0 +1,274 @@
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "src/capacity/measurement.h"
+#include "vanillalatch/control/control_node.h"
+#include "vanillalatch/storage/disk.h"
+
+namespace vanillalatch {
+namespace {
+
+constexpr Duration kStep = std::chrono::milliseconds(10);
+constexpr std::size_t kClassesPerService = 3;
+
+// Keeps files in memory and counts what was written.
+class MemoryDisk : public Disk {
+ public:
+  std::optional<std::string> Read(std::string_view name) override {
+    const auto it = files_.find(name);
+    return it == files_.end() ? std::nullopt : std::optional(it->second);
+  }
+  void Append(std::string_view name, std::string_view bytes) override {
+    files_[std::string(name)].append(bytes);
+  }
+  void Sync(std::string_view) override {}
+  void Replace(std::string_view name, std::string_view bytes) override {
+    files_[std::string(name)] = std::string(bytes);
+  }
+  void Remove(std::string_view name) override {
+    const auto it = files_.find(name);
+    if (it != files_.end()) {
+      files_.erase(it);
+    }
+  }
+
+ private:
+  std::map<std::string, std::string, std::less<>> files_;
+};
+
+// Voters that hear each other at once. Counts bytes by sender.
+class Group {
+ public:
+  explicit Group(std::size_t voters) : disks_(voters), sent_(voters) {
+    ControlOptions options;
+    for (std::size_t n = 0; n < voters; ++n) {
+      options.initial.push_back(
+          {"control-" + std::to_string(n), AddressOf(n), "one"});
+    }
+    for (std::size_t n = 0; n < voters; ++n) {
+      options.vm = options.initial[n].vm;
+      nodes_.push_back(
+          ControlNode::Create(options, disks_[n], now_, n + 1).value());
+    }
+    Run(std::chrono::seconds(5));
+  }
+
+  void Run(Duration time) {
+    for (const TimePoint end = now_ + time; now_ < end; now_ += kStep) {
+      for (const auto& it : nodes_) {
+        it->OnTick(now_);
+      }
+      DeliverAll();
+    }
+  }
+
+  ControlNode& leader() {
+    for (const auto& it : nodes_) {
+      if (it->Status().role() == "leader") {
+        return *it;
+      }
+    }
+    throw Error(ErrorKind::kNoQuorum, "no leader");
+  }
+
+  // Applies one change and waits for its outcome; returns the revision.
+  std::uint64_t Apply(pb::Change change) {
+    pb::ApplyRequest request;
+    change.set_base_revision(revision_);
+    change.set_change_id("change-" + std::to_string(++changes_));
+    *request.mutable_change() = std::move(change);
+    leader().OnApply(now_, Ticket(changes_), request);
+    applied_ = false;
+    for (int n = 0; n < 1000 && !applied_; ++n) {
+      Run(kStep);
+    }
+    return revision_;
+  }
+
+  // One entry VM asks; answered at once or when the hold ends.
+  void Sync(std::size_t vm, std::uint64_t revision) {
+    pb::SyncRequest request;
+    request.set_vm("entry-" + std::to_string(vm));
+    request.set_data_center("one");
+    request.set_revision(revision);
+    leader().OnSync(now_, Ticket(1'000'000 + ++syncs_), request);
+  }
+
+  std::uint64_t BytesSent() const {
+    std::uint64_t most = 0;
+    for (const std::uint64_t it : sent_) {
+      most = std::max(most, it);
+    }
+    return most;
+  }
+  std::uint64_t sync_bytes() const { return sync_bytes_; }
+  std::uint64_t revision() const { return revision_; }
+
+ private:
+  static std::string AddressOf(std::size_t n) {
+    return "10.0.0." + std::to_string(n + 1) + ":7000";
+  }
+
+  void DeliverAll() {
+    for (bool again = true; again;) {
+      again = false;
+      for (std::size_t n = 0; n < nodes_.size(); ++n) {
+        again |= CarryOut(n);
+      }
+    }
+  }
+
+  bool CarryOut(std::size_t from) {
+    const ControlActions actions = nodes_[from]->TakeActions();
+    for (const auto& [ticket, reply] : actions.applies) {
+      revision_ = reply.outcome().revision();
+      applied_ = true;
+    }
+    for (const auto& [ticket, reply] : actions.syncs) {
+      sync_bytes_ += reply.ByteSizeLong();
+    }
+    for (const ControlActions::Send& it : actions.sends) {
+      sent_[from] += it.message.ByteSizeLong();
+      for (std::size_t to = 0; to < nodes_.size(); ++to) {
+        if (AddressOf(to) == it.address) {
+          nodes_[to]->OnMessage(now_, it.message);
+        }
+      }
+    }
+    return !actions.sends.empty();
+  }
+
+  std::vector<MemoryDisk> disks_;
+  std::vector<std::uint64_t> sent_;
+  std::vector<std::unique_ptr<ControlNode>> nodes_;
+  TimePoint now_{std::chrono::seconds(1)};
+  std::uint64_t changes_ = 0;
+  std::uint64_t syncs_ = 0;
+  std::uint64_t sync_bytes_ = 0;
+  std::uint64_t revision_ = 0;
+  bool applied_ = false;
+};
+
+pb::Change CatalogOf(std::size_t services, std::uint32_t latency_ms) {
+  pb::Change change;
+  change.set_author("operator");
+  for (std::size_t n = 0; n < services; ++n) {
+    pb::Service& service = *change.add_services();
+    service.set_name("service-" + std::to_string(n));
+    for (std::size_t i = 0; i < kClassesPerService; ++i) {
+      pb::ClassTarget& it = *service.add_classes();
+      it.set_name("class-" + std::to_string(i));
+      if (i > 0) {
+        it.add_path_prefixes("/path-" + std::to_string(i));
+      }
+      it.set_latency_ms(latency_ms + static_cast<std::uint32_t>(i));
+      it.set_success_permille(990);
+      it.set_share_percent(30);
+    }
+  }
+  return change;
+}
+
+Measurement MeasureChange() {
+  Measurement cpu{"change_cpu",
+                  "Processor time of a change at three control VMs together",
+                  "services",
+                  "ms",
+                  {}};
+  constexpr int kChanges = 20;
+  for (const std::size_t n : {29, 145, 290, 580}) {
+    Group group(3);
+    group.Apply(CatalogOf(n, 100));
+    const double before = CpuSeconds();
+    for (int i = 0; i < kChanges; ++i) {
+      group.Apply(CatalogOf(n, 101 + i));
+    }
+    cpu.points.push_back(
+        {static_cast<double>(n), (CpuSeconds() - before) * 1000 / kChanges});
+  }
+  return cpu;
+}
+
+Measurement MeasureCatalogBytes() {
+  Measurement bytes{"catalog_bytes",
+                    "Catalog as it is sent to an entry VM",
+                    "services",
+                    "B",
+                    {}};
+  for (const std::size_t n : {29, 145, 290, 580}) {
+    Group group(1);
+    group.Apply(CatalogOf(n, 100));
+    const std::uint64_t before = group.sync_bytes();
+    group.Sync(0, 0);
+    group.Run(kStep);
+    bytes.points.push_back({static_cast<double>(n),
+                            static_cast<double>(group.sync_bytes() - before)});
+  }
+  return bytes;
+}
+
+Measurement MeasureControlMemory() {
+  Measurement memory{"control_bytes",
+                     "Memory of a control VM's state by changes gone by",
+                     "changes",
+                     "B",
+                     {}};
+  for (const std::size_t n : {200, 400, 800, 1600}) {
+    const double before = HeapBytes();
+    Group group(1);
+    for (std::size_t i = 0; i < n; ++i) {
+      group.Apply(CatalogOf(20, 100 + static_cast<std::uint32_t>(i)));
+    }
+    memory.points.push_back({static_cast<double>(n), HeapBytes() - before});
+  }
+  return memory;
+}
+
+Measurement MeasureSync() {
+  Measurement cpu{"sync_cpu",
+                  "Processor time of a control VM by entry VMs",
+                  "entry VMs",
+                  "% of a core",
+                  {}};
+  constexpr int kSeconds = 20;
+  for (const std::size_t n : {50, 100, 200, 400, 1100}) {
+    Group group(1);
+    group.Apply(CatalogOf(20, 100));
+    const double before = CpuSeconds();
+    for (int second = 0; second < kSeconds; ++second) {
+      for (std::size_t vm = 0; vm < n; ++vm) {
+        group.Sync(vm, group.revision());
+      }
+      group.Run(std::chrono::seconds(1));
+    }
+    cpu.points.push_back(
+        {static_cast<double>(n), (CpuSeconds() - before) * 100 / kSeconds});
+  }
+  return cpu;
+}
+
+Measurement MeasureHeartbeats() {
+  Measurement bytes{
+      "heartbeat_bytes", "Heartbeats of the leader", "control VMs", "B/s", {}};
+  constexpr int kSeconds = 20;
+  for (const std::size_t n : {3, 5, 7, 9, 13}) {
+    Group group(n);
+    const std::uint64_t before = group.BytesSent();
+    group.Run(std::chrono::seconds(kSeconds));
+    bytes.points.push_back(
+        {static_cast<double>(n),
+         static_cast<double>(group.BytesSent() - before) / kSeconds});
+  }
+  return bytes;
+}
+
+}  // namespace
+
+std::vector<Measurement> MeasureControl() {
+  return {MeasureChange(), MeasureCatalogBytes(), MeasureControlMemory(),
+          MeasureSync(), MeasureHeartbeats()};
+}
+
+}  // namespace vanillalatch
