Run the control VMs through a thousand seeds of random faults

Crashes with torn writes, crashes at chosen syncs, freezes, cuts (also one way), loss, duplicates, lost disks and racing, resent changes. After every event: one leader a term, committed entries the same everywhere, one answer a change id, no stale read, catalogs equal by revision. At the end every change is sent again and gets its first answer.

--- a/include/vanillalatch/consensus/replica.h
+++ b/include/vanillalatch/consensus/replica.h
@@ -109,6 +109,7 @@
   virtual void Compact(const pb::Snapshot& snapshot,
                        std::uint64_t keep_after) = 0;
 
+  virtual std::uint64_t id() const = 0;
   virtual ReplicaRole role() const = 0;
   virtual std::uint64_t term() const = 0;
   virtual std::uint64_t commit_index() const = 0;
--- a/src/consensus/replica_impl.h
+++ b/src/consensus/replica_impl.h
@@ -48,6 +48,7 @@
   bool BeginStop(TimePoint now) override;
   void Compact(const pb::Snapshot& snapshot, std::uint64_t keep_after) override;
 
+  std::uint64_t id() const override { return self(); }
   ReplicaRole role() const override { return roles_.role(); }
   std::uint64_t term() const override { return vote_.term(); }
   std::uint64_t commit_index() const override { return commit_; }
--- a/src/control/control_checks_test.cc
+++ b/src/control/control_checks_test.cc
@@ -28,8 +28,7 @@
       Note(vm.name + " leads in term " + std::to_string(status.term()));
     }
   }
-  const Replica& replica =
-      static_cast<const internal::ControlNodeImpl&>(*vm.node).replica();
+  const Replica& replica = ReplicaOf(vm);
   const ReplicatedLog& log = replica.log();
   std::uint64_t n = std::max(vm.checked, log.base().index());
   while (n < replica.commit_index()) {
--- /dev/null
+++ b/src/control/control_random_test.cc
@@ -0,0 +1,176 @@
+// Random faults over many fixed seeds. ControlWorld checks after every event;
+// the end of each run checks that nothing accepted was lost.
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "src/control/control_world.h"
+
+namespace vanillalatch {
+namespace {
+
+constexpr int kSteps = 40;
+constexpr Duration kEndLimit = std::chrono::seconds(10);
+
+class RandomRun {
+ public:
+  explicit RandomRun(std::uint64_t seed)
+      : world_(seed), random_(world_.network().random()) {
+    world_.AddControls(seed % 5 == 0 ? 5 : 3, 8);
+    names_ = world_.ControlNames();
+    world_.AddEntry("e1", names_);
+    world_.AddEntry("e2", {names_.rbegin(), names_.rend()});
+    world_.RunUntil(std::chrono::seconds(3),
+                    [&] { return !world_.Leader().empty(); });
+  }
+
+  void Play() {
+    for (int n = 0; n < kSteps; ++n) {
+      Act();
+      world_.Run(std::chrono::milliseconds(random_() % 400));
+    }
+    Settle();
+  }
+
+  const ControlWorld& world() const { return world_; }
+
+ private:
+  const std::string& AnyControl() { return names_[random_() % names_.size()]; }
+
+  void Act() {
+    switch (random_() % 13) {
+      case 0:
+        return CrashOrStart(AnyControl());
+      case 1:
+        return FreezeOrThaw(AnyControl());
+      case 2:
+        return world_.Isolate(AnyControl());
+      case 3:
+        return world_.network().Cut(AnyControl(), AnyControl());
+      case 4:
+        return world_.network().Heal();
+      case 5:
+        return world_.network().SetFaults(
+            random_() % 20, random_() % 20,
+            std::chrono::milliseconds(random_() % 60));
+      case 6:
+        return world_.Control(AnyControl())
+            .disk.CrashAtSync(1 + random_() % 4,
+                              random_() % 2 == 0 ? FakeDisk::Moment::kBefore
+                                                 : FakeDisk::Moment::kAfter);
+      case 7:
+        return LoseDisk(AnyControl());
+      case 8:
+        return world_.Get(AnyControl());
+      case 9:
+        return Resend();
+      default:
+        return RaceChanges();
+    }
+  }
+
+  void CrashOrStart(const std::string& name) {
+    if (world_.Control(name).node) {
+      world_.Crash(name, random_() % 2 == 0);
+    } else {
+      world_.Start(name);
+    }
+  }
+
+  void FreezeOrThaw(const std::string& name) {
+    if (world_.Control(name).frozen) {
+      world_.Thaw(name);
+    } else {
+      world_.Freeze(name);
+    }
+  }
+
+  // A second disk is lost only after the first one's repair has counted.
+  void LoseDisk(const std::string& name) {
+    if (world_.Repaired()) {
+      world_.LoseDisk(name);
+      world_.Start(name);
+    }
+  }
+
+  void RaceChanges() {
+    const std::uint64_t base = world_.accepted_revision();
+    const auto racers = 1 + random_() % 2;
+    for (std::uint64_t n = 0; n < racers; ++n) {
+      const std::string id = "change-" + std::to_string(++changes_);
+      world_.Apply("operator-" + std::to_string(n), id, base, id, AnyControl(),
+                   std::chrono::seconds(4));
+    }
+  }
+
+  void Resend() {
+    if (changes_ > 0) {
+      Repeat("change-" + std::to_string(1 + random_() % changes_));
+    }
+  }
+
+  void Repeat(const std::string& id) {
+    const OperatorCall& call = world_.Call(id);
+    world_.Apply(call.name, id, call.change.base_revision(), id, AnyControl(),
+                 kEndLimit);
+  }
+
+  // Everything comes back; then every change gets its final answer.
+  void Settle() {
+    world_.network().Heal();
+    world_.network().SetFaults(0, 0, std::chrono::milliseconds(1));
+    for (const std::string& it : names_) {
+      world_.Control(it).disk.CancelCrash();
+      if (!world_.Control(it).node) {
+        world_.Start(it);
+      }
+      if (world_.Control(it).frozen) {
+        world_.Thaw(it);
+      }
+    }
+    for (std::uint64_t n = 1; n <= changes_; ++n) {
+      Repeat("change-" + std::to_string(n));
+    }
+    const bool answered = world_.RunUntil(kEndLimit, [&] {
+      return AllAnswered() && world_.AllInForce(world_.accepted_revision());
+    });
+    if (!answered) {
+      throw scenario::Failure("not settled in time");
+    }
+  }
+
+  bool AllAnswered() {
+    for (std::uint64_t n = 1; n <= changes_; ++n) {
+      const auto& reply = world_.Call("change-" + std::to_string(n)).reply;
+      if (!reply || (!reply->outcome().accepted() &&
+                     reply->outcome().error_kind() != "conflict")) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  ControlWorld world_;
+  std::mt19937_64& random_;
+  std::vector<std::string> names_;
+  std::uint64_t changes_ = 0;
+};
+
+TEST_CASE("random faults never lose or revert an accepted change",
+          "[control][random]") {
+  constexpr std::uint64_t kSeeds = 1000;
+  std::uint64_t accepted = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    RandomRun run(seed);
+    INFO("seed " << seed);
+    try {
+      run.Play();
+    } catch (const std::exception& e) {
+      FAIL(e.what() << "\n" << run.world().Journal());
+    }
+    accepted += run.world().accepted_revision();
+  }
+  CHECK(accepted > kSeeds);
+}
+
+}  // namespace
+}  // namespace vanillalatch
--- a/src/control/control_scenario_test.cc
+++ b/src/control/control_scenario_test.cc
@@ -30,9 +30,7 @@
   } else if (step.verb == "start-crashed") {
     Start(last_leader_);
   } else if (step.verb == "lose-disk") {
-    Crash(step.Word(0), false);
-    Control(step.Word(0)).disk.Wipe();
-    Control(step.Word(0)).last_term = 0;
+    LoseDisk(step.Word(0));
   } else if (step.verb == "crash-at-sync") {
     Control(step.Word(0))
         .disk.CrashAtSync(step.Number(1),
--- a/src/control/control_world.h
+++ b/src/control/control_world.h
@@ -25,6 +25,7 @@
   FakeDisk disk;
   std::unique_ptr<ControlNode> node;  // Empty while it is down.
   std::uint64_t starts = 0;
+  std::uint64_t identity = 0;
   bool frozen = false;
   bool stopping = false;
   std::vector<std::function<void()>> held;  // Arrived while frozen.
@@ -68,6 +69,10 @@
   void AddEntry(const std::string& name, std::vector<std::string> controls);
   void Start(const std::string& name);
   void Crash(const std::string& name, bool torn);
+  void LoseDisk(const std::string& name);  // And crash.
+  // True if some leader has committed a group of all VMs as voters with their
+  // present identities.
+  bool Repaired() const;
   void Freeze(const std::string& name);
   void Thaw(const std::string& name);
   void Isolate(const std::string& name);
@@ -111,6 +116,7 @@
 
   // Checks.
   void CheckAll();
+  static const Replica& ReplicaOf(const ControlVm& vm);
   void CheckNode(ControlVm& vm);
   void CheckCatalog(const pb::Catalog& catalog);
   void CheckSync(const EntryVm& entry, const pb::SyncReply& reply) const;
--- a/src/control/control_world_test.cc
+++ b/src/control/control_world_test.cc
@@ -89,6 +89,7 @@
     vm.node =
         ControlNode::Create(OptionsOf(name), vm.disk, network_.now(), seed)
             .value();
+    vm.identity = ReplicaOf(vm).id();
     Note(name + " starts at revision " +
          std::to_string(vm.node->Status().revision()));
     Use(vm, [&](ControlNode& node) { node.OnTick(network_.now()); });
@@ -105,6 +106,37 @@
   Note(name + " crashes");
 }
 
+void ControlWorld::LoseDisk(const std::string& name) {
+  Crash(name, false);
+  ControlVm& vm = Control(name);
+  vm.disk.Wipe();
+  vm.last_term = 0;
+  vm.identity = 0;
+  Note(name + " loses its disk");
+}
+
+bool ControlWorld::Repaired() const {
+  const std::string leader = Leader();
+  if (leader.empty()) {
+    return false;
+  }
+  const Replica& replica = ReplicaOf(controls_.at(leader));
+  const pb::Configuration group =
+      replica.ConfigurationAt(replica.commit_index());
+  std::size_t voters = 0;
+  for (const pb::Replica& it : group.replicas()) {
+    const bool present = it.id() == controls_.at(it.vm()).identity;
+    voters += present && !it.learner() ? 1 : 0;
+  }
+  return voters == controls_.size() &&
+         group.replicas_size() == static_cast<int>(voters) &&
+         replica.FromQuorum(network_.now());
+}
+
+const Replica& ControlWorld::ReplicaOf(const ControlVm& vm) {
+  return static_cast<const internal::ControlNodeImpl&>(*vm.node).replica();
+}
+
 void ControlWorld::Freeze(const std::string& name) {
   Control(name).frozen = true;
   Note(name + " freezes");
--- a/src/storage/fake_disk.h
+++ b/src/storage/fake_disk.h
@@ -67,6 +67,8 @@
     moment_ = moment;
   }
 
+  void CancelCrash() { crash_at_ = 0; }
+
   // What a power cut leaves. With `torn`, a part of the unsynced bytes stays,
   // its last byte damaged.
   void Crash(std::mt19937_64& random, bool torn) {
