--- /dev/null
+++ b/src/settings/settings_test.cc
@@ -0,0 +1,228 @@
+#include "vanillalatch/settings/settings.h"
+
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <string>
+
+namespace vanillalatch {
+namespace {
+
+constexpr std::string_view kValid = R"({
+  // Both roles.
+  "vm": "one",
+  "data_center": "north",
+  "entry": {
+    "listen": "127.0.0.1:5683",
+    "backend": "127.0.0.1:5684",
+    "peer": "127.0.0.1:7100",
+    "admin": "127.0.0.1:7101",
+    "seeds": ["127.0.0.1:7100", "127.0.0.2:7100"],
+    "control": ["127.0.0.1:7000"],
+    "drain_limit": "3s",
+    "backend_timeout": "250ms"
+  },
+  "control": {
+    "listen": "127.0.0.1:7000",
+    "data_folder": "/data",
+    "voters": [
+      {"vm": "one", "address": "127.0.0.1:7000", "data_center": "north"},
+      {"vm": "two", "address": "127.0.0.2:7000", "data_center": "south"}
+    ]
+  },
+  "log": {"level": "debug", "file": "one.jsonl"},
+  "trace_file": "traces.jsonl",
+  "metrics": "127.0.0.1:9100"
+})";
+
+std::string Replace(std::string_view from, std::string_view to) {
+  std::string text(kValid);
+  const std::size_t at = text.find(from);
+  REQUIRE(at != std::string::npos);
+  return text.replace(at, from.size(), to);
+}
+
+TEST_CASE("every setting is read", "[settings]") {
+  const Settings s = ParseSettings("vm.json", kValid).value();
+  CHECK(s.vm == "one");
+  CHECK(s.data_center == "north");
+  CHECK(s.entry->listen.ToString() == "127.0.0.1:5683");
+  CHECK(s.entry->backend.ToString() == "127.0.0.1:5684");
+  CHECK(s.entry->peer.ToString() == "127.0.0.1:7100");
+  CHECK(s.entry->admin.ToString() == "127.0.0.1:7101");
+  CHECK(s.entry->seeds.size() == 2);
+  CHECK(s.entry->control.size() == 1);
+  CHECK(s.entry->drain_limit == std::chrono::seconds(3));
+  CHECK(s.entry->backend_timeout == std::chrono::milliseconds(250));
+  CHECK(s.control->listen.ToString() == "127.0.0.1:7000");
+  CHECK(s.control->data_folder == "/data");
+  CHECK(s.control->voters[1].vm == "two");
+  CHECK(s.control->voters[1].data_center == "south");
+  CHECK(s.log_level == "debug");
+  CHECK(s.log_file == "one.jsonl");
+  CHECK(s.trace_file == "traces.jsonl");
+  CHECK(s.metrics->ToString() == "127.0.0.1:9100");
+}
+
+struct Refusal {
+  std::string_view from;
+  std::string_view to;
+  std::string expected;  // Behind "vm.json:".
+};
+
+const std::string kAddressText =
+    "expected the address and port of one machine, \"A.B.C.D:PORT\", got ";
+const std::string kNameText =
+    "expected a name of 1 to 63 letters, digits, '.', '_' or '-', a letter or "
+    "digit first, got ";
+
+TEST_CASE("each fault is refused with its line and key", "[settings]") {
+  const auto row = GENERATE(values<Refusal>({
+      // Keys.
+      {"\"vm\": \"one\"", "\"name\": \"one\"",
+       "3: name: expected one of the keys vm, data_center, entry, control, "
+       "log, trace_file, metrics, got an unknown key"},
+      {"\"vm\": \"one\",", "", "1: vm: expected this key, got nothing"},
+      {"\"data_center\"", "\"vm\"",
+       "4: vm: expected each key once, got it twice"},
+      {"\"admin\": \"127.0.0.1:7101\",", "\"weight\": 3,",
+       "9: entry.weight: expected one of the keys listen, backend, peer, "
+       "admin, seeds, control, drain_limit, backend_timeout, got an unknown "
+       "key"},
+      {"\"admin\": \"127.0.0.1:7101\",", "",
+       "5: entry.admin: expected this key, got nothing"},
+      {"\"vm\": \"two\", ", "",
+       "20: control.voters[1].vm: expected this key, got nothing"},
+      // Types.
+      {"\"vm\": \"one\"", "\"vm\": 1", "3: vm: expected a quoted text, got 1"},
+      {"\"north\"", "[]",
+       "4: data_center: expected a quoted text, got an array"},
+      {"{\"level\": \"debug\", \"file\": \"one.jsonl\"}", "\"debug\"",
+       "23: log: expected an object, got \"debug\""},
+      {"[\"127.0.0.1:7000\"]", "\"127.0.0.1:7000\"",
+       "11: entry.control: expected an array, got \"127.0.0.1:7000\""},
+      {"\"127.0.0.1:9100\"", "9100", "25: metrics: " + kAddressText + "9100"},
+      {"\"traces.jsonl\"", "null",
+       "24: trace_file: expected a quoted text, got null"},
+      // Names.
+      {"\"one\"", "\"\"", "3: vm: " + kNameText + "\"\""},
+      {"\"one\"", "\"a b\"", "3: vm: " + kNameText + "\"a b\""},
+      {"\"north\"", "\"-north\"",
+       "4: data_center: " + kNameText + "\"-north\""},
+      // Ranges.
+      {"\"3s\"", "\"3\"",
+       "12: entry.drain_limit: expected a time from \"100ms\" to \"10m\", got "
+       "\"3\""},
+      {"\"3s\"", "\"99ms\"",
+       "12: entry.drain_limit: expected a time from \"100ms\" to \"10m\", got "
+       "\"99ms\""},
+      {"\"250ms\"", "\"3m\"",
+       "13: entry.backend_timeout: expected a time from \"10ms\" to \"2m\", "
+       "got \"3m\""},
+      {"\"250ms\"", "\"-5s\"",
+       "13: entry.backend_timeout: expected a time from \"10ms\" to \"2m\", "
+       "got \"-5s\""},
+      {"\"debug\"", "\"loud\"",
+       "23: log.level: expected one of \"trace\" \"debug\" \"info\" \"warn\" "
+       "\"error\", got \"loud\""},
+      {"[\"127.0.0.1:7000\"]", "[]",
+       "11: entry.control: expected at least one control VM's address, got an "
+       "array"},
+      {"\"/data\"", "\"\"",
+       "17: control.data_folder: expected the path of a folder, got \"\""},
+      // Addresses.
+      {"127.0.0.1:5683", "127.0.0.1",
+       "6: entry.listen: " + kAddressText + "\"127.0.0.1\""},
+      {"127.0.0.1:5683", "127.0.0.1:0",
+       "6: entry.listen: " + kAddressText + "\"127.0.0.1:0\""},
+      {"127.0.0.1:5683", "0.0.0.0:5683",
+       "6: entry.listen: " + kAddressText + "\"0.0.0.0:5683\""},
+      {"127.0.0.1:5683", "224.0.0.1:5683",
+       "6: entry.listen: " + kAddressText + "\"224.0.0.1:5683\""},
+      {"127.0.0.1:5683", "localhost:5683",
+       "6: entry.listen: " + kAddressText + "\"localhost:5683\""},
+      {"127.0.0.1:5683", "127.0.0.1:65536",
+       "6: entry.listen: " + kAddressText + "\"127.0.0.1:65536\""},
+      {"127.0.0.1:5684", "127.0.0.1:5683",
+       "7: entry.backend: expected an address that entry.listen does not use "
+       "already, got \"127.0.0.1:5683\""},
+      {"127.0.0.1:9100", "127.0.0.1:7101",
+       "25: metrics: expected an address that entry.admin does not use "
+       "already, got \"127.0.0.1:7101\""},
+      {"127.0.0.2:7100", "127.0.0.1:7100",
+       "10: entry.seeds[1]: expected each address once, got "
+       "\"127.0.0.1:7100\""},
+      // Voters.
+      {"\"vm\": \"two\"", "\"vm\": \"one\"",
+       "20: control.voters[1].vm: expected each voter's name once, got "
+       "\"one\""},
+      {"127.0.0.2:7000", "127.0.0.1:7000",
+       "20: control.voters[1].address: expected each voter's address once, got "
+       "\"127.0.0.1:7000\""},
+      {"\"address\": \"127.0.0.1:7000\"", "\"address\": \"127.0.0.3:7000\"",
+       "19: control.voters[0].address: expected the address of this VM's "
+       "\"listen\", \"127.0.0.1:7000\", got \"127.0.0.3:7000\""},
+      {"\"data_center\": \"north\"}", "\"data_center\": \"south\"}",
+       "19: control.voters[0].data_center: expected the data centre of this "
+       "VM, \"north\", got \"south\""},
+      {"{\"vm\": \"one\", \"address\"", "{\"vm\": \"three\", \"address\"",
+       "19: control.voters[0].address: expected another address than this "
+       "VM's \"listen\", got \"127.0.0.1:7000\""},
+      // No JSON.
+      {"\"vm\": \"one\",", "\"vm\": \"one\"",
+       "4: expected JSON with comments, got a syntax error while parsing "
+       "object - unexpected string literal; expected '}'"},
+  }));
+  const Result<Settings> settings =
+      ParseSettings("vm.json", Replace(row.from, row.to));
+  REQUIRE_FALSE(settings.ok());
+  CHECK(settings.error().kind() == ErrorKind::kInvalidArgument);
+  CHECK(settings.error().what() == "vm.json:" + row.expected);
+}
+
+TEST_CASE("a process needs a role", "[settings]") {
+  const auto text = GENERATE(values<std::string>(
+      {R"({"vm": "one", "data_center": "north"})", "[]", "", "{", "7"}));
+  CHECK(ParseSettings("vm.json", text).error().kind() ==
+        ErrorKind::kInvalidArgument);
+}
+
+TEST_CASE("what is left out has its default", "[settings]") {
+  const Settings s =
+      ParseSettings("vm.json", R"({"vm": "a", "data_center": "b", "entry": {
+        "listen": "127.0.0.1:1", "backend": "127.0.0.1:2",
+        "peer": "127.0.0.1:3", "admin": "127.0.0.1:3",
+        "control": ["127.0.0.1:4"]}})")
+          .value();
+  CHECK(s.entry->seeds.empty());
+  CHECK(s.entry->drain_limit == EntrySettings{}.drain_limit);
+  CHECK(s.entry->backend_timeout == EntrySettings{}.backend_timeout);
+  CHECK(s.log_level == "info");
+  CHECK(s.log_file.empty());
+  CHECK(s.trace_file.empty());
+  CHECK_FALSE(s.metrics.has_value());
+  CHECK_FALSE(s.control.has_value());
+}
+
+TEST_CASE("a file that does not exist is not found", "[settings]") {
+  CHECK(ReadSettings("/nonexistent/vm.json").error().kind() ==
+        ErrorKind::kNotFound);
+}
+
+TEST_CASE("the settings in examples are valid", "[settings]") {
+  int files = 0;
+  for (const auto& it :
+       std::filesystem::recursive_directory_iterator("examples")) {
+    const std::string path = it.path();
+    if (!it.is_regular_file() || it.path().filename() == "catalog.json") {
+      continue;
+    }
+    ++files;
+    const Result<Settings> settings = ReadSettings(path);
+    INFO((settings.ok() ? path : settings.error().what()));
+    CHECK(settings.ok());
+  }
+  CHECK(files == 14);
+}
+
+}  // namespace
+}  // namespace vanillalatch
