--- a/src/standin/program/standin_caller.cc
+++ b/src/standin/program/standin_caller.cc
@@ -24,6 +24,7 @@
 
 struct ProgramOptions {
   CallerOptions callers;
+  std::string data_center;
   std::string summary;
 };
 
@@ -37,6 +38,7 @@
       "seconds", po::value<double>()->default_value(5))(
       "flows", po::value<std::size_t>()->default_value(32))(
       "seed", po::value<std::uint64_t>()->default_value(1))(
+      "data-center", po::value<std::string>()->required())(
       "summary", po::value<std::string>()->default_value(""));
   po::variables_map values;
   po::store(po::parse_command_line(argc, argv, options), values);
@@ -50,6 +52,7 @@
       std::chrono::duration<double>(values["seconds"].as<double>()));
   parsed.callers.flows = values["flows"].as<std::size_t>();
   parsed.callers.seed = values["seed"].as<std::uint64_t>();
+  parsed.data_center = values["data-center"].as<std::string>();
   parsed.summary = values["summary"].as<std::string>();
   for (const auto& it : values["entry"].as<std::vector<std::string>>()) {
     parsed.callers.entries.push_back(SocketAddress::Parse(it).value());
@@ -93,7 +96,7 @@
     }
     Flush(sockets, out);
   }
-  const std::string text = CallerSummary(callers);
+  const std::string text = CallerSummary(options.data_center, callers);
   if (options.summary.empty()) {
     std::cout << text;
   } else {
--- a/src/standin/standin_test.cc
+++ b/src/standin/standin_test.cc
@@ -102,7 +102,7 @@
   if (counters != nullptr) {
     *counters = path.server().counters();
   }
-  return nlohmann::json::parse(CallerSummary(callers));
+  return nlohmann::json::parse(CallerSummary("north", callers));
 }
 
 TEST_CASE("without faults every answer is whole", "[standin]") {
--- a/src/standin/summary.cc
+++ b/src/standin/summary.cc
@@ -59,8 +59,9 @@
   return samples[static_cast<std::size_t>(std::ceil(last * fraction))];
 }
 
-std::string CallerSummary(const Callers& callers) {
-  Json totals = {{"sent", 0}};
+std::string CallerSummary(const std::string& data_center,
+                          const Callers& callers) {
+  Json totals = {{"data_center", data_center}};
   Json classes = Json::array();
   std::uint64_t sent = 0;
   std::array<std::uint64_t, kCallOutcomes> outcomes{};
--- a/src/standin/summary.h
+++ b/src/standin/summary.h
@@ -11,7 +11,8 @@
 
 // Totals, and per class latencies in milliseconds and the share of requests
 // answered within the target.
-std::string CallerSummary(const Callers& callers);
+std::string CallerSummary(const std::string& data_center,
+                          const Callers& callers);
 
 // Counters, and the share of slot time in use over `elapsed`.
 std::string BackendSummary(const BackendOptions& options,
