--- a/include/vanillalatch/catalog/state_machine.h
+++ b/include/vanillalatch/catalog/state_machine.h
@@ -43,7 +43,7 @@
 
   // Replaces everything, from a snapshot.
   void Restore(const pb::Catalog& catalog,
-               std::deque<pb::ChangeOutcome> outcomes);
+               const std::deque<pb::ChangeOutcome>& outcomes);
 
  private:
   void Remember(const pb::ChangeOutcome& outcome);
--- a/include/vanillalatch/control/control_node.h
+++ b/include/vanillalatch/control/control_node.h
@@ -82,7 +82,8 @@
   virtual void OnSync(TimePoint now, Ticket ticket,
                       const pb::SyncRequest& request) = 0;
 
-  // Hands leadership to another voter before a planned stop. True when done.
+  // Hands leadership to another voter before a planned stop and answers every
+  // open call. True when both are done; call it again until then.
   virtual bool BeginStop(TimePoint now) = 0;
 
   virtual ControlActions TakeActions() = 0;
--- a/src/catalog/state_machine.cc
+++ b/src/catalog/state_machine.cc
@@ -31,34 +31,41 @@
   return "";
 }
 
-std::string ServiceFault(const pb::Service& service) {
-  if (service.name().empty()) {
-    return "a service has no name";
-  }
-  const std::string where = "service " + service.name() + ": ";
+// Why the classes of a service don't fit together; empty if they do.
+std::string ClassesFault(const pb::Service& service) {
   std::set<std::string> names;
   std::set<std::string> prefixes;
   std::uint32_t shares = 0;
   int defaults = 0;
   for (const pb::ClassTarget& it : service.classes()) {
-    if (std::string fault = ClassFault(service, it); !fault.empty()) {
-      return fault;
-    }
     if (!names.insert(it.name()).second) {
-      return where + "class " + it.name() + " stands twice";
+      return "class " + it.name() + " stands twice";
     }
     for (const std::string& prefix : it.path_prefixes()) {
       if (!prefixes.insert(prefix).second) {
-        return where + "path " + prefix + " belongs to two classes";
+        return "path " + prefix + " belongs to two classes";
       }
     }
     shares += it.share_percent();
     defaults += it.path_prefixes().empty() ? 1 : 0;
   }
   if (shares > kWholePercent) {
-    return where + "the capacity shares add up to more than 100%";
+    return "the capacity shares add up to more than 100%";
+  }
+  return defaults > 1 ? "two classes without paths" : "";
+}
+
+std::string ServiceFault(const pb::Service& service) {
+  if (service.name().empty()) {
+    return "a service has no name";
+  }
+  for (const pb::ClassTarget& it : service.classes()) {
+    if (std::string fault = ClassFault(service, it); !fault.empty()) {
+      return fault;
+    }
   }
-  return defaults > 1 ? where + "two classes without paths" : "";
+  const std::string fault = ClassesFault(service);
+  return fault.empty() ? "" : "service " + service.name() + ": " + fault;
 }
 
 const pb::Service* FindService(const pb::Catalog& catalog,
@@ -193,7 +200,7 @@
 }
 
 void CatalogState::Restore(const pb::Catalog& catalog,
-                           std::deque<pb::ChangeOutcome> outcomes) {
+                           const std::deque<pb::ChangeOutcome>& outcomes) {
   catalog_ = catalog;
   outcomes_.clear();
   by_id_.clear();
--- a/src/consensus/group_change.cc
+++ b/src/consensus/group_change.cc
@@ -126,17 +126,18 @@
 }
 
 bool ReplicaImpl::AdmitLearner(TimePoint now) {
-  for (const auto& [vm, it] : introductions_) {
-    if (now >= it.at + kIntroductionAge ||
-        FindReplica(configuration_, it.replica.id()) != nullptr) {
+  for (const auto& [vm, introduction] : introductions_) {
+    const pb::Replica& newcomer = introduction.replica;
+    if (now >= introduction.at + kIntroductionAge ||
+        FindReplica(configuration_, newcomer.id()) != nullptr) {
       continue;
     }
     pb::Configuration next = configuration_;
-    RemoveIf(next, [&](const pb::Replica& other) {
-      return other.vm() == it.replica.vm() && other.learner();
+    RemoveIf(next, [&](const pb::Replica& it) {
+      return it.vm() == newcomer.vm() && it.learner();
     });
     pb::Replica& learner = *next.add_replicas();
-    learner = it.replica;
+    learner = newcomer;
     learner.set_learner(true);
     ProposeConfiguration(now, std::move(next));
     return true;
--- /dev/null
+++ b/src/consensus/replica_store_test.cc
@@ -0,0 +1,124 @@
+#include "vanillalatch/consensus/replica_store.h"
+
+#include <catch2/catch.hpp>
+
+#include "src/storage/fake_disk.h"
+
+namespace vanillalatch {
+namespace {
+
+ReplicaStore Reopen(FakeDisk& disk, std::uint64_t seed = 1) {
+  return ReplicaStore::Open(disk, "c1", seed).value();
+}
+
+pb::LogEntry Entry(std::uint64_t index, std::uint64_t term) {
+  pb::LogEntry entry;
+  entry.set_index(index);
+  entry.set_term(term);
+  entry.set_no_op(true);
+  return entry;
+}
+
+ReplicaActions Append(std::uint64_t first, std::uint64_t last,
+                      std::uint64_t term) {
+  ReplicaActions actions;
+  for (std::uint64_t n = first; n <= last; ++n) {
+    actions.append.push_back(Entry(n, term));
+  }
+  return actions;
+}
+
+pb::Snapshot SnapshotAt(std::uint64_t index, std::uint64_t term) {
+  pb::Snapshot snapshot;
+  snapshot.set_index(index);
+  snapshot.set_term(term);
+  return snapshot;
+}
+
+TEST_CASE("an identity lasts as long as its disk", "[store]") {
+  FakeDisk disk;
+  const std::uint64_t id = Reopen(disk, 1).id();
+  CHECK(Reopen(disk, 2).id() == id);
+  disk.Wipe();
+  CHECK(Reopen(disk, 3).id() != id);
+}
+
+TEST_CASE("vote and entries are there after a crash", "[store]") {
+  FakeDisk disk;
+  std::mt19937_64 random(1);
+  ReplicaStore store = Reopen(disk);
+  store.Save(Append(1, 3, 1));
+  ReplicaActions actions = Append(3, 4, 2);
+  actions.vote.emplace().set_term(2);
+  actions.vote->set_candidate(9);
+  store.Save(actions);
+  disk.Append("log", "unsynced");
+  disk.Crash(random, true);
+  const StoredReplica stored = Reopen(disk).TakeLoaded();
+  CHECK(stored.vote.candidate() == 9);
+  CHECK(stored.log.last_index() == 4);
+  CHECK(stored.log.TermAt(2) == 1);
+  CHECK(stored.log.TermAt(3) == 2);
+}
+
+TEST_CASE("a crash between the files of an installed snapshot is mended",
+          "[store]") {
+  const std::uint64_t stored_entries = GENERATE(0, 3, 5, 9);
+  const std::uint64_t term = GENERATE(1, 2);
+  CAPTURE(stored_entries, term);
+  FakeDisk disk;
+  std::mt19937_64 random(1);
+  ReplicaStore store = Reopen(disk);
+  if (stored_entries > 0) {
+    store.Save(Append(1, stored_entries, 1));
+  }
+  ReplicaActions actions;
+  actions.install = SnapshotAt(5, term);
+  disk.CrashAtSync(2, FakeDisk::Moment::kBefore);
+  CHECK_THROWS_AS(store.Save(actions), DiskCrash);
+  disk.Crash(random, true);
+  const StoredReplica stored = Reopen(disk).TakeLoaded();
+  CHECK(stored.snapshot->index() == 5);
+  const bool suffix_fits = term == 1 && stored_entries == 9;
+  CHECK(stored.log.last_index() == (suffix_fits ? 9 : 5));
+  CHECK(stored.log.TermAt(5) == term);
+}
+
+TEST_CASE("compaction keeps vote and later entries", "[store]") {
+  FakeDisk disk;
+  ReplicaStore store = Reopen(disk);
+  ReplicaActions actions = Append(1, 8, 1);
+  actions.vote.emplace().set_term(1);
+  store.Save(actions);
+  StoredReplica stored = Reopen(disk).TakeLoaded();
+  stored.log.DropThrough(4);
+  store.Compact(SnapshotAt(6, 1), stored.log);
+  store.Save(Append(9, 9, 1));
+  stored = Reopen(disk).TakeLoaded();
+  CHECK(stored.vote.term() == 1);
+  CHECK(stored.log.base().index() == 4);
+  CHECK(stored.log.last_index() == 9);
+}
+
+TEST_CASE("damage is refused", "[store]") {
+  FakeDisk disk;
+  ReplicaStore store = Reopen(disk);
+  store.Save(Append(1, 2, 1));
+  store.Save(Append(3, 4, 1));
+  const std::string file = GENERATE("log", "identity", "snapshot", "no log");
+  CAPTURE(file);
+  if (file == "no log") {
+    disk.Remove("log");
+  } else {
+    disk.Replace("snapshot", "no record");
+    if (file != "snapshot") {
+      disk.Remove("snapshot");
+      disk.Flip(file, 3);
+    }
+  }
+  CHECK(ReplicaStore::Open(disk, "c1", 1).error().kind() ==
+        ErrorKind::kCorrupt);
+}
+
+}  // namespace
+}  // namespace vanillalatch
--- a/src/consensus/replication.cc
+++ b/src/consensus/replication.cc
@@ -7,7 +7,7 @@
 namespace {
 
 // Entries in one message, bytes.
-constexpr std::size_t kAppendBytes = 256 * 1024;
+constexpr std::size_t kAppendBytes = std::size_t{256} * 1024;
 // Reads that start within this time share one round.
 constexpr Duration kReadSpacing = std::chrono::milliseconds(20);
 
--- a/src/control/control_callers_test.cc
+++ b/src/control/control_callers_test.cc
@@ -75,9 +75,10 @@
   SyncNext(name);
 }
 
-bool ControlWorld::AllInForce(std::uint64_t revision) const {
+bool ControlWorld::AllInForce(std::uint64_t revision,
+                              const std::string& skipped) const {
   return std::all_of(entries_.begin(), entries_.end(), [&](const auto& it) {
-    return it.second.revision >= revision;
+    return it.first == skipped || it.second.revision >= revision;
   });
 }
 
--- a/src/control/control_checks_test.cc
+++ b/src/control/control_checks_test.cc
@@ -104,10 +104,12 @@
                     std::to_string(marks_[step.Word(2)]));
     }
   } else if (what == "read") {
-    const std::string kind = last_get_ ? last_get_->error_kind() : "no answer";
+    const std::string kind = last_get_ ? last_get_->error_kind() : "no_answer";
     if (kind != step.Named("kind", "")) {
       throw Failure("the read got \"" + kind + "\"");
     }
+  } else if (what == "replica") {
+    ExpectReplica(step);
   } else if (what == "one-wins") {
     ExpectOneWins(step);
   } else {
@@ -167,12 +169,35 @@
   }
 }
 
-// expect in-force REVISION within=3s
+// expect replica VM revision=N identity=new snapshot=1 within=3s
+void ControlWorld::ExpectReplica(Arguments step) {
+  ControlVm& vm = Control(step.Word(1));
+  const std::uint64_t revision = step.NamedNumber("revision", 0);
+  const auto reached = [&] {
+    return vm.node && vm.node->Status().revision() >= revision;
+  };
+  if (!RunUntil(step.NamedTime("within", Duration::zero()), reached)) {
+    throw Failure(vm.name + " is at revision " +
+                  std::to_string(vm.node ? vm.node->Status().revision() : 0));
+  }
+  const bool is_new = vm.identity != vm.first_identity;
+  if (is_new != (step.Named("identity", "old") == "new")) {
+    throw Failure(vm.name + (is_new ? " has a new" : " has its old") +
+                  " identity");
+  }
+  const bool snapshot = ReplicaOf(vm).log().base().index() > 0;
+  if (step.NamedNumber("snapshot", snapshot ? 1 : 0) != (snapshot ? 1 : 0)) {
+    throw Failure(vm.name + " has no snapshot");
+  }
+}
+
+// expect in-force REVISION within=3s but=e1
 void ControlWorld::ExpectInForce(Arguments step) {
   const std::uint64_t revision = step.Number(1);
+  const std::string skipped = step.Named("but", "");
   const TimePoint begin = network_.now();
   if (!RunUntil(step.NamedTime("within", Duration::zero()),
-                [&] { return AllInForce(revision); })) {
+                [&] { return AllInForce(revision, skipped); })) {
     std::string behind;
     for (const auto& [name, entry] : entries_) {
       behind += " " + name + "=" + std::to_string(entry.revision);
--- /dev/null
+++ b/src/control/control_crash_test.cc
@@ -0,0 +1,130 @@
+// Crashes at every sync point, and the times after a loss.
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "src/control/control_world.h"
+
+namespace vanillalatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kChanges = 6;
+
+// Makes changes one after the other while what is down comes back. Returns
+// whether the armed crash has happened.
+bool ChangeThroughCrash(ControlWorld& world, bool all_die) {
+  bool crashed = false;
+  for (int n = 1; n <= kChanges; ++n) {
+    const std::string id = "change-" + std::to_string(n);
+    world.Apply("alice", id, world.accepted_revision(), id, "c1", seconds(20));
+    const bool accepted = world.RunUntil(seconds(20), [&] {
+      for (const std::string& it : world.ControlNames()) {
+        if (world.Control(it).node) {
+          continue;
+        }
+        crashed = true;
+        for (const std::string& other : world.ControlNames()) {
+          if (all_die && world.Control(other).node) {
+            world.Crash(other, true);
+          }
+        }
+        for (const std::string& other : world.ControlNames()) {
+          if (!world.Control(other).node) {
+            world.Start(other);
+          }
+        }
+      }
+      const auto& reply = world.Call(id).reply;
+      return reply && reply->outcome().accepted();
+    });
+    if (!accepted) {
+      throw scenario::Failure(id + " was not accepted");
+    }
+  }
+  return crashed;
+}
+
+TEST_CASE("a crash at any sync point loses no accepted change",
+          "[control][crash]") {
+  const std::string victim = GENERATE("c1", "c2");
+  const FakeDisk::Moment moment =
+      GENERATE(FakeDisk::Moment::kBefore, FakeDisk::Moment::kAfter);
+  const bool all_die = GENERATE(false, true);
+  CAPTURE(victim, all_die);
+  int points = 0;
+  for (std::uint64_t n = 1;; ++n) {
+    ControlWorld world(n);
+    world.AddControls(3, 4);
+    world.AddEntry("e1", world.ControlNames());
+    REQUIRE(
+        world.RunUntil(seconds(3), [&] { return !world.Leader().empty(); }));
+    world.Control(victim).disk.CrashAtSync(n, moment);
+    try {
+      const bool crashed = ChangeThroughCrash(world, all_die);
+      CHECK(world.RunUntil(seconds(3),
+                           [&] { return world.AllInForce(kChanges); }));
+      if (!crashed) {
+        break;
+      }
+      ++points;
+    } catch (const scenario::Failure& e) {
+      FAIL("sync " << n << ": " << e.what() << "\n" << world.Journal());
+    }
+  }
+  CHECK(points >= kChanges);
+}
+
+TEST_CASE("a new leader is found within 3 s of a loss", "[control]") {
+  const bool cut_off = GENERATE(false, true);
+  CAPTURE(cut_off);
+  Duration slowest = Duration::zero();
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    ControlWorld world(seed);
+    world.AddControls(seed % 2 == 0 ? 3 : 5, 256);
+    REQUIRE(
+        world.RunUntil(seconds(3), [&] { return !world.Leader().empty(); }));
+    world.Run(milliseconds(1000 + seed * 7 % 500));
+    const std::string lost = world.Leader();
+    const TimePoint begin = world.network().now();
+    if (cut_off) {
+      world.Isolate(lost);
+    } else {
+      world.Crash(lost, false);
+    }
+    INFO("seed " << seed);
+    REQUIRE(world.RunUntil(seconds(3), [&] {
+      return !world.Leader().empty() && world.Leader() != lost;
+    }));
+    slowest = std::max(slowest, world.network().now() - begin);
+  }
+  WARN("slowest of 300: " << slowest / milliseconds(1) << " ms");
+}
+
+TEST_CASE("control traffic stays within 7 KB a second and node", "[control]") {
+  constexpr std::uint64_t kBudgetBytes = 7000;  // A second.
+  constexpr std::uint64_t kSeconds = 60;
+  const std::size_t controls = GENERATE(3, 5);
+  ControlWorld world(1);
+  world.AddControls(controls, 256);
+  for (int n = 0; n < 7; ++n) {
+    world.AddEntry("e" + std::to_string(n), world.ControlNames());
+  }
+  REQUIRE(world.RunUntil(seconds(3), [&] { return !world.Leader().empty(); }));
+  for (std::uint64_t n = 0; n < kSeconds; ++n) {
+    world.Apply("alice", "change-" + std::to_string(n), n, "records",
+                world.Leader(), seconds(5));
+    world.Run(seconds(1));
+  }
+  REQUIRE(world.accepted_revision() == kSeconds);
+  for (const std::string& it : world.ControlNames()) {
+    const std::uint64_t rate = world.Control(it).sent_bytes / kSeconds;
+    WARN(controls << " control VMs, a change a second: " << it << " sends "
+                  << rate << " bytes a second");
+    CHECK(rate < kBudgetBytes);
+  }
+}
+
+}  // namespace
+}  // namespace vanillalatch
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -110,9 +110,12 @@
 }
 
 bool ControlNodeImpl::BeginStop(TimePoint now) {
-  const bool done = replica_->BeginStop(now);
+  const bool handed_over = replica_->BeginStop(now);
+  for (SyncCall& it : syncs_) {
+    it.deadline = now;
+  }
   Pump(now);
-  return done;
+  return handed_over && applies_.empty() && reads_.empty() && statuses_.empty();
 }
 
 ControlActions ControlNodeImpl::TakeActions() {
--- a/src/control/control_scenario_test.cc
+++ b/src/control/control_scenario_test.cc
@@ -10,6 +10,19 @@
 using scenario::Failure;
 using scenario::Step;
 
+namespace {
+
+std::vector<std::string> SplitList(const std::string& text) {
+  std::vector<std::string> items;
+  std::istringstream list(text);
+  for (std::string it; std::getline(list, it, ',');) {
+    items.push_back(it);
+  }
+  return items;
+}
+
+}  // namespace
+
 void ControlWorld::Do(const Step& step) {
   if (!DoControlStep(step) && !DoNetworkStep(step) && !DoCallerStep(step)) {
     throw Failure("unknown step " + step.verb);
@@ -76,6 +89,14 @@
     last_leader_ = name;
     Isolate(name);
     Note(name + " is cut off");
+  } else if (step.verb == "partition") {
+    for (const std::string& it : SplitList(step.Word(0))) {
+      for (const std::string& other : SplitList(step.Word(1))) {
+        network_.Cut(it, other);
+        network_.Cut(other, it);
+      }
+    }
+    Note(step.Word(0) + " and " + step.Word(1) + " are cut off");
   } else if (step.verb == "heal") {
     network_.Heal();
     Note("the network heals");
@@ -89,12 +110,7 @@
 
 bool ControlWorld::DoCallerStep(Arguments step) {
   if (step.verb == "entry") {
-    std::vector<std::string> controls;
-    std::istringstream list(step.Named("via", "c1,c2,c3"));
-    for (std::string it; std::getline(list, it, ',');) {
-      controls.push_back(it);
-    }
-    AddEntry(step.Word(0), controls);
+    AddEntry(step.Word(0), SplitList(step.Named("via", "c1,c2,c3")));
   } else if (step.verb == "apply") {
     Apply(step.Word(0), step.Word(1), step.NamedNumber("base", 0),
           step.Named("service", step.Word(1)), step.Named("at", Leader()),
--- a/src/control/control_world.h
+++ b/src/control/control_world.h
@@ -26,6 +26,7 @@
   std::unique_ptr<ControlNode> node;  // Empty while it is down.
   std::uint64_t starts = 0;
   std::uint64_t identity = 0;
+  std::uint64_t first_identity = 0;
   bool frozen = false;
   bool stopping = false;
   std::vector<std::function<void()>> held;  // Arrived while frozen.
@@ -89,7 +90,9 @@
   std::string Leader() const;  // The one with the highest term, or empty.
   std::vector<std::string> ControlNames() const;
   std::uint64_t accepted_revision() const { return accepted_revision_; }
-  bool AllInForce(std::uint64_t revision) const;
+  // At every entry VM but `skipped`.
+  bool AllInForce(std::uint64_t revision,
+                  const std::string& skipped = "") const;
   std::optional<Duration> SlowestInForce() const { return slowest_; }
 
  private:
@@ -124,6 +127,7 @@
   void Expect(Arguments step);
   void ExpectOutcome(Arguments step);
   void ExpectOneWins(Arguments step);
+  void ExpectReplica(Arguments step);
   void ExpectInForce(Arguments step);
   void ExpectLeader(Arguments step);
   void ExpectStatus(Arguments step);
--- a/src/control/control_world_test.cc
+++ b/src/control/control_world_test.cc
@@ -90,6 +90,7 @@
         ControlNode::Create(OptionsOf(name), vm.disk, network_.now(), seed)
             .value();
     vm.identity = ReplicaOf(vm).id();
+    vm.first_identity = vm.starts == 1 ? vm.identity : vm.first_identity;
     Note(name + " starts at revision " +
          std::to_string(vm.node->Status().revision()));
     Use(vm, [&](ControlNode& node) { node.OnTick(network_.now()); });
--- a/src/control/fake_network.h
+++ b/src/control/fake_network.h
@@ -46,7 +46,7 @@
     return cuts_.contains({from, to});
   }
 
-  void Send(const std::string& from, const std::string& to, Work work) {
+  void Send(const std::string& from, const std::string& to, const Work& work) {
     if (from != to && Chance(loss_percent_)) {
       return;
     }
--- a/src/control/operator_calls.cc
+++ b/src/control/operator_calls.cc
@@ -7,7 +7,7 @@
 namespace {
 
 // The largest change that is taken, bytes.
-constexpr std::size_t kMaxChangeBytes = 512 * 1024;
+constexpr std::size_t kMaxChangeBytes = std::size_t{512} * 1024;
 
 std::string KindName(ErrorKind kind) {
   return std::string(AnswerFor(kind).name);
