--- a/src/control/control_checks_test.cc
+++ b/src/control/control_checks_test.cc
@@ -8,6 +8,18 @@
 
 using scenario::Failure;
 
+namespace {
+
+std::string GroupText(const pb::Configuration& group) {
+  std::string text;
+  for (const pb::Replica& it : group.replicas()) {
+    text += " " + it.vm() + (it.learner() ? " (learner)" : "");
+  }
+  return text;
+}
+
+}  // namespace
+
 void ControlWorld::CheckNode(ControlVm& vm) {
   if (!vm.node) {
     return;
@@ -35,6 +47,9 @@
     ++n;
     std::string bytes = log.At(n).SerializeAsString();
     const auto [it, added] = committed_.try_emplace(n, std::move(bytes));
+    if (added && log.At(n).has_configuration()) {
+      Note("group:" + GroupText(log.At(n).configuration()));
+    }
     if (!added && it->second != log.At(n).SerializeAsString()) {
       throw Failure("committed entry " + std::to_string(n) + " differs at " +
                     vm.name);
