--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -65,6 +65,9 @@
       now_(now) {}
 
 void EntryNodeImpl::Begin(TimePoint now, Outbox& out) {
+  if (now > now_ + kFreezeGap) {
+    thawed_at_ = now;
+  }
   now_ = std::max(now_, now);
   out_ = &out;
 }
@@ -132,7 +135,7 @@
   at = std::min(at, slow_tick_);
   for (const auto& [id, service] : services_) {
     at = std::min(at, service.scheduler->NextWake());
-    if (!service.collection.missing.empty()) {
+    if (service.dispatches && !service.ready) {
       at = std::min({at, service.collection.resend, service.collection.ends});
     }
     at = std::min(at, service.transfer.resend);
--- a/src/entry/entry_world_test.cc
+++ b/src/entry/entry_world_test.cc
@@ -187,7 +187,9 @@
   if (step.verb == "kill") {
     vm.node = nullptr;
   } else if (step.verb == "start") {
-    StartVm(n);
+    if (vm.node == nullptr) {
+      StartVm(n);
+    }
   } else if (step.verb == "freeze") {
     vm.frozen = true;
   } else if (step.verb == "thaw") {
@@ -196,6 +198,7 @@
       it();
     }
   } else if (step.verb == "stop") {
+    Check(vm.node != nullptr, "it does not run");
     vm.stopping = true;
     vm.node->BeginStop(now_, out);
     Drain(n, out);
@@ -368,8 +371,22 @@
     Check(n == step.Number(2), "it got " + std::to_string(n));
   } else if (what == "stopped") {
     Check(vms_[VmIndex(step.Word(1))].node == nullptr, "it has not stopped");
+  } else if (what == "answers") {
+    const int n = Find(step.Word(1)).answers;
+    Check(n == static_cast<int>(step.Number(2)),
+          "it was answered " + std::to_string(n) + " times");
+  } else if (what == "dropped") {
+    std::uint64_t n = 0;
+    for (const Vm& it : vms_) {
+      n += it.node == nullptr ? 0 : it.node->counters().dropped_answers;
+    }
+    Check(n == step.Number(1), std::to_string(n) + " were dropped");
   } else if (what == "quiet") {
     ExpectQuiet();
+  } else if (what == "broken") {
+    ExpectBroken(step.Number(1));
+  } else if (what == "answered") {
+    ExpectFlows({});
   } else if (what == "all") {
     ExpectFlows(step);
   } else {
@@ -422,19 +439,29 @@
           name + " was answered " + std::to_string(request.code >> 5) + "." +
               std::to_string(request.code % 32) + " " + request.body);
   }
+  if (step.named.contains("broken")) {
+    ExpectBroken(step.NamedNumber("broken", 0));
+  }
+}
+
+// At most `limit` flows had requests on more than one backend server.
+void EntryWorld::ExpectBroken(std::uint64_t limit) const {
   std::map<SocketAddress, std::set<std::string>> flows;
   for (const auto& [name, request] : requests_) {
     flows[request.caller].insert(request.served_by.begin(),
                                  request.served_by.end());
   }
-  const auto broken =
-      std::count_if(flows.begin(), flows.end(),
-                    [](const auto& it) { return it.second.size() > 1; });
-  const std::string limit = step.Named("broken", "");
-  Check(limit.empty() ||
-            static_cast<std::uint64_t>(broken) <= step.NamedNumber("broken", 0),
-        std::to_string(broken) + " of " + std::to_string(flows.size()) +
-            " flows were broken");
+  std::string broken;
+  std::uint64_t count = 0;
+  for (const auto& [caller, served_by] : flows) {
+    if (served_by.size() > 1) {
+      ++count;
+      broken += " " + caller.ToString();
+    }
+  }
+  Check(count <= limit, std::to_string(count) + " of " +
+                            std::to_string(flows.size()) +
+                            " flows were broken:" + broken);
 }
 
 }  // namespace vanillalatch::internal
