Prove membership and endpoint leases by scenarios

A world of MemberLists and Registries over a fake network that delays, loses, doubles, reorders and cuts. Found and mended on the way: - Digests of whole buckets alone can't renew leases while registrations come in: at 55 VMs and 345 registrations in 5 s no view settled within 40 s.

--- a/include/vanillalatch/membership/member_list.h
+++ b/include/vanillalatch/membership/member_list.h
@@ -17,6 +17,7 @@
 #include "membership.pb.h"
 #include "vanillalatch/base/outbox.h"
 #include "vanillalatch/base/result.h"
+#include "vanillalatch/base/strong.h"
 #include "vanillalatch/base/time.h"
 #include "vanillalatch/membership/member.h"
 
@@ -30,28 +31,28 @@
 class LeaseExchange {
  public:
   virtual ~LeaseExchange() = default;
-  // Adds changes that have been added fewer than `sends` times.
-  virtual void AppendLeases(TimePoint now, std::size_t sends,
+  // Adds changes that have been added fewer than `sends` times: endings
+  // (leases that are leaving or gone), or the others.
+  virtual void AppendLeases(TimePoint now, bool endings, std::size_t sends,
                             std::size_t max_bytes,
                             pb::MembershipMessage& message) = 0;
   // Adds the digests and renewal ages of the buckets in `mask`.
   virtual void AppendDigests(TimePoint now, BucketMask mask,
                              std::size_t max_bytes,
                              pb::MembershipMessage& message) = 0;
-  // Adds the leases of one bucket from `cursor` on; returns the cursor to go
-  // on from, or 0 when done.
-  virtual std::size_t AppendBucket(TimePoint now, std::size_t bucket,
-                                   std::size_t cursor, std::size_t max_bytes,
-                                   pb::MembershipMessage& message) = 0;
+  // Adds the leases of `chosen` from its end, and takes them off.
+  virtual void AppendChosen(TimePoint now, std::vector<EndpointId>& chosen,
+                            std::size_t max_bytes,
+                            pb::MembershipMessage& message) = 0;
   virtual void MergeLease(TimePoint now, const pb::LeaseUpdate& update) = 0;
-  // Takes renewal ages from buckets that are equal here; returns those that
-  // differ and are to be sent to the other side.
-  virtual BucketMask MergeDigests(TimePoint now,
-                                  const pb::MembershipMessage& message) = 0;
+  // Takes renewal ages from leases that are equal here; returns the leases
+  // that the sender turns out to lack.
+  virtual std::vector<EndpointId> MergeDigests(
+      TimePoint now, const pb::MembershipMessage& message) = 0;
   // True if a change waits that has hardly been sent yet.
-  virtual bool HasNews() const = 0;
-  // This VM heard from a peer, or has none to hear from.
-  virtual void OnContact(TimePoint now) = 0;
+  virtual bool HasNews(bool endings) = 0;
+  // This VM heard from a peer, or is alone: knows of no peer to hear from.
+  virtual void OnContact(TimePoint now, bool alone) = 0;
 };
 
 struct MemberListOptions {
--- a/src/membership/member_list.cc
+++ b/src/membership/member_list.cc
@@ -1,6 +1,7 @@
 #include "vanillalatch/membership/member_list.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "src/membership/member_list_impl.h"
@@ -13,24 +14,25 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t kMinBytesPerSecond = 3000;
-constexpr std::size_t kIndirectProbes = 3;
+constexpr std::size_t kIndirectProbes = 4;
 constexpr std::size_t kPushTargets = 2;
 constexpr std::size_t kLeaveTargets = 6;
 // News sent fewer times than this is pushed without waiting for a probe.
 constexpr std::size_t kPushSends = 2;
+// Waits rather than pushing many small datagrams.
+constexpr std::size_t kMinPushRoom = 1100;
 constexpr Duration kPushInterval = milliseconds(50);
 constexpr Duration kSyncInterval = milliseconds(20);
 constexpr Duration kAskInterval = milliseconds(200);
-constexpr Duration kMembersSyncInterval = milliseconds(500);
+constexpr Duration kMembersSyncInterval = milliseconds(250);
 // A change of members has this long to spread by itself.
-constexpr Duration kSpreadTime = milliseconds(800);
+constexpr Duration kSpreadTime = milliseconds(500);
 constexpr Duration kRelayLifetime = milliseconds(1000);
 // How often a joiner asks a seed, and a member tries one that is missing.
 constexpr Duration kJoinInterval = milliseconds(300);
 constexpr Duration kSeekInterval = milliseconds(1000);
 constexpr int kPauseIntervals = 5;
 constexpr int kDeafIntervals = 3;
-constexpr BucketMask kAllBuckets = ~BucketMask{0};
 
 BucketMask BucketsIn(const pb::MembershipMessage& message) {
   BucketMask mask = 0;
@@ -72,7 +74,7 @@
   }
   last_tick_ = now;
   if (table_.records().empty()) {
-    leases.OnContact(now);
+    leases.OnContact(now, true);
   }
   EndFlapHold(event);
   EndSuspicions(event);
@@ -104,7 +106,7 @@
     return TimePoint{};
   }
   TimePoint next = std::min({next_probe_, next_seek_, table_.NextConfirm()});
-  if (probe_ && !probe_->indirect && !probe_->acked) {
+  if (probe_ && !probe_->retried && !probe_->acked) {
     next = std::min(next, probe_->started + options_.probe_timeout);
   }
   if (!syncs_.empty()) {
@@ -127,7 +129,7 @@
 }
 
 void MemberListImpl::StepProbe(Event& event) {
-  if (probe_ && !probe_->acked && !probe_->indirect &&
+  if (probe_ && !probe_->acked && !probe_->retried &&
       event.now >= probe_->started + options_.probe_timeout) {
     ProbeOtherWays(event);
   }
@@ -145,11 +147,8 @@
     if (!probe_->again) {
       target = probe_->target;
       again = true;
-    } else if (table_.Suspect(event.now, probe_->target)) {
-      if (!Deaf(event.now)) {
-        updates_.Push(probe_->target, false);
-      }
-      Changed();
+    } else {
+      Suspect(event, probe_->target);
     }
   }
   probe_.reset();
@@ -159,17 +158,34 @@
     return;
   }
   const std::uint64_t sequence = ++sequence_;
-  if (SendPing(event, record->member, sequence)) {
+  if (SendPing(event, record->member, sequence, NextQuarter())) {
     probe_ = Probe{*target, sequence, event.now, false, again, false};
   }
 }
 
+// The member is told at once, so that it can refute.
+void MemberListImpl::Suspect(Event& event, NodeId id) {
+  if (!table_.Suspect(event.now, id)) {
+    return;
+  }
+  if (!Deaf(event.now)) {
+    updates_.Push(id, false);
+  }
+  Changed();
+  SendPing(event, table_.Find(id)->member, ++sequence_, 0);
+}
+
+// First the same way again; in the second round also through others.
 void MemberListImpl::ProbeOtherWays(Event& event) {
-  probe_->indirect = true;
+  probe_->retried = true;
   const MemberRecord* record = table_.Find(probe_->target);
   if (record == nullptr) {
     return;
   }
+  SendPing(event, record->member, probe_->sequence, 0);
+  if (!probe_->again) {
+    return;
+  }
   for (const Member* it : RandomLive(kIndirectProbes, probe_->target)) {
     pb::MembershipMessage message =
         NewMessage(pb::MembershipMessage::PING_REQUEST, probe_->sequence);
@@ -177,7 +193,6 @@
     message.set_target_address(record->member.peer.Packed());
     Send(event, it->peer, std::move(message), 0);
   }
-  SendPing(event, record->member, probe_->sequence);
 }
 
 std::optional<NodeId> MemberListImpl::NextTarget() {
@@ -212,7 +227,7 @@
     }
   }
   if (!missing.empty()) {
-    SendPing(event, *missing[rng_() % missing.size()], ++sequence_);
+    SendPing(event, *missing[rng_() % missing.size()], ++sequence_, 0);
   }
   SeekSeed(event);
 }
@@ -228,20 +243,40 @@
         return it.peer == seed && it.state != MemberState::kDead;
       });
   if (!known) {
-    AskForMembers(event, seed);
+    Join(event, seed);
   }
 }
 
-void MemberListImpl::AskForMembers(Event& event, SocketAddress to) {
+void MemberListImpl::Join(Event& event, SocketAddress to) {
   pb::MembershipMessage message =
       NewMessage(pb::MembershipMessage::JOIN, ++sequence_);
   ToUpdate(self_, true, *message.add_members());
   Send(event, to, std::move(message), 0);
 }
 
+void MemberListImpl::AskFor(Event& event, SocketAddress to,
+                            std::span<const NodeId> wanted) {
+  if (event.now < next_ask_) {
+    return;
+  }
+  next_ask_ = event.now + kAskInterval;
+  pb::MembershipMessage message =
+      NewMessage(pb::MembershipMessage::STATE, ++sequence_);
+  ToUpdate(self_, true, *message.add_members());
+  for (const NodeId it : wanted) {
+    message.add_wanted(it.value());
+  }
+  Send(event, to, std::move(message), 0);
+}
+
 void MemberListImpl::PushNews(Event& event) {
-  if (event.now < next_push_ ||
-      !(updates_.HasSentBelow(kPushSends) || event.leases.HasNews())) {
+  if (event.now < next_push_) {
+    return;
+  }
+  const bool urgent =
+      updates_.HasSentBelow(kPushSends) || event.leases.HasNews(true);
+  if (!urgent &&
+      (Room(event.now, 0) < kMinPushRoom || !event.leases.HasNews(false))) {
     return;
   }
   next_push_ = event.now + kPushInterval;
@@ -289,12 +324,17 @@
   }
   last_heard_ = now;
   MergeMembers(event, from, message);
-  leases.OnContact(now);
+  leases.OnContact(now, false);
   for (const pb::LeaseUpdate& it : message.leases()) {
     leases.MergeLease(now, it);
   }
   if (table_.Find(sender) == nullptr) {
-    AskForMembers(event, from);
+    AskFor(event, from, std::array{sender});
+  }
+  for (const std::uint64_t it : message.wanted()) {
+    Sync& sync = syncs_[sender];
+    sync.to = from;
+    sync.wanted.emplace_back(it);
   }
   CompareDigests(event, from, sender, message);
   switch (message.kind()) {
@@ -316,7 +356,7 @@
       OnPingRequest(event, from, message);
       break;
     case pb::MembershipMessage::JOIN:
-      syncs_[sender] = Sync{from, kAllBuckets, 0, true, true, NodeId{}};
+      OnJoin(from, sender, message);
       break;
     default:
       break;
@@ -326,7 +366,7 @@
 void MemberListImpl::MergeMembers(Event& event, SocketAddress from,
                                   const pb::MembershipMessage& message) {
   bool changed = false;
-  bool unknown = false;
+  std::vector<NodeId> unknown;
   for (const pb::MemberUpdate& it : message.members()) {
     if (it.id() == self_.id.value()) {
       MergeSelf(event.now, it);
@@ -335,8 +375,11 @@
     switch (table_.Merge(event.now, it)) {
       case MemberTable::Outcome::kOld:
         break;
+      case MemberTable::Outcome::kKnown:
+        updates_.Heard(NodeId{it.id()});
+        break;
       case MemberTable::Outcome::kUnknown:
-        unknown = true;
+        unknown.emplace_back(it.id());
         break;
       case MemberTable::Outcome::kNews:
         updates_.Push(NodeId{it.id()}, false);
@@ -351,9 +394,8 @@
   if (changed) {
     Changed();
   }
-  if (unknown && event.now >= next_ask_) {
-    next_ask_ = event.now + kAskInterval;
-    AskForMembers(event, from);
+  if (!unknown.empty()) {
+    AskFor(event, from, unknown);
   }
 }
 
@@ -380,28 +422,40 @@
 void MemberListImpl::CompareDigests(Event& event, SocketAddress from,
                                     NodeId sender,
                                     const pb::MembershipMessage& message) {
-  const BucketMask differ = event.leases.MergeDigests(event.now, message);
-  const auto it = syncs_.find(sender);
-  if (it != syncs_.end()) {
-    it->second.buckets &= ~(BucketsIn(message) & ~differ);
-  }
+  std::vector<EndpointId> lacking =
+      event.leases.MergeDigests(event.now, message);
   const bool members_differ = message.members_digest() != MembersDigest() &&
                               event.now - table_.changed_at() >= kSpreadTime &&
                               event.now >= next_members_sync_;
-  if (differ == 0 && !members_differ) {
+  if (lacking.empty() && !members_differ) {
     return;
   }
   Sync& sync = syncs_[sender];
   sync.to = from;
-  sync.buckets |= differ;
+  if (!lacking.empty()) {
+    // Others are likely to send to the same member: not all in one order.
+    std::shuffle(lacking.begin(), lacking.end(), rng_);
+    sync.leases = std::move(lacking);
+  }
   if (members_differ && !sync.members) {
     next_members_sync_ = event.now + kMembersSyncInterval;
     sync.members = true;
-    sync.full = false;
     sync.member_cursor = NodeId{};
   }
 }
 
+void MemberListImpl::OnJoin(SocketAddress from, NodeId sender,
+                            const pb::MembershipMessage& message) {
+  Sync& sync = syncs_[sender];
+  sync.to = from;
+  sync.wanted.clear();
+  for (const Member& it : view_) {
+    if (it.state != MemberState::kDead && it.id != sender) {
+      sync.wanted.push_back(it.id);
+    }
+  }
+}
+
 void MemberListImpl::OnAck(Event& event, const pb::MembershipMessage& message) {
   const NodeId target{message.target()};
   if (probe_ && probe_->target == target) {
@@ -431,7 +485,7 @@
   member.peer = SocketAddress::FromPacked(message.target_address());
   relays_[sequence] =
       Relay{from, message.sequence(), target, event.now + kRelayLifetime};
-  SendPing(event, member, sequence);
+  SendPing(event, member, sequence, 0);
 }
 
 std::vector<const Member*> MemberListImpl::RandomLive(std::size_t count,
--- a/src/membership/member_list_impl.h
+++ b/src/membership/member_list_impl.h
@@ -45,8 +45,8 @@
     NodeId target;
     std::uint64_t sequence = 0;
     TimePoint started;
-    bool indirect = false;  // The other ways were tried as well.
-    bool again = false;     // The probe before failed on the same member.
+    bool retried = false;
+    bool again = false;  // The probe before failed on the same member.
     bool acked = false;
   };
   // A probe made for another member.
@@ -59,11 +59,10 @@
   // What one member still has to be sent, after its digests differed.
   struct Sync {
     SocketAddress to;
-    BucketMask buckets = 0;
-    std::size_t lease_cursor = 0;
+    std::vector<EndpointId> leases;
     bool members = false;
-    bool full = false;  // Members with name and address.
     NodeId member_cursor;
+    std::vector<NodeId> wanted;  // Members to send with name and address.
   };
 
   // Ticks.
@@ -73,6 +72,9 @@
   void StepProbe(Event& event);
   void StartProbe(Event& event);
   void ProbeOtherWays(Event& event);
+  void Suspect(Event& event, NodeId id);
+  // The buckets whose digests the next probe carries.
+  BucketMask NextQuarter();
   std::optional<NodeId> NextTarget();
   void SeekMissing(Event& event);
   void SeekSeed(Event& event);
@@ -89,12 +91,17 @@
   void OnAck(Event& event, const pb::MembershipMessage& message);
   void OnPingRequest(Event& event, SocketAddress from,
                      const pb::MembershipMessage& message);
-  void AskForMembers(Event& event, SocketAddress to);
+  void OnJoin(SocketAddress from, NodeId sender,
+              const pb::MembershipMessage& message);
+  // Asks for members that are known by their ids only.
+  void AskFor(Event& event, SocketAddress to, std::span<const NodeId> wanted);
+  void Join(Event& event, SocketAddress to);
 
   // Sending. False if the budget has no room.
   pb::MembershipMessage NewMessage(pb::MembershipMessage::Kind kind,
                                    std::uint64_t sequence) const;
-  bool SendPing(Event& event, const Member& to, std::uint64_t sequence);
+  bool SendPing(Event& event, const Member& to, std::uint64_t sequence,
+                BucketMask digests);
   bool Send(Event& event, SocketAddress to, pb::MembershipMessage message,
             BucketMask digests);
   bool SendBytes(Event& event, SocketAddress to,
@@ -136,6 +143,7 @@
   std::optional<Probe> probe_;
   std::map<std::uint64_t, Relay> relays_;  // By our sequence.
   std::map<NodeId, Sync> syncs_;
+  NodeId last_sync_;
   std::vector<NodeId> order_;  // Members still to be probed in this round.
   std::size_t next_seed_ = 0;
   std::size_t next_quarter_ = 0;
--- a/src/membership/member_send.cc
+++ b/src/membership/member_send.cc
@@ -15,14 +15,18 @@
 // Tag and length of one message in a repeated field.
 constexpr std::size_t kFieldBytes = 2;
 // Bytes of the budget left to those who go first: the probes themselves,
-// then member updates, then changes of leases, then digests, then syncs.
+// then member updates, endings of leases, lease digests (which renew leases),
+// other changes of leases, and syncs.
 constexpr std::int64_t kUpdatesReserve = 200;
-constexpr std::int64_t kLeasesReserve = 300;
-constexpr std::int64_t kDigestsReserve = 400;
-constexpr std::int64_t kSyncReserve = 500;
+constexpr std::int64_t kEndingsReserve = 200;
+constexpr std::int64_t kDigestsReserve = 300;
+constexpr std::int64_t kLeasesReserve = 700;
+constexpr std::int64_t kSyncReserve = 800;
 constexpr std::size_t kMinSyncPart = 400;
 // Times that an update is sent, besides log2 of the members.
 constexpr std::size_t kExtraSends = 2;
+// Of these, with name and address. Who still lacks them asks.
+constexpr std::size_t kFullSends = 2;
 
 }  // namespace
 
@@ -46,15 +50,18 @@
 }
 
 bool MemberListImpl::SendPing(Event& event, const Member& to,
-                              std::uint64_t sequence) {
+                              std::uint64_t sequence, BucketMask digests) {
   pb::MembershipMessage message =
       NewMessage(pb::MembershipMessage::PING, sequence);
   message.set_target(to.id.value());
   if (to.state != MemberState::kAlive) {
     ToUpdate(to, false, *message.add_members());
   }
-  const BucketMask quarter = BucketMask{0xff} << (8 * (next_quarter_++ % 4));
-  return Send(event, to.peer, std::move(message), quarter);
+  return Send(event, to.peer, std::move(message), digests);
+}
+
+BucketMask MemberListImpl::NextQuarter() {
+  return BucketMask{0xff} << (8 * (next_quarter_++ % 4));
 }
 
 bool MemberListImpl::Send(Event& event, SocketAddress to,
@@ -63,10 +70,12 @@
     return false;
   }
   AppendUpdates(Room(event.now, kUpdatesReserve), message);
-  event.leases.AppendLeases(event.now, SendsPerUpdate(),
-                            Room(event.now, kLeasesReserve), message);
+  event.leases.AppendLeases(event.now, true, SendsPerUpdate(),
+                            Room(event.now, kEndingsReserve), message);
   event.leases.AppendDigests(event.now, digests,
                              Room(event.now, kDigestsReserve), message);
+  event.leases.AppendLeases(event.now, false, SendsPerUpdate(),
+                            Room(event.now, kLeasesReserve), message);
   return SendBytes(event, to, message);
 }
 
@@ -98,7 +107,8 @@
       return true;
     }
     pb::MemberUpdate update;
-    ToUpdate(record == nullptr ? self_ : record->member, it.full, update);
+    ToUpdate(record == nullptr ? self_ : record->member,
+             it.full && it.sent < kFullSends, update);
     size += update.ByteSizeLong() + kFieldBytes;
     if (size > max_bytes) {
       return false;
@@ -108,13 +118,17 @@
   });
 }
 
+// Serves the members in turn, a datagram each.
 void MemberListImpl::SendSyncs(Event& event) {
   while (!syncs_.empty()) {
-    const auto it = syncs_.begin();
+    auto it = syncs_.upper_bound(last_sync_);
+    it = it == syncs_.end() ? syncs_.begin() : it;
     if (!SendSyncPart(event, it->second)) {
       return;
     }
-    if (!it->second.members && it->second.buckets == 0) {
+    last_sync_ = it->first;
+    const Sync& sync = it->second;
+    if (!sync.members && sync.wanted.empty() && sync.leases.empty()) {
       syncs_.erase(it);
     }
   }
@@ -127,37 +141,40 @@
   }
   pb::MembershipMessage message =
       NewMessage(pb::MembershipMessage::STATE, ++sequence_);
-  if (sync.members) {
-    AppendMembers(sync, room, message);
-  }
-  while (!sync.members && sync.buckets != 0) {
-    const auto bucket =
-        static_cast<std::size_t>(std::countr_zero(sync.buckets));
-    sync.lease_cursor = event.leases.AppendBucket(
-        event.now, bucket, sync.lease_cursor, room, message);
-    if (sync.lease_cursor != 0) {
-      break;
-    }
-    sync.buckets &= sync.buckets - 1;
-  }
+  AppendMembers(sync, room, message);
+  event.leases.AppendChosen(event.now, sync.leases, room, message);
   return SendBytes(event, sync.to, message);
 }
 
 void MemberListImpl::AppendMembers(Sync& sync, std::size_t max_bytes,
                                    pb::MembershipMessage& message) {
   std::size_t size = message.ByteSizeLong();
+  const auto append = [&](const Member& member, bool full) {
+    pb::MemberUpdate update;
+    ToUpdate(member, full, update);
+    size += update.ByteSizeLong() + kFieldBytes;
+    if (size <= max_bytes) {
+      *message.add_members() = std::move(update);
+    }
+    return size <= max_bytes;
+  };
+  while (!sync.wanted.empty()) {
+    const MemberRecord* record = table_.Find(sync.wanted.back());
+    const bool self = sync.wanted.back() == self_.id;
+    if ((self || record != nullptr) &&
+        !append(self ? self_ : record->member, true)) {
+      return;
+    }
+    sync.wanted.pop_back();
+  }
   for (const Member& it : view_) {
-    if (it.id < sync.member_cursor) {
+    if (!sync.members || it.id < sync.member_cursor) {
       continue;
     }
-    pb::MemberUpdate update;
-    ToUpdate(it, sync.full, update);
-    size += update.ByteSizeLong() + kFieldBytes;
-    if (size > max_bytes) {
+    if (!append(it, false)) {
       sync.member_cursor = it.id;
       return;
     }
-    *message.add_members() = std::move(update);
   }
   sync.members = false;
 }
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -83,10 +83,12 @@
   Member& member = record.member;
   const bool later = update.incarnation() > member.incarnation;
   const auto claimed = static_cast<MemberState>(update.state());
-  if (update.incarnation() < member.incarnation ||
-      (!later && claimed <= member.state)) {
+  if (update.incarnation() < member.incarnation) {
     return Outcome::kOld;
   }
+  if (!later && claimed <= member.state) {
+    return !later && claimed == member.state ? Outcome::kKnown : Outcome::kOld;
+  }
   const bool was_dead = member.state == MemberState::kDead;
   member.incarnation = update.incarnation();
   bool moved = false;
@@ -110,7 +112,7 @@
   } else if (!later) {
     return Outcome::kOld;
   }
-  return moved || was_dead ? Outcome::kJoined : Outcome::kNews;
+  return moved ? Outcome::kJoined : Outcome::kNews;
 }
 
 bool MemberTable::Suspect(TimePoint now, NodeId id) {
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -25,7 +25,8 @@
 class MemberTable {
  public:
   enum class Outcome : std::uint8_t {
-    kOld,      // Nothing new.
+    kOld,      // Outdated.
+    kKnown,    // What this VM holds already.
     kNews,     // Changed; to be spread.
     kJoined,   // New here or with a new address; to be spread in full.
     kUnknown,  // About a member that is not known, without its name.
--- a/src/membership/update_queue.h
+++ b/src/membership/update_queue.h
@@ -31,6 +31,13 @@
     queue_.insert(queue_.begin(), {id, full, 0});
   }
 
+  // Somebody else spreads it as well: that is one send less to do.
+  void Heard(NodeId id) {
+    for (QueuedUpdate& it : queue_) {
+      it.sent += it.id == id ? 1 : 0;
+    }
+  }
+
   // Calls append(update) for each entry until it returns false; drops what
   // has been sent `sends` times.
   template <typename F>
--- a/src/registry/lease.cc
+++ b/src/registry/lease.cc
@@ -74,7 +74,6 @@
 
 void ToUpdate(const Lease& lease, TimePoint now, pb::LeaseUpdate& update) {
   const Endpoint& it = lease.endpoint;
-  update.set_id(it.id.value());
   update.set_service_id(it.service.value());
   update.set_name(it.name);
   update.set_address(it.address.Packed());
@@ -96,7 +95,7 @@
   Endpoint& it = lease.endpoint;
   it.service = ServiceId{update.service_id()};
   it.id = EndpointIdOf(it.service, update.name(), update.epoch());
-  if (it.id.value() != update.id() || update.lifetime_ms() == 0 ||
+  if (update.name().empty() || update.lifetime_ms() == 0 ||
       update.slots() == 0 || update.ttl_ms() > update.lifetime_ms()) {
     return std::nullopt;
   }
--- a/src/registry/lease.h
+++ b/src/registry/lease.h
@@ -26,6 +26,7 @@
   TimePoint renewed;       // Last renewal at any VM.
   TimePoint renewed_here;  // Last renewal at this VM.
   TimePoint changed;       // Last change of the state at this VM.
+  TimePoint confirmed;     // When a peer last held the same.
 
   bool live() const {
     return state == LeaseState::kReady || state == LeaseState::kLeaving;
--- a/src/registry/registry.cc
+++ b/src/registry/registry.cc
@@ -1,10 +1,12 @@
 #include "vanillalatch/registry/registry.h"
 
 #include <algorithm>
+#include <array>
 #include <tuple>
 #include <utility>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "src/registry/lease.h"
 #include "src/registry/lease_store.h"
 
@@ -16,10 +18,25 @@
 
 constexpr Duration kMinLifetime = std::chrono::seconds(1);
 constexpr Duration kMaxLifetime = std::chrono::hours(24);
-// A change has this long to spread by itself before unequal digests make a
-// VM send whole buckets.
-constexpr Duration kSpreadTime = milliseconds(600);
+// A change has this long to spread by itself before digests make a VM send it
+// to those that lack it.
+constexpr Duration kSpreadTime = milliseconds(500);
+// A bucket that changed within this time is left out of the digests.
+constexpr Duration kHotTime = milliseconds(300);
+// How long a bucket goes on to show the digest of each lease after it was
+// found to differ.
+constexpr Duration kUnsettledTime = milliseconds(2000);
 constexpr BucketMask kAllBuckets = ~BucketMask{0};
+// A lease without news of a renewal runs out at the end of its lifetime if
+// news would have come: a peer compared it within the last third of the
+// lifetime, at least kConfirmTime. Else it is kept for
+// kGraceLifetimes, so that a burst of changes doesn't cost renewals.
+constexpr Duration kConfirmTime = milliseconds(1500);
+constexpr int kGraceLifetimes = 3;
+// With many changes waiting, registrations and renewals are sent fewer times
+// than endings are: digests find who missed one.
+constexpr std::size_t kManyPending = 30;
+constexpr std::size_t kReadySendsOfMany = 2;
 // A change sent fewer times than this is news.
 constexpr std::size_t kNewsSends = 2;
 // Tag and length of one message in a repeated field.
@@ -37,6 +54,11 @@
   return std::tuple(lease.claim, lease.endpoint.epoch, lease.endpoint.id);
 }
 
+std::uint16_t ShortDigest(char low, char high) {
+  return static_cast<std::uint16_t>(static_cast<std::uint8_t>(low) |
+                                    static_cast<std::uint8_t>(high) << 8);
+}
+
 class RegistryImpl : public Registry {
  public:
   explicit RegistryImpl(RegistryOptions options)
@@ -60,18 +82,19 @@
     return store_.VersionOf(service);
   }
 
-  void AppendLeases(TimePoint now, std::size_t sends, std::size_t max_bytes,
+  void AppendLeases(TimePoint now, bool endings, std::size_t sends,
+                    std::size_t max_bytes,
                     pb::MembershipMessage& message) override;
   void AppendDigests(TimePoint now, BucketMask mask, std::size_t max_bytes,
                      pb::MembershipMessage& message) override;
-  std::size_t AppendBucket(TimePoint now, std::size_t bucket,
-                           std::size_t cursor, std::size_t max_bytes,
-                           pb::MembershipMessage& message) override;
+  void AppendChosen(TimePoint now, std::vector<EndpointId>& chosen,
+                    std::size_t max_bytes,
+                    pb::MembershipMessage& message) override;
   void MergeLease(TimePoint now, const pb::LeaseUpdate& update) override;
-  BucketMask MergeDigests(TimePoint now,
-                          const pb::MembershipMessage& message) override;
-  bool HasNews() const override;
-  void OnContact(TimePoint now) override;
+  std::vector<EndpointId> MergeDigests(
+      TimePoint now, const pb::MembershipMessage& message) override;
+  bool HasNews(bool endings) override;
+  void OnContact(TimePoint now, bool alone) override;
 
  private:
   struct Pending {
@@ -79,6 +102,8 @@
     std::size_t sent = 0;
   };
 
+  // True if it still is to be sent, as an ending or as one of the others.
+  bool IsPending(const Pending& pending, bool endings);
   std::optional<Error> Check(const Registration& registration);
   Result<EndpointId> RenewHere(TimePoint now, const Registration& registration,
                                Lease& lease);
@@ -90,19 +115,27 @@
   bool TakeAddress(TimePoint now, const Lease& lease);
   // Marks it gone and remembers it.
   void Remove(TimePoint now, Lease& lease);
+  bool HasExpired(TimePoint now, const Lease& lease) const;
   void Expire(TimePoint now, Lease& lease);
   void Spread(EndpointId id);
+  // Somebody else spreads it as well: that is one send less to do.
+  void Heard(EndpointId id);
   void Show(TimePoint now, const Lease& lease);
   void UpdateDoubt(TimePoint now);
   std::uint64_t NextClaim(SocketAddress address);
   pb::LeaseBucket DigestOfBucket(TimePoint now, std::size_t bucket);
-  bool MergeBucket(TimePoint now, const pb::LeaseBucket& bucket);
+  void MergeBucket(TimePoint now, const pb::LeaseBucket& theirs,
+                   std::vector<EndpointId>& lacking);
+  void MergeAge(TimePoint now, Lease& lease, char age);
+  std::vector<Lease*> LiveIn(std::size_t bucket);
 
   RegistryOptions options_;
   LeaseStore store_;
   std::vector<Pending> pending_;
   // Buckets whose leases may be out of date, for lack of contact.
   BucketMask doubted_ = 0;
+  std::array<TimePoint, kBuckets> unsettled_until_{};
+  bool alone_ = false;
   std::optional<TimePoint> last_contact_;
   TimePoint contact_since_;
 };
@@ -231,6 +264,9 @@
 void RegistryImpl::MergeKnown(TimePoint now, Lease& lease,
                               const Lease& incoming) {
   if (lease.state == LeaseState::kGone) {
+    if (incoming.state == LeaseState::kGone) {
+      Heard(lease.endpoint.id);
+    }
     return;
   }
   if (incoming.state == LeaseState::kGone) {
@@ -240,6 +276,8 @@
   bool news = false;
   const bool urgent = RenewalIsUrgent(lease, now);
   lease.claim = std::max(lease.claim, incoming.claim);
+  lease.endpoint.registered =
+      std::min(lease.endpoint.registered, incoming.endpoint.registered);
   if (incoming.endpoint.version > lease.endpoint.version) {
     lease.endpoint.version = incoming.endpoint.version;
     lease.endpoint.slots = incoming.endpoint.slots;
@@ -267,6 +305,8 @@
   }
   if (news) {
     Spread(lease.endpoint.id);
+  } else {
+    Heard(lease.endpoint.id);
   }
   Show(now, lease);
 }
@@ -321,6 +361,15 @@
   Show(now, lease);
 }
 
+bool RegistryImpl::HasExpired(TimePoint now, const Lease& lease) const {
+  if (now < lease.expires()) {
+    return false;
+  }
+  const Duration recent = std::max(lease.lifetime / 3, kConfirmTime);
+  return alone_ || now - lease.confirmed <= recent ||
+         now >= lease.renewed + kGraceLifetimes * lease.lifetime;
+}
+
 void RegistryImpl::Expire(TimePoint now, Lease& lease) {
   if (lease.state == LeaseState::kLeaving) {
     Remove(now, lease);
@@ -338,14 +387,14 @@
     if (doubted_ != 0) {
       Show(now, it);
     }
-    if (now < it.expires()) {
-      return;
-    }
     if (it.live()) {
-      Expire(now, it);
-      changed = true;
-    } else if (it.state == LeaseState::kGone ||
-               now >= it.expires() + options_.tombstone) {
+      if (HasExpired(now, it)) {
+        Expire(now, it);
+        changed = true;
+      }
+    } else if (now >= it.expires() + (it.state == LeaseState::kGone
+                                          ? Duration::zero()
+                                          : options_.tombstone)) {
       forgotten.push_back(it.endpoint.id);
     }
   });
@@ -365,7 +414,8 @@
   }
 }
 
-void RegistryImpl::OnContact(TimePoint now) {
+void RegistryImpl::OnContact(TimePoint now, bool alone) {
+  alone_ = alone;
   const bool silent =
       last_contact_ && now - *last_contact_ > options_.doubt_after;
   UpdateDoubt(now);
@@ -384,27 +434,33 @@
   pending_.insert(pending_.begin(), {id, 0});
 }
 
+void RegistryImpl::Heard(EndpointId id) {
+  for (Pending& it : pending_) {
+    it.sent += it.id == id ? 1 : 0;
+  }
+}
+
 void RegistryImpl::Show(TimePoint now, const Lease& lease) {
   const bool doubted = ((doubted_ >> BucketOf(lease.endpoint.id)) & 1) != 0 &&
                        lease.renewed_here + options_.first_hand_bound < now;
   store_.Show(lease, doubted);
 }
 
-void RegistryImpl::AppendLeases(TimePoint now, std::size_t sends,
+void RegistryImpl::AppendLeases(TimePoint now, bool endings, std::size_t sends,
                                 std::size_t max_bytes,
                                 pb::MembershipMessage& message) {
   std::size_t size = message.ByteSizeLong();
+  const bool many = pending_.size() > kManyPending;
+  const std::size_t limit = many && !endings ? kReadySendsOfMany : sends;
   std::stable_sort(
       pending_.begin(), pending_.end(),
       [](const Pending& a, const Pending& b) { return a.sent < b.sent; });
   for (Pending& it : pending_) {
-    const Lease* lease = store_.Find(it.id);
-    if (lease == nullptr || lease->state == LeaseState::kLapsed) {
-      it.sent = sends;
+    if (!IsPending(it, endings) || it.sent >= limit) {
       continue;
     }
     pb::LeaseUpdate update;
-    ToUpdate(*lease, now, update);
+    ToUpdate(*store_.Find(it.id), now, update);
     size += update.ByteSizeLong() + kFieldBytes;
     if (size > max_bytes) {
       break;
@@ -412,24 +468,48 @@
     *message.add_leases() = std::move(update);
     ++it.sent;
   }
-  std::erase_if(pending_, [&](const Pending& it) { return it.sent >= sends; });
+  std::erase_if(pending_, [&](const Pending& it) {
+    return IsPending(it, endings) ? it.sent >= limit : !IsPending(it, !endings);
+  });
+}
+
+bool RegistryImpl::IsPending(const Pending& pending, bool endings) {
+  const Lease* lease = store_.Find(pending.id);
+  return lease != nullptr && lease->state != LeaseState::kLapsed &&
+         endings == (lease->state != LeaseState::kReady);
+}
+
+bool RegistryImpl::HasNews(bool endings) {
+  return std::any_of(pending_.begin(), pending_.end(), [&](const Pending& it) {
+    return it.sent < kNewsSends && IsPending(it, endings);
+  });
 }
 
-bool RegistryImpl::HasNews() const {
-  return std::any_of(pending_.begin(), pending_.end(),
-                     [](const Pending& it) { return it.sent < kNewsSends; });
+std::vector<Lease*> RegistryImpl::LiveIn(std::size_t bucket) {
+  std::vector<Lease*> live;
+  for (const EndpointId& it : store_.Bucket(bucket)) {
+    Lease* lease = store_.Find(it);
+    if (lease->live()) {
+      live.push_back(lease);
+    }
+  }
+  return live;
 }
 
 pb::LeaseBucket RegistryImpl::DigestOfBucket(TimePoint now,
                                              std::size_t bucket) {
+  const bool unsettled = now < unsettled_until_[bucket] ||
+                         now - store_.ChangedAt(bucket) < kUnsettledTime;
   pb::LeaseBucket digest;
   digest.set_bucket(static_cast<std::uint32_t>(bucket));
   std::uint32_t sum = 0;
-  for (const EndpointId& it : store_.Bucket(bucket)) {
-    const Lease* lease = store_.Find(it);
-    if (lease->live()) {
-      sum ^= DigestOf(*lease);
-      digest.mutable_ages()->push_back(static_cast<char>(AgeOf(*lease, now)));
+  for (const Lease* it : LiveIn(bucket)) {
+    const std::uint32_t own = DigestOf(*it);
+    sum ^= own;
+    digest.mutable_ages()->push_back(static_cast<char>(AgeOf(*it, now)));
+    if (unsettled) {
+      digest.mutable_lease_digests()->push_back(static_cast<char>(own));
+      digest.mutable_lease_digests()->push_back(static_cast<char>(own >> 8));
     }
   }
   digest.set_digest(sum);
@@ -441,7 +521,7 @@
                                  pb::MembershipMessage& message) {
   std::size_t size = message.ByteSizeLong();
   for (std::size_t n = 0; n < kBuckets; ++n) {
-    if (((mask >> n) & 1) == 0) {
+    if (((mask >> n) & 1) == 0 || now - store_.ChangedAt(n) < kHotTime) {
       continue;
     }
     pb::LeaseBucket digest = DigestOfBucket(now, n);
@@ -453,63 +533,84 @@
   }
 }
 
-bool RegistryImpl::MergeBucket(TimePoint now, const pb::LeaseBucket& bucket) {
-  const pb::LeaseBucket own = DigestOfBucket(now, bucket.bucket());
-  if (own.digest() != bucket.digest() ||
-      own.ages().size() != bucket.ages().size()) {
-    return false;
+void RegistryImpl::MergeAge(TimePoint now, Lease& lease, char age) {
+  lease.confirmed = now;
+  if (Renew(lease,
+            RenewedFromAge(lease, static_cast<std::uint8_t>(age), now))) {
+    Show(now, lease);
   }
-  std::size_t n = 0;
-  for (const EndpointId& it : store_.Bucket(bucket.bucket())) {
-    Lease* lease = store_.Find(it);
-    if (lease->live()) {
-      const auto age = static_cast<std::uint8_t>(bucket.ages()[n++]);
-      if (Renew(*lease, RenewedFromAge(*lease, age, now))) {
-        Show(now, *lease);
-      }
+}
+
+void RegistryImpl::MergeBucket(TimePoint now, const pb::LeaseBucket& theirs,
+                               std::vector<EndpointId>& lacking) {
+  const std::vector<Lease*> live = LiveIn(theirs.bucket());
+  const std::string& ages = theirs.ages();
+  const std::string& digests = theirs.lease_digests();
+  const pb::LeaseBucket own = DigestOfBucket(now, theirs.bucket());
+  if (own.digest() == theirs.digest() && ages.size() == live.size()) {
+    doubted_ &= ~(BucketMask{1} << theirs.bucket());
+    for (std::size_t n = 0; n < live.size(); ++n) {
+      MergeAge(now, *live[n], ages[n]);
+    }
+    return;
+  }
+  unsettled_until_[theirs.bucket()] = now + kUnsettledTime;
+  if (digests.size() != 2 * ages.size()) {
+    return;
+  }
+  absl::flat_hash_map<std::uint16_t, char> theirs_by_digest;
+  for (std::size_t n = 0; n < ages.size(); ++n) {
+    theirs_by_digest[ShortDigest(digests[2 * n], digests[2 * n + 1])] = ages[n];
+  }
+  std::size_t matched = 0;
+  for (Lease* it : live) {
+    const auto found =
+        theirs_by_digest.find(static_cast<std::uint16_t>(DigestOf(*it)));
+    if (found != theirs_by_digest.end()) {
+      MergeAge(now, *it, found->second);
+      ++matched;
+    } else if (now - it->changed >= kSpreadTime) {
+      lacking.push_back(it->endpoint.id);
+    }
+  }
+  if (matched == ages.size()) {
+    return;
+  }
+  for (const EndpointId& it : store_.Bucket(theirs.bucket())) {
+    if (store_.Find(it)->state == LeaseState::kGone) {
+      lacking.push_back(it);
     }
   }
-  return true;
 }
 
-BucketMask RegistryImpl::MergeDigests(TimePoint now,
-                                      const pb::MembershipMessage& message) {
-  BucketMask differ = 0;
+std::vector<EndpointId> RegistryImpl::MergeDigests(
+    TimePoint now, const pb::MembershipMessage& message) {
+  std::vector<EndpointId> lacking;
   for (const pb::LeaseBucket& it : message.buckets()) {
-    if (it.bucket() >= kBuckets) {
-      continue;
-    }
-    const BucketMask bit = BucketMask{1} << it.bucket();
-    if (MergeBucket(now, it)) {
-      doubted_ &= ~bit;
-    } else if (now - store_.ChangedAt(it.bucket()) >= kSpreadTime &&
-               !store_.Bucket(it.bucket()).empty()) {
-      differ |= bit;
+    if (it.bucket() < kBuckets) {
+      MergeBucket(now, it, lacking);
     }
   }
-  return differ;
+  return lacking;
 }
 
-std::size_t RegistryImpl::AppendBucket(TimePoint now, std::size_t bucket,
-                                       std::size_t cursor,
-                                       std::size_t max_bytes,
-                                       pb::MembershipMessage& message) {
-  const std::span<const EndpointId> ids = store_.Bucket(bucket);
+void RegistryImpl::AppendChosen(TimePoint now, std::vector<EndpointId>& chosen,
+                                std::size_t max_bytes,
+                                pb::MembershipMessage& message) {
   std::size_t size = message.ByteSizeLong();
-  for (std::size_t n = cursor; n < ids.size(); ++n) {
-    const Lease* lease = store_.Find(ids[n]);
-    if (lease->state == LeaseState::kLapsed) {
-      continue;
-    }
-    pb::LeaseUpdate update;
-    ToUpdate(*lease, now, update);
-    size += update.ByteSizeLong() + kFieldBytes;
-    if (size > max_bytes) {
-      return n;
+  while (!chosen.empty()) {
+    const Lease* lease = store_.Find(chosen.back());
+    if (lease != nullptr && lease->state != LeaseState::kLapsed) {
+      pb::LeaseUpdate update;
+      ToUpdate(*lease, now, update);
+      size += update.ByteSizeLong() + kFieldBytes;
+      if (size > max_bytes) {
+        return;
+      }
+      *message.add_leases() = std::move(update);
     }
-    *message.add_leases() = std::move(update);
+    chosen.pop_back();
   }
-  return 0;
 }
 
 }  // namespace
--- /dev/null
+++ b/src/registry/testing/membership_world.h
@@ -0,0 +1,143 @@
+// Entry VMs with a MemberList and a Registry each, and backend servers that
+// register with any of them, over a fake network in virtual time.
+//
+//   MembershipWorld world(seed);
+//   world.AddVms(7);
+//   world.AddEndpoints(19, ServiceId{1});
+//   world.Run(std::chrono::seconds(3));
+//
+// As the world of a scenario it takes the steps listed in world_steps.cc.
+#ifndef VANILLALATCH_SRC_REGISTRY_TESTING_MEMBERSHIP_WORLD_H_
+#define VANILLALATCH_SRC_REGISTRY_TESTING_MEMBERSHIP_WORLD_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "src/registry/testing/fake_network.h"
+#include "vanillalatch/membership/member_list.h"
+#include "vanillalatch/registry/registry.h"
+#include "vanillalatch/scenario/scenario.h"
+
+namespace vanillalatch {
+
+// An entry VM; without a list while it is down.
+struct FakeVm {
+  std::string name;
+  std::string data_center = "north";
+  SocketAddress peer;
+  std::uint64_t incarnation = 0;
+  std::unique_ptr<MemberList> list;
+  std::unique_ptr<Registry> registry;
+  bool frozen = false;
+  std::vector<FakeNetwork::Packet> socket;  // Arrived while frozen.
+  TimePoint next_tick;
+  std::uint64_t seen_version = 0;
+  std::map<NodeId, Member> seen;                        // As journalled.
+  std::deque<std::pair<TimePoint, std::size_t>> sends;  // Of the last second.
+  std::size_t sent_in_second = 0;
+  std::size_t busiest_second = 0;  // Bytes with IP and UDP headers.
+  std::size_t sent_total = 0;
+};
+
+// A backend server.
+struct FakeBackend {
+  Registration registration;
+  bool running = true;
+  bool leaving = false;  // Until a VM has taken its announcement.
+  Duration renew_interval = std::chrono::seconds(3);
+  TimePoint next_renewal;
+  std::optional<EndpointId> id;
+  std::string last_error;
+};
+
+class MembershipWorld {
+ public:
+  explicit MembershipWorld(std::uint64_t seed);
+
+  void Do(const scenario::Step& step);
+  std::string Journal() const { return journal_; }
+
+  void AddVms(std::size_t count);
+  void StartVm(const std::string& name);
+  void KillVm(const std::string& name);
+  void Freeze(const std::string& name);
+  void Thaw(const std::string& name);
+  void AddEndpoints(std::size_t count, ServiceId service);
+  FakeBackend& AddBackend(const std::string& name, Registration registration);
+  // Registers the backend server again, as after a restart.
+  void RestartBackend(const std::string& name);
+  void Split(std::size_t first);
+  void Isolate(const std::string& name);
+  void Run(Duration duration);
+  // Runs until `holds`, at most `limit`; the time it took, or nullopt.
+  std::optional<Duration> RunUntil(Duration limit,
+                                   const std::function<bool()>& holds);
+
+  FakeVm& Vm(const std::string& name);
+  FakeBackend& Backend(const std::string& name);
+  FakeNetwork& network() { return network_; }
+  std::map<std::string, FakeVm>& vms() { return vms_; }
+  std::map<std::string, FakeBackend>& backends() { return backends_; }
+  TimePoint now() const { return now_; }
+  // VMs that run.
+  std::vector<FakeVm*> Running();
+  void SetQuiet() { quiet_ = true; }
+  // Called after each event with the VM that took it.
+  void SetWatch(std::function<void(FakeVm&)> watch) {
+    watch_ = std::move(watch);
+  }
+
+ private:
+  using Handler = void (MembershipWorld::*)(const scenario::Step&);
+
+  void DoVms(const scenario::Step& step);
+  void DoVm(const scenario::Step& step);
+  void DoNetwork(const scenario::Step& step);
+  void DoCut(const scenario::Step& step);
+  void DoBackend(const scenario::Step& step);
+  void DoEndpoint(const scenario::Step& step);
+  void DoRun(const scenario::Step& step);
+  void DoWithin(const scenario::Step& step);
+  void DoExpect(const scenario::Step& step);
+  // The condition that the words of a step from `n` on name.
+  std::function<bool()> Condition(const scenario::Step& step, std::size_t n);
+  std::function<bool()> EndpointCondition(const scenario::Step& step,
+                                          std::size_t n);
+  std::vector<FakeVm*> Viewers(const scenario::Step& step);
+
+  TimePoint NextEvent();
+  void StepOnce(TimePoint until);
+  void Deliver(const FakeNetwork::Packet& packet);
+  void Receive(FakeVm& vm, const FakeNetwork::Packet& packet);
+  void Tick(FakeVm& vm);
+  void Flush(FakeVm& vm, Outbox& out);
+  void CountSend(FakeVm& vm, std::size_t bytes);
+  void Announce(FakeBackend& backend);
+  void Observe(FakeVm& vm);
+  void Note(const std::string& text);
+
+  std::mt19937_64 rng_;
+  FakeNetwork network_;
+  TimePoint now_{std::chrono::seconds(1)};
+  std::map<std::string, FakeVm> vms_;
+  std::map<SocketAddress, FakeVm*> by_peer_;
+  std::map<NodeId, std::string> names_;
+  std::map<std::string, FakeBackend> backends_;
+  std::vector<SocketAddress> seeds_;
+  std::set<std::pair<std::string, MemberState>> seen_states_;  // Since mark.
+  std::function<void(FakeVm&)> watch_;
+  bool quiet_ = false;
+  std::string journal_;
+};
+
+}  // namespace vanillalatch
+
+#endif  // VANILLALATCH_SRC_REGISTRY_TESTING_MEMBERSHIP_WORLD_H_
