--- a/include/vanillalatch/admission/answer_time.h
+++ b/include/vanillalatch/admission/answer_time.h
@@ -2,7 +2,7 @@
 // of RFC 6298. An estimate without a recent sample is unknown, so that a
 // wrong one can't refuse work for ever.
 //
-//   AnswerTime time;
+//   AnswerTime time(16);
 //   time.Add(now, finished - started);
 //   if (time.KnownAt(now) && now + time.mean() > deadline) ...
 #ifndef VANILLALATCH_ADMISSION_ANSWER_TIME_H_
@@ -19,6 +19,10 @@
   // Samples that are older say nothing.
   static constexpr Duration kMaxAge = std::chrono::seconds(2);
 
+  // Weight of a new sample: one part in `smoothing`. A small number notices
+  // changes sooner, a large one varies less.
+  explicit AnswerTime(std::uint64_t smoothing) : smoothing_(smoothing) {}
+
   void Add(TimePoint now, Duration sample);
 
   bool KnownAt(TimePoint now) const {
@@ -31,6 +35,7 @@
   Duration high() const { return mean_ + 4 * deviation_; }
 
  private:
+  std::uint64_t smoothing_;
   Duration mean_{};
   Duration deviation_{};
   TimePoint updated_;
--- a/include/vanillalatch/admission/class_target.h
+++ b/include/vanillalatch/admission/class_target.h
@@ -16,8 +16,8 @@
 namespace vanillalatch {
 
 struct ClassTarget {
-  ClassId id;
-  std::string name;
+  ClassId id{};
+  std::string name{};
   Duration latency = std::chrono::seconds(1);
   std::uint32_t success_permille = 990;
   std::uint32_t share_percent = 0;  // Of the service's slots.
--- a/include/vanillalatch/admission/slot_use.h
+++ b/include/vanillalatch/admission/slot_use.h
@@ -17,7 +17,7 @@
 
 class SlotUse {
  public:
-  static constexpr Duration kTimeConstant = std::chrono::milliseconds(250);
+  static constexpr Duration kTimeConstant = std::chrono::milliseconds(500);
 
   void Start(TimePoint now) {
     Settle(now);
--- a/include/vanillalatch/base/strong.h
+++ b/include/vanillalatch/base/strong.h
@@ -21,6 +21,8 @@
 
   constexpr const Value& value() const { return value_; }
 
+  // clang-tidy 14 takes the default's own zero for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend constexpr auto operator<=>(const Strong&, const Strong&) = default;
 
   template <typename H>
--- a/src/admission/answer_time.cc
+++ b/src/admission/answer_time.cc
@@ -3,13 +3,6 @@
 #include <algorithm>
 
 namespace vanillalatch {
-namespace {
-
-// Weight of a new sample once there are as many; before, all weigh the same.
-constexpr std::uint64_t kSmoothing = 16;
-
-}  // namespace
-
 void AnswerTime::Add(TimePoint now, Duration sample) {
   ++samples_;
   updated_ = now;
@@ -18,7 +11,8 @@
     deviation_ = sample / 2;
     return;
   }
-  const auto weight = static_cast<std::int64_t>(std::min(samples_, kSmoothing));
+  // The first samples all weigh the same.
+  const auto weight = static_cast<std::int64_t>(std::min(samples_, smoothing_));
   const Duration error = sample - mean_;
   mean_ += error / weight;
   deviation_ += (std::chrono::abs(error) - deviation_) / weight;
--- a/src/placement/admission_gate.cc
+++ b/src/placement/admission_gate.cc
@@ -1,6 +1,7 @@
 #include "src/placement/admission_gate.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace vanillalatch::internal {
 namespace {
@@ -8,6 +9,11 @@
 // A class may always wait for this part of its target.
 constexpr int kLeastPatienceDivisor = 4;
 
+// Deviations of the wait that a forecast allows for.
+constexpr double kWaitDeviations = 3;
+// Slots that tighter classes will use while it waits are known this well.
+constexpr double kSlotsMargin = 1.1;
+
 Duration Times(Duration duration, double factor) {
   return Duration(static_cast<Duration::rep>(
       static_cast<double>(duration.count()) * factor));
@@ -29,6 +35,14 @@
   } else {
     PredictUnpinned(now, work, forecast);
   }
+  // The work ahead is a sum of as many answer times, each of which varies.
+  if (forecast.wait > Duration::zero()) {
+    const double ahead = static_cast<double>(forecast.wait.count()) /
+                         static_cast<double>(forecast.spacing.count());
+    forecast.longest =
+        Times(forecast.wait, kSlotsMargin) +
+        Times(forecast.spacing, kWaitDeviations * std::sqrt(ahead));
+  }
   return forecast;
 }
 
@@ -84,7 +98,7 @@
   if (forecast.wait + forecast.answer > work.deadline - now) {
     return ErrorKind::kDeadlineUnmeetable;
   }
-  if (forecast.wait > forecast.patience) {
+  if (forecast.longest > forecast.patience) {
     return ErrorKind::kOverloaded;
   }
   return std::nullopt;
--- a/src/placement/admission_gate.h
+++ b/src/placement/admission_gate.h
@@ -18,7 +18,8 @@
 
 // What a request can expect.
 struct Forecast {
-  Duration wait{};      // For a slot.
+  Duration wait{};      // For a slot, on average.
+  Duration longest{};   // For a slot, nearly always no longer.
   Duration answer{};    // From the start to the answer.
   Duration patience{};  // The longest wait that meets the class's target.
   Duration spacing{};   // Time in which one slot becomes free for its class.
--- a/src/placement/class_table.cc
+++ b/src/placement/class_table.cc
@@ -32,7 +32,7 @@
   ClassTarget target;
   target.id = id;
   ClassState state{.target = std::move(target),
-                   .answer_time = {},
+                   .answer_time = AnswerTime(ClassState::kAnswerSmoothing),
                    .use = {},
                    .returns = ReturnSchedule(StableHash(seed_, id.value())),
                    .stats = {}};
--- a/src/placement/class_table.h
+++ b/src/placement/class_table.h
@@ -21,8 +21,11 @@
 namespace vanillalatch::internal {
 
 struct ClassState {
+  // Forecasts vary little from one answer to the next.
+  static constexpr std::uint64_t kAnswerSmoothing = 64;
+
   ClassTarget target;
-  AnswerTime answer_time;
+  AnswerTime answer_time{kAnswerSmoothing};
   SlotUse use;
   ReturnSchedule returns;
   ClassStats stats;
--- a/src/placement/endpoint_track.h
+++ b/src/placement/endpoint_track.h
@@ -30,6 +30,8 @@
   // Failure scores run from 0 (all answered) to 1 (all failed).
   static constexpr double kSickScore = 0.5;
   static constexpr double kFailingScore = 0.25;
+  // A change of speed is noticed after a few answers.
+  static constexpr std::uint64_t kAnswerSmoothing = 16;
   // Answers in a row that end probing.
   static constexpr std::uint32_t kProbeAnswers = 3;
   static constexpr Duration kProbeInterval = std::chrono::milliseconds(100);
@@ -114,7 +116,7 @@
   TimePoint last_started_;
   TimePoint last_progress_;  // The latest answer, or start after idleness.
 
-  AnswerTime answer_time_;
+  AnswerTime answer_time_{kAnswerSmoothing};
   double score_ = 0;
   std::uint32_t limit_;  // Slots that the endpoint proved to take.
   TimePoint limit_changed_;
--- a/src/placement/slot_scheduler.cc
+++ b/src/placement/slot_scheduler.cc
@@ -216,7 +216,7 @@
   const Duration backlog =
       error == ErrorKind::kNoEndpoint
           ? kNoEndpointPause
-          : std::max(forecast.wait - forecast.patience, Duration::zero());
+          : std::max(forecast.longest - forecast.patience, Duration::zero());
   verdicts.push_back(
       {.kind = Verdict::Kind::kRefuse,
        .request = work.request,
--- a/src/placement/wait_queue.cc
+++ b/src/placement/wait_queue.cc
@@ -2,13 +2,13 @@
 
 namespace vanillalatch::internal {
 
-void WaitQueue::Push(Waiting waiting) {
+void WaitQueue::Push(const Waiting& waiting) {
   ClassLines& lines = classes_[waiting.work.work_class];
   Line& line =
       waiting.work.pinned ? lines.pinned[*waiting.work.pinned] : lines.unpinned;
   expiries_.emplace(waiting.expires, waiting.work.request);
   const RequestId request = waiting.work.request;
-  line.push_back(std::move(waiting));
+  line.push_back(waiting);
   index_.emplace(request, std::prev(line.end()));
   ++lines.size;
 }
--- a/src/placement/wait_queue.h
+++ b/src/placement/wait_queue.h
@@ -31,7 +31,7 @@
   using Line = std::list<Waiting>;
 
   // The request must not wait already.
-  void Push(Waiting waiting);
+  void Push(const Waiting& waiting);
   // Removes a request; nullopt if it does not wait.
   std::optional<Waiting> Take(RequestId request);
 
