Measure flows, requests and reports, and write the capacity tables

Cause: the page must be worked out by one command. Ruled out: figures copied by hand. Before: membership and control measured, no table.

--- a/src/capacity/measure_membership.cc
+++ b/src/capacity/measure_membership.cc
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr Duration kStep = std::chrono::milliseconds(10);
-constexpr Duration kSettle = std::chrono::seconds(20);
+constexpr Duration kSettle = std::chrono::seconds(60);
 constexpr Duration kMeasured = std::chrono::seconds(30);
 constexpr Duration kRenewEvery = std::chrono::seconds(3);
 constexpr std::uint64_t kSeed = 5;
--- /dev/null
+++ b/src/capacity/page.cc
@@ -0,0 +1,185 @@
+#include "src/capacity/page.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+#include <algorithm>
+
+namespace vanillalatch {
+namespace {
+
+// The size to design for.
+constexpr double kNodes = 1100;
+constexpr double kDataCenters = 20;
+constexpr double kEndpoints = 6900;
+constexpr double kServices = 580;
+constexpr double kFlows = 13e6;
+constexpr double kNewFlowsPerSecond = 56'000;
+constexpr double kNodesPerDataCenter = kNodes / kDataCenters;
+constexpr double kEndpointsPerDataCenter = kEndpoints / kDataCenters;
+constexpr double kServicesPerDataCenter = kServices / kDataCenters;
+constexpr double kEndpointsPerService = kEndpoints / kServices;
+// Rendezvous hashing of 29 services over 55 VMs: the busiest VM dispatches
+// about four of them.
+constexpr double kServicesOfBusiestDispatcher = 4;
+// Control VMs set aside, and the entry VMs that attach to each.
+constexpr double kControlVms = 13;
+constexpr double kSyncsPerSecond = 1;  // Of one entry VM.
+
+// Budgets of one node.
+constexpr double kBudgetCpuPercent = 4.9;
+constexpr double kBudgetBytes = 64.0 * 1024 * 1024;
+constexpr double kBudgetBytesPerSecond = 7.0 * 1024;
+// The 64 MB are for control; flows are data and have a bound of their own.
+constexpr double kBudgetBytesPerFlow = 96;
+
+Slope SlopeOf(const std::vector<Measurement>& all, const std::string& key) {
+  const auto it =
+      std::find_if(all.begin(), all.end(),
+                   [&](const Measurement& m) { return m.key == key; });
+  if (it == all.end()) {
+    throw Error(ErrorKind::kNotFound, "no measurement " + key);
+  }
+  return FitLine(it->points).value();
+}
+
+std::string Row(const std::string& role, const std::string& resource,
+                double value, double budget, const std::string& unit,
+                const std::string& from) {
+  return absl::StrFormat("| %s | %s | %.4g %s | %.4g %s | %s | %s |\n", role,
+                         resource, value, unit, budget, unit,
+                         value <= budget ? "within" : "**over**", from);
+}
+
+std::string EntryRows(const std::vector<Measurement>& all) {
+  const Slope members = SlopeOf(all, "membership_bytes_by_members");
+  const Slope endpoints = SlopeOf(all, "membership_bytes_by_endpoints");
+  const Slope report = SlopeOf(all, "report_bytes_by_members");
+  const Slope cpu = SlopeOf(all, "membership_cpu_by_members");
+  const Slope registry = SlopeOf(all, "registry_bytes");
+  std::string rows =
+      Row("entry VM", "membership and leases, sent",
+          endpoints.At(kEndpointsPerDataCenter), kBudgetBytesPerSecond, "B/s",
+          "membership_bytes_by_endpoints at 55 VMs, 345 endpoints");
+  rows += Row("entry VM", "reports to a control VM, sent",
+              kSyncsPerSecond * report.At(kNodesPerDataCenter),
+              kBudgetBytesPerSecond - endpoints.At(kEndpointsPerDataCenter),
+              "B/s", "report_bytes_by_members; budget: what membership leaves");
+  rows +=
+      Row("entry VM", "membership, processor time", cpu.At(kNodesPerDataCenter),
+          kBudgetCpuPercent, "%", "membership_cpu_by_members at 55 VMs");
+  rows +=
+      Row("entry VM", "registry, memory", registry.At(kEndpointsPerDataCenter),
+          kBudgetBytes, "B", "registry_bytes at 345 endpoints");
+  (void)members;
+  return rows;
+}
+
+std::string DispatcherRows(const std::vector<Measurement>& all) {
+  const double share = kServicesOfBusiestDispatcher / kServicesPerDataCenter;
+  const double flows = kFlows / kDataCenters * share;
+  const double flows_held = 2 * flows;  // Its own, and as second holder.
+  const double per_second = kNewFlowsPerSecond / kDataCenters * share;
+  const Slope flow = SlopeOf(all, "flow_bytes");
+  const Slope post = SlopeOf(all, "dispatcher_post_cpu");
+  const Slope ingress = SlopeOf(all, "ingress_post_cpu");
+  const Slope report = SlopeOf(all, "report_bytes_by_endpoints");
+  std::string rows = Row("entry VM as dispatcher",
+                         absl::StrFormat("%.3g flows held, memory", flows_held),
+                         flow.At(flows_held), kBudgetBytesPerFlow * flows_held,
+                         "B", "flow_bytes; budget: 96 B a flow");
+  rows += Row("entry VM as dispatcher",
+              absl::StrFormat("%.3g new flows/s, processor time", per_second),
+              post.per_unit * per_second / 1e6 * 100, 100, "%",
+              "dispatcher_post_cpu; data, budget: one core");
+  rows += Row("entry VM as ingress",
+              absl::StrFormat("%.3g new flows/s, processor time",
+                              kNewFlowsPerSecond / kNodes),
+              ingress.per_unit * kNewFlowsPerSecond / kNodes / 1e6 * 100, 100,
+              "%", "ingress_post_cpu; data, budget: one core");
+  rows += Row("entry VM as dispatcher", "reports to a control VM, sent",
+              kSyncsPerSecond * report.At(kServicesOfBusiestDispatcher *
+                                          kEndpointsPerService),
+              kBudgetBytesPerSecond, "B/s", "report_bytes_by_endpoints");
+  return rows;
+}
+
+std::string ControlRows(const std::vector<Measurement>& all) {
+  const Slope sync = SlopeOf(all, "sync_cpu");
+  const Slope change = SlopeOf(all, "change_cpu");
+  const Slope catalog = SlopeOf(all, "catalog_bytes");
+  const Slope memory = SlopeOf(all, "control_bytes");
+  const Slope heartbeats = SlopeOf(all, "heartbeat_bytes");
+  constexpr double kOutcomesKept = 3300;
+  std::string rows =
+      Row("control VM", "1,100 entry VMs on one control VM, processor time",
+          sync.At(kNodes), kBudgetCpuPercent, "%",
+          "sync_cpu; the worst case, 12 others cut off");
+  rows += Row("control VM", "a change, processor time",
+              change.At(kServices) / 1000, 11, "s",
+              "change_cpu at 580 services, three VMs together; budget: 11 s");
+  rows += Row("control VM", "state after five days of changes, memory",
+              memory.At(kOutcomesKept), kBudgetBytes, "B", "control_bytes");
+  rows += Row("control voter", "heartbeats of a leader with 13 VMs, sent",
+              heartbeats.At(kControlVms), kBudgetBytesPerSecond, "B/s",
+              "heartbeat_bytes");
+  rows += Row("entry VM", "catalog fetched after a change, over 11 s",
+              catalog.At(kServices) / 11, kBudgetBytesPerSecond, "B/s",
+              "catalog_bytes at 580 services");
+  rows += Row("control VM", "catalog sent to 85 entry VMs, over 11 s",
+              catalog.At(kServices) * kNodes / kControlVms / 11,
+              kBudgetBytesPerSecond, "B/s",
+              "catalog_bytes; a VM set aside for control");
+  return rows;
+}
+
+}  // namespace
+
+std::string SlopeTable(const std::vector<Measurement>& measurements) {
+  std::string table =
+      "| key | what | points (size: value) | slope | at size 0 | residual |\n"
+      "|---|---|---|---|---|---|\n";
+  for (const Measurement& it : measurements) {
+    std::string points;
+    for (const Point& p : it.points) {
+      absl::StrAppend(&points, points.empty() ? "" : ", ",
+                      absl::StrFormat("%.6g: %.4g", p.size, p.value));
+    }
+    const Slope slope = FitLine(it.points).value();
+    absl::StrAppend(
+        &table,
+        absl::StrFormat("| %s | %s | %s | %.4g %s per %s | %.4g | %.1f %% |\n",
+                        it.key, it.title, points, slope.per_unit, it.value_unit,
+                        it.size_unit, slope.base, slope.residual * 100));
+  }
+  return table;
+}
+
+std::string BudgetTable(const std::vector<Measurement>& measurements) {
+  return absl::StrCat(
+      "| role | resource | at size | budget | verdict | from |\n"
+      "|---|---|---|---|---|---|\n",
+      EntryRows(measurements), DispatcherRows(measurements),
+      ControlRows(measurements));
+}
+
+std::string PlotData(const std::vector<Measurement>& measurements) {
+  std::string data;
+  for (const Measurement& it : measurements) {
+    double most_size = 0;
+    double most_value = 0;
+    for (const Point& p : it.points) {
+      most_size = std::max(most_size, p.size);
+      most_value = std::max(most_value, p.value);
+    }
+    absl::StrAppend(&data, "\"", it.key, "\"\n");
+    for (const Point& p : it.points) {
+      absl::StrAppend(&data, p.size / most_size, " ", p.value / most_value,
+                      "\n");
+    }
+    absl::StrAppend(&data, "\n\n");
+  }
+  return data;
+}
+
+}  // namespace vanillalatch
