Send a change again whose outcome is not known, under its id

A leader that loses its majority answers outcome_unknown; ctl gave up then. The state machine knows the change id, so it is safe to ask the next control VM. cli_tests: 135 assertions in 14 cases passed.

--- a/src/cli/cli_test.cc
+++ b/src/cli/cli_test.cc
@@ -208,6 +208,27 @@
   CHECK(state.catalog().revision() == 1);
 }
 
+TEST_CASE("a change that was not confirmed is sent again", "[cli]") {
+  FakeControl control;
+  CatalogState state;
+  ApplyTo(state, control);
+  const auto honest = control.apply;
+  const auto kind = GENERATE(
+      values<std::string>({"outcome_unknown", "no_quorum", "stopping"}));
+  int calls = 0;
+  control.apply = [&](const pb::Change& change, pb::ApplyReply& reply) {
+    if (++calls == 1) {
+      reply.mutable_outcome()->set_error_kind(kind);
+      return grpc::Status::OK;
+    }
+    return honest(change, reply);
+  };
+  const Ran ran = Ctl(control, {"apply", kCatalogPath});
+  CHECK(ran.exit_code == 0);
+  CHECK(calls == 2);
+  CHECK(state.catalog().revision() == 1);
+}
+
 TEST_CASE("if no answer comes, the change can be repeated by its id", "[cli]") {
   FakeControl control;
   CatalogState state;
--- a/src/cli/operator_client.cc
+++ b/src/cli/operator_client.cc
@@ -26,9 +26,21 @@
   return reply.error_kind();
 }
 
-bool MayAnotherAnswer(std::string_view error_kind) {
+// The reason that a control VM gives with its error kind.
+std::string ReasonOf(const pb::ApplyReply& reply) {
+  return ": " + reply.outcome().message();
+}
+
+template <typename Reply>
+std::string ReasonOf(const Reply& reply) {
+  return "";
+}
+
+// A change whose outcome is not known is sent again, under its id.
+bool IsToBeRepeated(std::string_view error_kind) {
   return error_kind == AnswerFor(ErrorKind::kNotLeader).name ||
          error_kind == AnswerFor(ErrorKind::kNoQuorum).name ||
+         error_kind == AnswerFor(ErrorKind::kOutcomeUnknown).name ||
          error_kind == AnswerFor(ErrorKind::kStopping).name;
 }
 
@@ -88,14 +100,15 @@
     context.set_deadline(std::min(deadline, Clock::now() + kAttemptTimeout));
     Reply reply;
     const grpc::Status status = ((*stub).*method)(&context, request, &reply);
-    if (status.ok() && !MayAnotherAnswer(ErrorKindOf(reply))) {
+    if (status.ok() && !IsToBeRepeated(ErrorKindOf(reply))) {
       return reply;
     }
     if (IsFinal(status.error_code())) {
       throw Error(ErrorKind::kInvalidArgument, status.error_message());
     }
     last_fault = target + ": " +
-                 (status.ok() ? ErrorKindOf(reply) : status.error_message());
+                 (status.ok() ? ErrorKindOf(reply) + ReasonOf(reply)
+                              : status.error_message());
     const bool new_leader = status.ok() && !reply.leader_address().empty() &&
                             reply.leader_address() != target;
     if (new_leader && leader_ != reply.leader_address()) {
