Hold elections, frozen leaders and failed disks to tests of their own

A trial switched mechanisms off one by one on a scratch copy. Pre-vote off showed a second fault: a candidate that can't win kept everybody else from trying, for a higher term alone postponed their elections; it no longer does. The read round switched off went unnoticed, because a thawed leader always saw its timer before the read; frozen VMs now handle what waited in either order.

A VM that moves keeps its identity: the settings' address wins over the log's.

--- a/src/consensus/election.cc
+++ b/src/consensus/election.cc
@@ -73,10 +73,14 @@
   if (term > this->term()) {
     SetVote(term, 0);
   }
+  // A higher term alone does not postpone an election: a candidate that can't
+  // win could otherwise keep everybody else from trying.
+  if (IsLeader() || leader_id != 0) {
+    ResetElection(now);
+  }
   roles_.Handle(RoleEvent::kStepDown);
   leader_id_ = leader_id;
   votes_.clear();
-  ResetElection(now);
 }
 
 void ReplicaImpl::HandleElectionTimeout(TimePoint now) {
--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -227,6 +227,14 @@
   const pb::LogEntry* entry = log_.ConfigurationAt(log_.last_index());
   configuration_index_ = entry == nullptr ? 0 : entry->index();
   configuration_ = ConfigurationAt(log_.last_index());
+  // The settings know best where a VM is now.
+  for (pb::Replica& it : *configuration_.mutable_replicas()) {
+    for (const pb::Replica& named : options_.initial) {
+      if (named.vm() == it.vm()) {
+        it.set_address(named.address());
+      }
+    }
+  }
   const pb::Replica* own = FindReplica(configuration_, self());
   if (own == nullptr) {
     roles_.Handle(RoleEvent::kRemoved);
--- /dev/null
+++ b/src/consensus/replica_test.cc
@@ -0,0 +1,223 @@
+// Rules of the log that need a certain order of messages.
+#include "vanillalatch/consensus/replica.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+
+#include "src/storage/fake_disk.h"
+#include "vanillalatch/consensus/replica_store.h"
+
+namespace vanillalatch {
+namespace {
+
+constexpr std::uint64_t kSelf = 1;
+
+pb::Replica Member(std::uint64_t id, bool learner = false) {
+  pb::Replica replica;
+  replica.set_id(id);
+  replica.set_vm("c" + std::to_string(id));
+  replica.set_address(replica.vm() + ":1");
+  replica.set_learner(learner);
+  return replica;
+}
+
+// Replica 1 of a group of `voters` and, behind them, `learners`.
+class OneReplica {
+ public:
+  OneReplica(std::uint64_t voters, std::uint64_t learners,
+             std::uint64_t stored_term) {
+    ReplicaOptions options;
+    options.self = Member(kSelf);
+    pb::LogEntry group;
+    group.set_index(1);
+    group.set_term(1);
+    for (std::uint64_t n = 1; n <= voters + learners; ++n) {
+      options.initial.push_back(Member(n));
+      *group.mutable_configuration()->add_replicas() = Member(n, n > voters);
+    }
+    pb::LogEntry change;
+    change.set_index(2);
+    change.set_term(stored_term);
+    change.mutable_change()->set_change_id("old");
+    StoredReplica stored;
+    stored.vote.set_term(stored_term);
+    stored.log.Append(group);
+    stored.log.Append(change);
+    replica_ = Replica::Create(options, stored, now_, 1).value();
+  }
+
+  pb::ConsensusMessage From(std::uint64_t id, std::uint64_t term) const {
+    pb::ConsensusMessage message;
+    message.set_from(id);
+    message.set_to(kSelf);
+    message.set_term(term);
+    return message;
+  }
+
+  void Vote(std::uint64_t id, bool pre_vote) {
+    pb::ConsensusMessage message =
+        From(id, replica_->term() + (pre_vote ? 1 : 0));
+    message.mutable_vote_reply()->set_granted(true);
+    message.mutable_vote_reply()->set_pre_vote(pre_vote);
+    replica_->OnMessage(now_, message);
+  }
+
+  void Lead() {
+    now_ += std::chrono::seconds(3);
+    replica_->OnTick(now_);
+    for (const bool pre_vote : {true, false}) {
+      Vote(2, pre_vote);
+      Vote(3, pre_vote);
+    }
+    REQUIRE(replica_->role() == ReplicaRole::kLeader);
+  }
+
+  void Acknowledge(std::uint64_t id, std::uint64_t match) {
+    pb::ConsensusMessage message = From(id, replica_->term());
+    message.mutable_append_reply()->set_success(true);
+    message.mutable_append_reply()->set_match_index(match);
+    replica_->OnMessage(now_, message);
+  }
+
+  Replica& replica() { return *replica_; }
+  TimePoint now() const { return now_; }
+
+ private:
+  std::unique_ptr<Replica> replica_;
+  TimePoint now_{std::chrono::seconds(1)};
+};
+
+TEST_CASE("entries of an earlier term commit only with one of this term",
+          "[replica]") {
+  OneReplica one(5, 0, 2);
+  one.Lead();
+  one.Acknowledge(2, 2);
+  one.Acknowledge(3, 2);
+  CHECK(one.replica().commit_index() == 0);
+  one.Acknowledge(2, 3);
+  one.Acknowledge(3, 3);
+  CHECK(one.replica().commit_index() == 3);
+}
+
+TEST_CASE("a learner becomes a voter when it holds everything committed",
+          "[replica]") {
+  OneReplica one(3, 1, 2);
+  const auto learners = [&] {
+    int n = 0;
+    for (const pb::Replica& it : one.replica().configuration().replicas()) {
+      n += it.learner() ? 1 : 0;
+    }
+    return n;
+  };
+  one.Lead();
+  one.Acknowledge(4, 2);
+  one.Acknowledge(2, 3);
+  one.Acknowledge(3, 3);
+  REQUIRE(one.replica().commit_index() == 3);
+  const auto tick = [&] {
+    one.replica().OnTick(one.now() + std::chrono::milliseconds(200));
+  };
+  tick();
+  CHECK(learners() == 1);
+  one.Acknowledge(4, 3);
+  one.replica().OnTick(one.now() + std::chrono::milliseconds(400));
+  CHECK(learners() == 0);
+  // The next change of the group waits until this one is committed.
+  CHECK(one.replica().commit_index() == 3);
+}
+
+TEST_CASE("a learner's acknowledgement commits nothing", "[replica]") {
+  OneReplica one(3, 1, 2);
+  one.Lead();
+  one.Acknowledge(4, 3);
+  CHECK(one.replica().commit_index() == 0);
+}
+
+TEST_CASE("a replica gives one vote a term, also across a restart",
+          "[replica]") {
+  FakeDisk disk;
+  std::mt19937_64 random(1);
+  const auto granted_to = [&](std::uint64_t candidate) {
+    ReplicaStore store = ReplicaStore::Open(disk, "c1", 7).value();
+    ReplicaOptions options;
+    options.self = Member(kSelf);
+    options.self.set_id(store.id());
+    options.initial = {Member(1), Member(2), Member(3)};
+    const TimePoint now(std::chrono::seconds(9));
+    const auto replica =
+        Replica::Create(options, store.TakeLoaded(), now, 1).value();
+    pb::ConsensusMessage message;
+    message.set_from(candidate);
+    message.set_to(store.id());
+    message.set_term(5);
+    message.set_reply_address("somewhere:1");
+    message.mutable_vote_request()->set_last_index(1);
+    message.mutable_vote_request()->set_last_term(1);
+    replica->OnMessage(now, message);
+    const ReplicaActions actions = replica->TakeActions();
+    store.Save(actions);
+    disk.Crash(random, true);
+    return actions.sends.at(0).message.vote_reply().granted();
+  };
+  CHECK(granted_to(2));
+  CHECK_FALSE(granted_to(3));
+  CHECK(granted_to(2));
+}
+
+TEST_CASE("a snapshot leaves acknowledged entries behind it in place",
+          "[replica]") {
+  const std::uint64_t snapshot_term = GENERATE(1, 2);
+  CAPTURE(snapshot_term);
+  OneReplica one(3, 0, 2);
+  pb::ConsensusMessage message = one.From(2, 3);
+  pb::Snapshot& snapshot =
+      *message.mutable_install_snapshot()->mutable_snapshot();
+  snapshot.set_index(1);
+  snapshot.set_term(snapshot_term);
+  one.replica().OnMessage(one.now(), message);
+  const ReplicaActions actions = one.replica().TakeActions();
+  const bool fits = snapshot_term == 1;
+  CHECK(one.replica().log().last_index() == (fits ? 2 : 1));
+  CHECK(actions.install.has_value() == !fits);
+  CHECK(one.replica().commit_index() == 1);
+}
+
+TEST_CASE("a candidate that lacks entries gets no vote", "[replica]") {
+  const bool pre_vote = GENERATE(false, true);
+  const std::uint64_t last_index = GENERATE(1, 2, 9);
+  const std::uint64_t last_term = GENERATE(1, 2, 3);
+  CAPTURE(pre_vote, last_index, last_term);
+  OneReplica one(3, 0, 2);
+  pb::ConsensusMessage message = one.From(2, 5);
+  message.mutable_vote_request()->set_pre_vote(pre_vote);
+  message.mutable_vote_request()->set_last_index(last_index);
+  message.mutable_vote_request()->set_last_term(last_term);
+  one.replica().OnMessage(one.now(), message);
+  const ReplicaActions actions = one.replica().TakeActions();
+  const bool current = last_term > 2 || (last_term == 2 && last_index >= 2);
+  CHECK(actions.sends.at(0).message.vote_reply().granted() == current);
+  CHECK(actions.vote.has_value() == !pre_vote);
+}
+
+TEST_CASE("a read waits for a majority that answers after it began",
+          "[replica]") {
+  OneReplica one(3, 0, 2);
+  one.Lead();
+  one.Acknowledge(2, 3);
+  REQUIRE(one.replica().commit_index() == 3);
+  const std::uint64_t round = *one.replica().BeginRead(one.now());
+  CHECK_FALSE(one.replica().ReadConfirmed(round));
+  one.replica().OnTick(one.now() + std::chrono::milliseconds(20));
+  pb::ConsensusMessage message = one.From(2, one.replica().term());
+  message.mutable_append_reply()->set_success(true);
+  message.mutable_append_reply()->set_match_index(3);
+  message.mutable_append_reply()->set_round(round - 1);
+  one.replica().OnMessage(one.now(), message);
+  CHECK_FALSE(one.replica().ReadConfirmed(round));
+  message.mutable_append_reply()->set_round(round);
+  one.replica().OnMessage(one.now(), message);
+  CHECK(one.replica().ReadConfirmed(round));
+}
+
+}  // namespace
+}  // namespace vanillalatch
--- a/src/control/control_node_test.cc
+++ b/src/control/control_node_test.cc
@@ -2,7 +2,8 @@
 
 #include <catch2/catch.hpp>
 #include <filesystem>
-#include <map>
+
+#include "src/storage/fake_disk.h"
 
 namespace vanillalatch {
 namespace {
@@ -33,5 +34,44 @@
   }
 }
 
+TEST_CASE("nothing is answered or sent after the disk has failed",
+          "[control]") {
+  FakeDisk disk;
+  ControlOptions options;
+  options.vm = "c1";
+  options.initial = {{"c1", "c1:1", "north"}};
+  const TimePoint now(std::chrono::seconds(1));
+  auto node = ControlNode::Create(options, disk, now, 1).value();
+  node->OnTick(now);
+  REQUIRE(node->Status().role() == "leader");
+  node->TakeActions();
+  disk.CrashAtSync(1, FakeDisk::Moment::kBefore);
+  pb::ApplyRequest request;
+  request.mutable_change()->set_change_id("a");
+  CHECK_THROWS_AS(node->OnApply(now, Ticket{1}, request), DiskCrash);
+  CHECK_THROWS_AS(node->OnTick(now), Error);
+  const ControlActions actions = node->TakeActions();
+  CHECK(actions.applies.empty());
+  CHECK(actions.sends.empty());
+}
+
+TEST_CASE("options that can't work are refused", "[control]") {
+  FakeDisk disk;
+  ControlOptions options;
+  options.vm = "c1";
+  options.initial = {{"c1", "c1:1", "north"}};
+  const int row = GENERATE(0, 1, 2);
+  CAPTURE(row);
+  if (row == 0) {
+    options.vm = "c2";
+  } else if (row == 1) {
+    options.snapshot_every = 0;
+  } else {
+    options.election_timeout = options.heartbeat;
+  }
+  CHECK(ControlNode::Create(options, disk, TimePoint(), 1).error().kind() ==
+        ErrorKind::kInvalidArgument);
+}
+
 }  // namespace
 }  // namespace vanillalatch
--- a/src/control/control_random_test.cc
+++ b/src/control/control_random_test.cc
@@ -78,7 +78,7 @@
 
   void FreezeOrThaw(const std::string& name) {
     if (world_.Control(name).frozen) {
-      world_.Thaw(name);
+      world_.Thaw(name, random_() % 2 == 0);
     } else {
       world_.Freeze(name);
     }
@@ -124,7 +124,7 @@
         world_.Start(it);
       }
       if (world_.Control(it).frozen) {
-        world_.Thaw(it);
+        world_.Thaw(it, false);
       }
     }
     for (std::uint64_t n = 1; n <= changes_; ++n) {
--- a/src/control/control_scenario_test.cc
+++ b/src/control/control_scenario_test.cc
@@ -53,7 +53,7 @@
   } else if (step.verb == "freeze") {
     Freeze(step.Word(0));
   } else if (step.verb == "thaw") {
-    Thaw(step.Word(0));
+    Thaw(step.Word(0), step.NamedNumber("newest-first", 0) != 0);
   } else if (step.verb == "stop") {
     ControlVm& vm = Control(step.Word(0));
     const bool done = RunUntil(step.NamedTime("within", Duration::zero()), [&] {
--- a/src/control/control_world.h
+++ b/src/control/control_world.h
@@ -75,7 +75,8 @@
   // present identities.
   bool Repaired() const;
   void Freeze(const std::string& name);
-  void Thaw(const std::string& name);
+  // What arrived meanwhile is handled in order, or the newest first.
+  void Thaw(const std::string& name, bool newest_first);
   void Isolate(const std::string& name);
   void Apply(const std::string& author, const std::string& id,
              std::uint64_t base, const std::string& service,
--- a/src/control/control_world_test.cc
+++ b/src/control/control_world_test.cc
@@ -143,11 +143,15 @@
   Note(name + " freezes");
 }
 
-void ControlWorld::Thaw(const std::string& name) {
+void ControlWorld::Thaw(const std::string& name, bool newest_first) {
   ControlVm& vm = Control(name);
   vm.frozen = false;
   Note(name + " thaws");
-  for (const auto& it : std::exchange(vm.held, {})) {
+  auto held = std::exchange(vm.held, {});
+  if (newest_first) {
+    std::reverse(held.begin(), held.end());
+  }
+  for (const auto& it : held) {
     it();
   }
 }
