--- a/src/control/control_checks_test.cc
+++ b/src/control/control_checks_test.cc
@@ -125,6 +125,11 @@
     }
   } else if (what == "replica") {
     ExpectReplica(step);
+  } else if (what == "repaired") {
+    if (!RunUntil(step.NamedTime("within", Duration::zero()),
+                  [&] { return Repaired(); })) {
+      throw Failure("some VM is no voter with its present identity");
+    }
   } else if (what == "one-wins") {
     ExpectOneWins(step);
   } else {
