Give terms, log positions, replica ids and read rounds types of their own

Bare integers let a read round stand where a log index belongs. The public functions of Replica and the control node's state now use strong types; the messages keep their fields.

--- a/include/vanillalatch/consensus/replica.h
+++ b/include/vanillalatch/consensus/replica.h
@@ -23,11 +23,17 @@
 #include "absl/container/flat_hash_map.h"
 #include "consensus.pb.h"
 #include "vanillalatch/base/result.h"
+#include "vanillalatch/base/strong.h"
 #include "vanillalatch/base/time.h"
 #include "vanillalatch/consensus/replicated_log.h"
 
 namespace vanillalatch {
 
+// One replica: its VM's name and the identity of its disk.
+using ReplicaId = Strong<struct ReplicaIdTag, std::uint64_t>;
+// A broadcast of a leader that a majority has to answer before a read.
+using ReadRound = Strong<struct ReadRoundTag, std::uint64_t>;
+
 enum class ReplicaRole : std::uint8_t {
   kJoining,  // In no configuration.
   kLearner,  // Receives the log; its acknowledgements don't count.
@@ -92,31 +98,30 @@
 
   // Appends a change. The index that it gets; nullopt if this replica does
   // not lead or is handing over.
-  virtual std::optional<std::uint64_t> Propose(TimePoint now,
-                                               const pb::Change& change) = 0;
+  virtual std::optional<LogIndex> Propose(TimePoint now,
+                                          const pb::Change& change) = 0;
 
   // Starts to confirm that this replica still leads. What was committed
   // before may be read once ReadConfirmed() holds for the round returned.
   // nullopt if this replica does not lead.
-  virtual std::optional<std::uint64_t> BeginRead(TimePoint now) = 0;
-  virtual bool ReadConfirmed(std::uint64_t round) const = 0;
+  virtual std::optional<ReadRound> BeginRead(TimePoint now) = 0;
+  virtual bool ReadConfirmed(ReadRound round) const = 0;
 
   // Hands leadership to an up-to-date voter. True when this replica does not
   // lead (any more); it never campaigns again.
   virtual bool BeginStop(TimePoint now) = 0;
 
   // Takes a snapshot of the applied state; drops entries up to `keep_after`.
-  virtual void Compact(const pb::Snapshot& snapshot,
-                       std::uint64_t keep_after) = 0;
+  virtual void Compact(const pb::Snapshot& snapshot, LogIndex keep_after) = 0;
 
-  virtual std::uint64_t id() const = 0;
+  virtual ReplicaId id() const = 0;
   virtual ReplicaRole role() const = 0;
-  virtual std::uint64_t term() const = 0;
-  virtual std::uint64_t commit_index() const = 0;
+  virtual Term term() const = 0;
+  virtual LogIndex commit_index() const = 0;
   virtual const ReplicatedLog& log() const = 0;
   virtual const pb::Configuration& configuration() const = 0;
   // The configuration in force at `index`.
-  virtual pb::Configuration ConfigurationAt(std::uint64_t index) const = 0;
+  virtual pb::Configuration ConfigurationAt(LogIndex index) const = 0;
   virtual std::optional<pb::Replica> leader() const = 0;
   // True if this replica leads a majority, or has heard from a leader within
   // two election timeouts: an ordinary election takes no longer.
--- a/src/consensus/election.cc
+++ b/src/consensus/election.cc
@@ -8,10 +8,10 @@
 // Compares the term of a message with ours. True: go on with the message.
 bool ReplicaImpl::AcceptTerm(TimePoint now,
                              const pb::ConsensusMessage& message) {
-  if (message.term() == term()) {
+  if (message.term() == current_term()) {
     return true;
   }
-  if (message.term() < term()) {
+  if (message.term() < current_term()) {
     RefuseOldTerm(message);
     return false;
   }
@@ -70,7 +70,7 @@
 
 void ReplicaImpl::BecomeFollower(TimePoint now, std::uint64_t term,
                                  std::uint64_t leader_id) {
-  if (term > this->term()) {
+  if (term > current_term()) {
     SetVote(term, 0);
   }
   // A higher term alone does not postpone an election: a candidate that can't
@@ -96,7 +96,7 @@
 
 void ReplicaImpl::Campaign(TimePoint now, bool pre_vote, bool transfer) {
   if (!pre_vote) {
-    SetVote(term() + 1, self());
+    SetVote(current_term() + 1, self());
   }
   votes_ = {self()};
   RetryElection(now);
@@ -105,7 +105,7 @@
       continue;
     }
     pb::ConsensusMessage message;
-    message.set_term(pre_vote ? term() + 1 : term());
+    message.set_term(pre_vote ? current_term() + 1 : current_term());
     message.set_reply_address(options_.self.address());
     pb::VoteRequest& request = *message.mutable_vote_request();
     request.set_pre_vote(pre_vote);
@@ -131,15 +131,15 @@
   pb::VoteReply& body = *reply.mutable_vote_reply();
   body.set_pre_vote(request.pre_vote());
   if (request.pre_vote()) {
-    body.set_granted(message.term() > term() && !HearsLeader(now) &&
+    body.set_granted(message.term() > current_term() && !HearsLeader(now) &&
                      LogIsCurrent(request));
-    reply.set_term(body.granted() ? message.term() : term());
+    reply.set_term(body.granted() ? message.term() : current_term());
   } else {
     const bool free =
         vote_.candidate() == 0 || vote_.candidate() == message.from();
     body.set_granted(free && LogIsCurrent(request));
     if (body.granted()) {
-      SetVote(term(), message.from());
+      SetVote(current_term(), message.from());
       ResetElection(now);
     }
   }
@@ -153,10 +153,10 @@
   if (!reply.granted() || voter == nullptr || voter->learner()) {
     return;
   }
-  const bool fits =
-      reply.pre_vote()
-          ? role() == ReplicaRole::kPreCandidate && message.term() == term() + 1
-          : role() == ReplicaRole::kCandidate && message.term() == term();
+  const bool fits = reply.pre_vote() ? role() == ReplicaRole::kPreCandidate &&
+                                           message.term() == current_term() + 1
+                                     : role() == ReplicaRole::kCandidate &&
+                                           message.term() == current_term();
   if (fits) {
     votes_.insert(message.from());
     CheckVotes(now);
--- a/src/consensus/group_change.cc
+++ b/src/consensus/group_change.cc
@@ -46,7 +46,7 @@
     }
     pb::ConsensusMessage message;
     message.set_from(self());
-    message.set_term(term());
+    message.set_term(current_term());
     *message.mutable_introduce()->mutable_replica() = options_.self;
     message.mutable_introduce()->set_empty_log(log_.empty());
     sends_.push_back({it.address(), std::move(message)});
@@ -74,7 +74,7 @@
 
 bool ReplicaImpl::AllAreEmpty(TimePoint now,
                               std::uint64_t& highest_term) const {
-  highest_term = term();
+  highest_term = current_term();
   for (const pb::Replica& it : options_.initial) {
     if (it.vm() == options_.self.vm()) {
       continue;
--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -128,14 +128,13 @@
   return actions;
 }
 
-void ReplicaImpl::Compact(const pb::Snapshot& snapshot,
-                          std::uint64_t keep_after) {
+void ReplicaImpl::Compact(const pb::Snapshot& snapshot, LogIndex keep_after) {
   snapshot_ = snapshot;
-  log_.DropThrough(std::min(keep_after, snapshot.index()));
+  log_.DropThrough(std::min(keep_after.value(), snapshot.index()));
 }
 
-pb::Configuration ReplicaImpl::ConfigurationAt(std::uint64_t index) const {
-  if (const pb::LogEntry* entry = log_.ConfigurationAt(index)) {
+pb::Configuration ReplicaImpl::ConfigurationAt(LogIndex index) const {
+  if (const pb::LogEntry* entry = log_.ConfigurationAt(index.value())) {
     return entry->configuration();
   }
   return snapshot_ ? snapshot_->configuration() : pb::Configuration();
@@ -180,7 +179,7 @@
   message.set_from(self());
   message.set_to(to.id());
   if (message.term() == 0) {
-    message.set_term(term());
+    message.set_term(current_term());
   }
   sends_.push_back({to.address(), std::move(message)});
 }
@@ -214,7 +213,7 @@
 
 void ReplicaImpl::AppendEntry(pb::LogEntry entry) {
   entry.set_index(log_.last_index() + 1);
-  entry.set_term(term());
+  entry.set_term(current_term());
   MarkUnsaved(entry.index());
   log_.Append(std::move(entry));
 }
@@ -226,7 +225,7 @@
 void ReplicaImpl::ReloadConfiguration(TimePoint now) {
   const pb::LogEntry* entry = log_.ConfigurationAt(log_.last_index());
   configuration_index_ = entry == nullptr ? 0 : entry->index();
-  configuration_ = ConfigurationAt(log_.last_index());
+  configuration_ = ConfigurationAt(LogIndex(log_.last_index()));
   // The settings know best where a VM is now.
   for (pb::Replica& it : *configuration_.mutable_replicas()) {
     for (const pb::Replica& named : options_.initial) {
--- a/src/consensus/replica_impl.h
+++ b/src/consensus/replica_impl.h
@@ -41,22 +41,22 @@
   void OnTick(TimePoint now) override;
   TimePoint NextWake() const override;
   ReplicaActions TakeActions() override;
-  std::optional<std::uint64_t> Propose(TimePoint now,
-                                       const pb::Change& change) override;
-  std::optional<std::uint64_t> BeginRead(TimePoint now) override;
-  bool ReadConfirmed(std::uint64_t round) const override;
+  std::optional<LogIndex> Propose(TimePoint now,
+                                  const pb::Change& change) override;
+  std::optional<ReadRound> BeginRead(TimePoint now) override;
+  bool ReadConfirmed(ReadRound round) const override;
   bool BeginStop(TimePoint now) override;
-  void Compact(const pb::Snapshot& snapshot, std::uint64_t keep_after) override;
+  void Compact(const pb::Snapshot& snapshot, LogIndex keep_after) override;
 
-  std::uint64_t id() const override { return self(); }
+  ReplicaId id() const override { return ReplicaId(self()); }
   ReplicaRole role() const override { return roles_.role(); }
-  std::uint64_t term() const override { return vote_.term(); }
-  std::uint64_t commit_index() const override { return commit_; }
+  Term term() const override { return Term(vote_.term()); }
+  LogIndex commit_index() const override { return LogIndex(commit_); }
   const ReplicatedLog& log() const override { return log_; }
   const pb::Configuration& configuration() const override {
     return configuration_;
   }
-  pb::Configuration ConfigurationAt(std::uint64_t index) const override;
+  pb::Configuration ConfigurationAt(LogIndex index) const override;
   std::optional<pb::Replica> leader() const override;
   bool FromQuorum(TimePoint now) const override;
   std::optional<TimePoint> LastHeard(std::string_view vm) const override;
@@ -65,6 +65,7 @@
   bool IsLeader() const { return role() == ReplicaRole::kLeader; }
   bool IsVoter() const;
   std::uint64_t self() const { return options_.self.id(); }
+  std::uint64_t current_term() const { return vote_.term(); }
 
   // replica.cc
   void Dispatch(TimePoint now, const pb::ConsensusMessage& message);
--- a/src/consensus/replica_test.cc
+++ b/src/consensus/replica_test.cc
@@ -56,7 +56,7 @@
 
   void Vote(std::uint64_t id, bool pre_vote) {
     pb::ConsensusMessage message =
-        From(id, replica_->term() + (pre_vote ? 1 : 0));
+        From(id, replica_->term().value() + (pre_vote ? 1 : 0));
     message.mutable_vote_reply()->set_granted(true);
     message.mutable_vote_reply()->set_pre_vote(pre_vote);
     replica_->OnMessage(now_, message);
@@ -73,7 +73,7 @@
   }
 
   void Acknowledge(std::uint64_t id, std::uint64_t match) {
-    pb::ConsensusMessage message = From(id, replica_->term());
+    pb::ConsensusMessage message = From(id, replica_->term().value());
     message.mutable_append_reply()->set_success(true);
     message.mutable_append_reply()->set_match_index(match);
     replica_->OnMessage(now_, message);
@@ -93,10 +93,10 @@
   one.Lead();
   one.Acknowledge(2, 2);
   one.Acknowledge(3, 2);
-  CHECK(one.replica().commit_index() == 0);
+  CHECK(one.replica().commit_index() == LogIndex(0));
   one.Acknowledge(2, 3);
   one.Acknowledge(3, 3);
-  CHECK(one.replica().commit_index() == 3);
+  CHECK(one.replica().commit_index() == LogIndex(3));
 }
 
 TEST_CASE("a learner becomes a voter when it holds everything committed",
@@ -113,7 +113,7 @@
   one.Acknowledge(4, 2);
   one.Acknowledge(2, 3);
   one.Acknowledge(3, 3);
-  REQUIRE(one.replica().commit_index() == 3);
+  REQUIRE(one.replica().commit_index() == LogIndex(3));
   const auto tick = [&] {
     one.replica().OnTick(one.now() + std::chrono::milliseconds(200));
   };
@@ -123,14 +123,14 @@
   one.replica().OnTick(one.now() + std::chrono::milliseconds(400));
   CHECK(learners() == 0);
   // The next change of the group waits until this one is committed.
-  CHECK(one.replica().commit_index() == 3);
+  CHECK(one.replica().commit_index() == LogIndex(3));
 }
 
 TEST_CASE("a learner's acknowledgement commits nothing", "[replica]") {
   OneReplica one(3, 1, 2);
   one.Lead();
   one.Acknowledge(4, 3);
-  CHECK(one.replica().commit_index() == 0);
+  CHECK(one.replica().commit_index() == LogIndex(0));
 }
 
 TEST_CASE("a replica gives one vote a term, also across a restart",
@@ -179,7 +179,7 @@
   const bool fits = snapshot_term == 1;
   CHECK(one.replica().log().last_index() == (fits ? 2 : 1));
   CHECK(actions.install.has_value() == !fits);
-  CHECK(one.replica().commit_index() == 1);
+  CHECK(one.replica().commit_index() == LogIndex(1));
 }
 
 TEST_CASE("a candidate that lacks entries gets no vote", "[replica]") {
@@ -204,17 +204,17 @@
   OneReplica one(3, 0, 2);
   one.Lead();
   one.Acknowledge(2, 3);
-  REQUIRE(one.replica().commit_index() == 3);
-  const std::uint64_t round = *one.replica().BeginRead(one.now());
+  REQUIRE(one.replica().commit_index() == LogIndex(3));
+  const ReadRound round = *one.replica().BeginRead(one.now());
   CHECK_FALSE(one.replica().ReadConfirmed(round));
   one.replica().OnTick(one.now() + std::chrono::milliseconds(20));
-  pb::ConsensusMessage message = one.From(2, one.replica().term());
+  pb::ConsensusMessage message = one.From(2, one.replica().term().value());
   message.mutable_append_reply()->set_success(true);
   message.mutable_append_reply()->set_match_index(3);
-  message.mutable_append_reply()->set_round(round - 1);
+  message.mutable_append_reply()->set_round(round.value() - 1);
   one.replica().OnMessage(one.now(), message);
   CHECK_FALSE(one.replica().ReadConfirmed(round));
-  message.mutable_append_reply()->set_round(round);
+  message.mutable_append_reply()->set_round(round.value());
   one.replica().OnMessage(one.now(), message);
   CHECK(one.replica().ReadConfirmed(round));
 }
--- a/src/consensus/replication.cc
+++ b/src/consensus/replication.cc
@@ -46,25 +46,25 @@
   }
 }
 
-std::optional<std::uint64_t> ReplicaImpl::Propose(TimePoint now,
-                                                  const pb::Change& change) {
+std::optional<LogIndex> ReplicaImpl::Propose(TimePoint now,
+                                             const pb::Change& change) {
   if (!IsLeader() || stopping_) {
     return std::nullopt;
   }
   pb::LogEntry entry;
   *entry.mutable_change() = change;
   AppendEntry(std::move(entry));
-  const std::uint64_t index = log_.last_index();
+  const LogIndex index(log_.last_index());
   Replicate(now);
   AdvanceCommit(now);
   return index;
 }
 
-std::optional<std::uint64_t> ReplicaImpl::BeginRead(TimePoint now) {
+std::optional<ReadRound> ReplicaImpl::BeginRead(TimePoint now) {
   if (!IsLeader()) {
     return std::nullopt;
   }
-  const std::uint64_t round = round_ + 1;
+  const ReadRound round(round_ + 1);
   if (now >= last_broadcast_ + kReadSpacing) {
     Broadcast(now);
   } else {
@@ -73,7 +73,7 @@
   return round;
 }
 
-bool ReplicaImpl::ReadConfirmed(std::uint64_t round) const {
+bool ReplicaImpl::ReadConfirmed(ReadRound round) const {
   if (!IsLeader() || commit_ < term_start_) {
     return false;
   }
@@ -82,7 +82,7 @@
     const std::uint64_t acked =
         id == self() ? round_
                      : (it == peers_.end() ? 0 : it->second.acked_round);
-    return acked >= round;
+    return acked >= round.value();
   });
 }
 
@@ -276,7 +276,7 @@
 void ReplicaImpl::AdvanceCommit(TimePoint now) {
   const std::uint64_t index = QuorumValue(
       configuration_, [&](std::uint64_t id) { return MatchOf(id); });
-  if (index <= commit_ || log_.TermAt(index) != term()) {
+  if (index <= commit_ || log_.TermAt(index) != current_term()) {
     return;
   }
   commit_ = index;
--- a/src/control/control_checks_test.cc
+++ b/src/control/control_checks_test.cc
@@ -43,7 +43,7 @@
   const Replica& replica = ReplicaOf(vm);
   const ReplicatedLog& log = replica.log();
   std::uint64_t n = std::max(vm.checked, log.base().index());
-  while (n < replica.commit_index()) {
+  while (n < replica.commit_index().value()) {
     ++n;
     std::string bytes = log.At(n).SerializeAsString();
     const auto [it, added] = committed_.try_emplace(n, std::move(bytes));
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -74,9 +74,9 @@
   state_.Restore(snapshot.catalog(),
                  std::deque<pb::ChangeOutcome>(snapshot.outcomes().begin(),
                                                snapshot.outcomes().end()));
-  applied_ = snapshot.index();
-  applied_term_ = snapshot.term();
-  snapshot_index_ = snapshot.index();
+  applied_ = LogIndex(snapshot.index());
+  applied_term_ = Term(snapshot.term());
+  snapshot_index_ = applied_;
 }
 
 void ControlNodeImpl::OnMessage(TimePoint now,
@@ -134,8 +134,8 @@
   const bool learner =
       role == ReplicaRole::kLearner || role == ReplicaRole::kJoining;
   status.set_role(IsLeader() ? "leader" : (learner ? "learner" : "voter"));
-  status.set_term(replica_->term());
-  status.set_committed_index(replica_->commit_index());
+  status.set_term(replica_->term().value());
+  status.set_committed_index(replica_->commit_index().value());
   status.set_revision(state_.catalog().revision());
   return status;
 }
@@ -179,24 +179,25 @@
   if (entry.has_change()) {
     state_.Apply(entry.change());
   }
-  applied_ = entry.index();
-  applied_term_ = entry.term();
+  applied_ = LogIndex(entry.index());
+  applied_term_ = Term(entry.term());
 }
 
 void ControlNodeImpl::CompactIfDue() {
-  if (applied_ < snapshot_index_ + options_.snapshot_every) {
+  if (applied_.value() < snapshot_index_.value() + options_.snapshot_every) {
     return;
   }
   pb::Snapshot snapshot;
-  snapshot.set_index(applied_);
-  snapshot.set_term(applied_term_);
+  snapshot.set_index(applied_.value());
+  snapshot.set_term(applied_term_.value());
   *snapshot.mutable_configuration() = replica_->ConfigurationAt(applied_);
   *snapshot.mutable_catalog() = state_.catalog();
   for (const pb::ChangeOutcome& it : state_.outcomes()) {
     *snapshot.add_outcomes() = it;
   }
   // A few entries stay, for replicas that are only a little behind.
-  replica_->Compact(snapshot, applied_ - options_.snapshot_every / 4);
+  replica_->Compact(snapshot,
+                    LogIndex(applied_.value() - options_.snapshot_every / 4));
   failed_ = true;
   store_.Compact(snapshot, replica_->log());
   failed_ = false;
--- a/src/control/control_node_impl.h
+++ b/src/control/control_node_impl.h
@@ -22,7 +22,7 @@
 struct ApplyCall {
   Ticket ticket;
   pb::Change change;
-  std::uint64_t index = 0;
+  LogIndex index;
   TimePoint deadline;
 };
 
@@ -34,8 +34,8 @@
   Ticket ticket;
   ReadKind kind;
   std::uint32_t limit = 0;  // Of the history.
-  std::uint64_t round = 0;
-  std::uint64_t term = 0;  // In which the round was begun.
+  ReadRound round;
+  Term term;  // In which the round was begun.
   TimePoint deadline;
 };
 
@@ -116,9 +116,9 @@
   ReplicaStore store_;
   std::unique_ptr<Replica> replica_;
   CatalogState state_;
-  std::uint64_t applied_ = 0;         // Index of the last entry in state_.
-  std::uint64_t applied_term_ = 0;    // Its term.
-  std::uint64_t snapshot_index_ = 0;  // Of the last snapshot.
+  LogIndex applied_;  // The last entry in state_.
+  Term applied_term_;
+  LogIndex snapshot_index_;  // Of the last snapshot.
   EntryReports reports_;
   std::vector<ApplyCall> applies_;
   std::vector<ReadCall> reads_;
--- a/src/control/control_world_test.cc
+++ b/src/control/control_world_test.cc
@@ -89,7 +89,7 @@
     vm.node =
         ControlNode::Create(OptionsOf(name), vm.disk, network_.now(), seed)
             .value();
-    vm.identity = ReplicaOf(vm).id();
+    vm.identity = ReplicaOf(vm).id().value();
     vm.first_identity = vm.starts == 1 ? vm.identity : vm.first_identity;
     Note(name + " starts at revision " +
          std::to_string(vm.node->Status().revision()));
--- a/src/control/entry_calls.cc
+++ b/src/control/entry_calls.cc
@@ -140,7 +140,7 @@
   if (const pb::Replica* to = ReplicaById(replica_->configuration(), id)) {
     message.set_from(store_.id());
     message.set_to(id);
-    message.set_term(replica_->term());
+    message.set_term(replica_->term().value());
     actions_.sends.push_back({to->address(), std::move(message)});
   }
 }
--- a/src/control/operator_calls.cc
+++ b/src/control/operator_calls.cc
@@ -9,6 +9,10 @@
 // The largest change that is taken, bytes.
 constexpr std::size_t kMaxChangeBytes = std::size_t{512} * 1024;
 
+// A change that is in no log entry, and a read without a round.
+constexpr LogIndex kNotProposed{};
+constexpr ReadRound kNotBegun{};
+
 std::string KindName(ErrorKind kind) {
   return std::string(AnswerFor(kind).name);
 }
@@ -17,7 +21,7 @@
 
 void ControlNodeImpl::OnApply(TimePoint now, Ticket ticket,
                               const pb::ApplyRequest& request) {
-  ApplyCall call{ticket, request.change(), 0, CallDeadline(now)};
+  ApplyCall call{ticket, request.change(), LogIndex(), CallDeadline(now)};
   const std::string fault = call.change.change_id().empty()
                                 ? "the change has no change id"
                                 : CatalogFault(call.change);
@@ -44,25 +48,25 @@
 
 // True once the call is answered.
 bool ControlNodeImpl::AdvanceApply(TimePoint now, ApplyCall& call) {
-  if (call.index != 0 && applied_ >= call.index) {
+  if (call.index != kNotProposed && applied_ >= call.index) {
     if (AnswerIfApplied(call)) {
       return true;
     }
-    call.index = 0;  // Another leader's entry took its place.
+    call.index = kNotProposed;  // Another leader's entry took its place.
   }
-  if (call.index == 0 && IsLeader()) {
+  if (call.index == kNotProposed && IsLeader()) {
     if (AnswerIfApplied(call)) {
       return true;
     }
     ProposeChange(now, call);
-  } else if (call.index == 0 && !LeaderAddress().empty()) {
+  } else if (call.index == kNotProposed && !LeaderAddress().empty()) {
     RefuseApply(call, ErrorKind::kNotLeader, "another control VM leads");
     return true;
   }
   if (now < call.deadline) {
     return false;
   }
-  if (call.index == 0) {
+  if (call.index == kNotProposed) {
     RefuseApply(call, ErrorKind::kNoQuorum,
                 NoQuorumReason(now) + "; the change was not taken");
   } else {
@@ -87,14 +91,14 @@
 // A change that is resent while its first entry is on the way shares it.
 void ControlNodeImpl::ProposeChange(TimePoint now, ApplyCall& call) {
   const ReplicatedLog& log = replica_->log();
-  for (std::uint64_t n = log.last_index(); n > applied_; --n) {
+  for (std::uint64_t n = log.last_index(); n > applied_.value(); --n) {
     if (log.At(n).has_change() &&
         log.At(n).change().change_id() == call.change.change_id()) {
-      call.index = n;
+      call.index = LogIndex(n);
       return;
     }
   }
-  call.index = replica_->Propose(now, call.change).value_or(0);
+  call.index = replica_->Propose(now, call.change).value_or(kNotProposed);
 }
 
 void ControlNodeImpl::AnswerApply(Ticket ticket, pb::ChangeOutcome outcome) {
@@ -119,14 +123,15 @@
 }
 
 void ControlNodeImpl::OnGet(TimePoint now, Ticket ticket) {
-  reads_.push_back({ticket, ReadKind::kGet, 0, 0, 0, CallDeadline(now)});
+  reads_.push_back(
+      {ticket, ReadKind::kGet, 0, kNotBegun, Term(), CallDeadline(now)});
   Pump(now);
 }
 
 void ControlNodeImpl::OnHistory(TimePoint now, Ticket ticket,
                                 const pb::HistoryRequest& request) {
-  reads_.push_back(
-      {ticket, ReadKind::kHistory, request.limit(), 0, 0, CallDeadline(now)});
+  reads_.push_back({ticket, ReadKind::kHistory, request.limit(), kNotBegun,
+                    Term(), CallDeadline(now)});
   Pump(now);
 }
 
@@ -142,8 +147,8 @@
 // True once the call is answered.
 bool ControlNodeImpl::AdvanceRead(TimePoint now, ReadCall& call) {
   if (IsLeader()) {
-    if (call.round == 0 || call.term != replica_->term()) {
-      call.round = replica_->BeginRead(now).value_or(0);
+    if (call.round == kNotBegun || call.term != replica_->term()) {
+      call.round = replica_->BeginRead(now).value_or(kNotBegun);
       call.term = replica_->term();
     }
     if (replica_->ReadConfirmed(call.round)) {
