--- a/src/control/control_world_test.cc
+++ b/src/control/control_world_test.cc
@@ -89,7 +89,7 @@
     vm.node =
         ControlNode::Create(OptionsOf(name), vm.disk, network_.now(), seed)
             .value();
-    vm.identity = ReplicaOf(vm).id();
+    vm.identity = ReplicaOf(vm).id().value();
     vm.first_identity = vm.starts == 1 ? vm.identity : vm.first_identity;
     Note(name + " starts at revision " +
          std::to_string(vm.node->Status().revision()));
@@ -143,11 +143,15 @@
   Note(name + " freezes");
 }
 
-void ControlWorld::Thaw(const std::string& name) {
+void ControlWorld::Thaw(const std::string& name, bool newest_first) {
   ControlVm& vm = Control(name);
   vm.frozen = false;
   Note(name + " thaws");
-  for (const auto& it : std::exchange(vm.held, {})) {
+  auto held = std::exchange(vm.held, {});
+  if (newest_first) {
+    std::reverse(held.begin(), held.end());
+  }
+  for (const auto& it : held) {
     it();
   }
 }
