--- /dev/null
+++ b/src/admission/admission_test.cc
@@ -0,0 +1,100 @@
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "vanillalatch/admission/answer_time.h"
+#include "vanillalatch/admission/retry_budget.h"
+#include "vanillalatch/admission/return_schedule.h"
+#include "vanillalatch/admission/slot_use.h"
+
+namespace vanillalatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_CASE("Answer times are unknown without recent answers") {
+  AnswerTime time(16);
+  const TimePoint now(seconds(100));
+  CHECK_FALSE(time.KnownAt(now));
+  time.Add(now, milliseconds(20));
+  CHECK(time.KnownAt(now + AnswerTime::kMaxAge));
+  CHECK_FALSE(time.KnownAt(now + AnswerTime::kMaxAge + milliseconds(1)));
+}
+
+TEST_CASE("Answer times follow a change of speed") {
+  AnswerTime time(16);
+  for (int i = 0; i < 50; ++i) {
+    time.Add(TimePoint(), milliseconds(20));
+  }
+  CHECK(time.mean() == milliseconds(20));
+  for (int i = 0; i < 5; ++i) {
+    time.Add(TimePoint(), milliseconds(100));
+  }
+  CHECK(time.mean() > milliseconds(40));
+  CHECK(time.high() > time.mean());
+}
+
+TEST_CASE("Retries are at most a tenth of the recent work") {
+  struct Row {
+    int work;
+    int retries;
+  };
+  const auto row =
+      GENERATE(values<Row>({{0, 1}, {9, 1}, {10, 2}, {100, 11}, {5000, 501}}));
+  RetryBudget budget;
+  for (int i = 0; i < row.work; ++i) {
+    budget.OnWork(TimePoint());
+  }
+  int taken = 0;
+  while (budget.Take(TimePoint(seconds(1)))) {
+    ++taken;
+  }
+  CHECK(taken == row.retries);
+  // Work of long ago allows no retries now.
+  const TimePoint later(seconds(30));
+  CHECK(budget.Take(later));
+  CHECK_FALSE(budget.Take(later));
+}
+
+TEST_CASE("Refused callers are told to return one after the other") {
+  ReturnSchedule schedule(7);
+  const TimePoint now(seconds(1));
+  std::set<Duration> times;
+  for (int i = 0; i < 1000; ++i) {
+    const Duration delay =
+        schedule.Next(now, milliseconds(200), milliseconds(2));
+    CHECK(delay >= ReturnSchedule::kSoonest);
+    CHECK(delay <= ReturnSchedule::kLatest);
+    times.insert(delay);
+  }
+  CHECK(times.size() > 990);
+  // A thousand callers at 2 ms a slot take two seconds.
+  CHECK(*times.rbegin() >= milliseconds(2000));
+  CHECK(*times.rbegin() <= milliseconds(2200) * 5 / 4);
+}
+
+TEST_CASE("Return times stay bounded however many are refused") {
+  ReturnSchedule schedule(7);
+  std::set<Duration> times;
+  for (int i = 0; i < 1000; ++i) {
+    times.insert(schedule.Next(TimePoint(), seconds(100), seconds(1)));
+  }
+  CHECK(*times.rbegin() <= ReturnSchedule::kLatest);
+  CHECK(*times.begin() >= ReturnSchedule::kLatest / 2);
+  CHECK(times.size() > 990);
+}
+
+TEST_CASE("Slot use follows within the time that a lent share has to return") {
+  SlotUse use;
+  use.Start(TimePoint());
+  use.Start(TimePoint());
+  CHECK(use.busy() == 2);
+  CHECK(use.At(TimePoint()) == Approx(0));
+  CHECK(use.At(TimePoint(seconds(1))) > 1.6);
+  use.Stop(TimePoint(seconds(5)));
+  use.Stop(TimePoint(seconds(5)));
+  CHECK(use.At(TimePoint(seconds(6))) < 0.4);
+}
+
+}  // namespace
+}  // namespace vanillalatch
--- a/src/placement/admission_gate.cc
+++ b/src/placement/admission_gate.cc
@@ -19,6 +19,27 @@
       static_cast<double>(duration.count()) * factor));
 }
 
+// A sum of answer times, each of which varies as much as it takes.
+class WaitTime {
+ public:
+  void Add(Duration spacing, double n) {
+    const auto each = static_cast<double>(spacing.count());
+    mean_ += n * each;
+    variance_ += n * each * each;
+  }
+
+  void Fill(Forecast& forecast) const {
+    const double longest =
+        kSlotsMargin * mean_ + kWaitDeviations * std::sqrt(variance_);
+    forecast.wait = Duration(static_cast<Duration::rep>(mean_));
+    forecast.longest = Duration(static_cast<Duration::rep>(longest));
+  }
+
+ private:
+  double mean_ = 0;
+  double variance_ = 0;
+};
+
 }  // namespace
 
 Forecast AdmissionGate::Predict(TimePoint now, const Work& work) {
@@ -35,14 +56,6 @@
   } else {
     PredictUnpinned(now, work, forecast);
   }
-  // The work ahead is a sum of as many answer times, each of which varies.
-  if (forecast.wait > Duration::zero()) {
-    const double ahead = static_cast<double>(forecast.wait.count()) /
-                         static_cast<double>(forecast.spacing.count());
-    forecast.longest =
-        Times(forecast.wait, kSlotsMargin) +
-        Times(forecast.spacing, kWaitDeviations * std::sqrt(ahead));
-  }
   return forecast;
 }
 
@@ -57,8 +70,10 @@
   }
   forecast.spacing = forecast.answer / track->endpoint().slots;
   if (!track->HasFreePinnedSlot()) {
-    const auto ahead = static_cast<double>(queue_.PinnedTo(*work.pinned) + 1);
-    forecast.wait = Times(forecast.spacing, ahead);
+    WaitTime wait;
+    wait.Add(forecast.spacing,
+             static_cast<double>(queue_.PinnedTo(*work.pinned) + 1));
+    wait.Fill(forecast);
   }
 }
 
@@ -71,15 +86,23 @@
   if (queue_.size() == 0 && pool_.FreeSlots(now) > 0) {
     return;
   }
+  // As long as the class is below its share, it takes every slot that becomes
+  // free.
   const auto own = static_cast<double>(queue_.SizeOf(work.work_class) + 1);
-  forecast.wait = Times(forecast.spacing, own);
+  const double below =
+      std::max(0.0, std::ceil(-ClassTable::Excess(now, state, slots)));
+  const double first = std::min(own, below);
+  WaitTime wait;
+  wait.Add(Times(forecast.answer, 1 / slots), first);
+  wait.Add(forecast.spacing, own - first);
   for (const ClassState* it : classes_.by_latency()) {
     if (it == &state) {
       break;
     }
-    const auto tighter = static_cast<double>(queue_.SizeOf(it->target.id));
-    forecast.wait += Times(AnswerTimeOf(now, *it), tighter / slots);
+    wait.Add(Times(AnswerTimeOf(now, *it), 1 / slots),
+             static_cast<double>(queue_.SizeOf(it->target.id)));
   }
+  wait.Fill(forecast);
 }
 
 std::optional<ErrorKind> AdmissionGate::Check(TimePoint now, const Work& work,
--- a/src/placement/endpoint_pool.cc
+++ b/src/placement/endpoint_pool.cc
@@ -9,7 +9,7 @@
 // Answers that an endpoint needs before its speed is compared.
 constexpr std::uint64_t kComparedAnswers = 4;
 
-enum Trouble : int { kNone = 0, kSlow = 1, kFailing = 2 };
+enum Trouble : int { kNone = 0, kSlow = 1, kSick = 2 };
 
 }  // namespace
 
@@ -114,7 +114,7 @@
 
 EndpointPool::Rank EndpointPool::RankOf(TimePoint now,
                                         const EndpointTrack& track) const {
-  const int trouble = track.LooksFailing() ? kFailing
+  const int trouble = track.LooksSick() ? kSick
                       : IsSlow(now, track) ? kSlow
                                            : kNone;
   const double share =
--- a/src/placement/endpoint_track.cc
+++ b/src/placement/endpoint_track.cc
@@ -69,14 +69,14 @@
     case WorkOutcome::kAnswered:
       last_progress_ = now;
       answer_time_.Add(now, held);
-      NoteFailure(false);
+      NoteFailure(now, false);
       break;
     case WorkOutcome::kFailed:
       last_progress_ = now;
-      NoteFailure(true);
+      NoteFailure(now, true);
       break;
     case WorkOutcome::kTimedOut:
-      NoteFailure(true);
+      NoteFailure(now, true);
       break;
     case WorkOutcome::kRefused:
       last_progress_ = now;
@@ -87,7 +87,8 @@
   }
 }
 
-void EndpointTrack::NoteFailure(bool failed) {
+void EndpointTrack::NoteFailure(TimePoint now, bool failed) {
+  scored_ = now;
   score_ += ((failed ? 1.0 : 0.0) - score_) * kScoreWeight;
   if (health_ != HealthState::kProbing) {
     return;
@@ -95,7 +96,7 @@
   probes_answered_ = failed ? 0 : probes_answered_ + 1;
   if (probes_answered_ >= kProbeAnswers) {
     score_ = 0;
-    recovered_ = last_progress_;
+    recovered_ = now;
     Apply(HealthEvent::kRecover);
   }
 }
@@ -104,7 +105,7 @@
 // only request is a failure.
 void EndpointTrack::NoteShed(TimePoint now) {
   if (busy_ == 0) {
-    NoteFailure(true);
+    NoteFailure(now, true);
     return;
   }
   limit_ = std::min(limit_, busy_);
@@ -119,6 +120,9 @@
     probes_answered_ = 0;
     Apply(HealthEvent::kRetry);
   }
+  if (TakesNew() && LooksSick() && now - scored_ >= kSickMemory) {
+    score_ = kFailingScore;
+  }
   if (limit_ < endpoint_.slots && now - limit_changed_ >= kLimitInterval) {
     ++limit_;
     limit_changed_ = now;
--- a/src/placement/endpoint_track.h
+++ b/src/placement/endpoint_track.h
@@ -32,6 +32,9 @@
   static constexpr double kFailingScore = 0.25;
   // A change of speed is noticed after a few answers.
   static constexpr std::uint64_t kAnswerSmoothing = 16;
+  // Without outcomes for this long, a sick endpoint that could not be ejected
+  // is used again.
+  static constexpr Duration kSickMemory = std::chrono::seconds(1);
   // Answers in a row that end probing.
   static constexpr std::uint32_t kProbeAnswers = 3;
   static constexpr Duration kProbeInterval = std::chrono::milliseconds(100);
@@ -101,7 +104,7 @@
 
  private:
   void Apply(HealthEvent event);
-  void NoteFailure(bool failed);
+  void NoteFailure(TimePoint now, bool failed);
   void NoteShed(TimePoint now);
 
   Endpoint endpoint_;
@@ -118,6 +121,7 @@
 
   AnswerTime answer_time_{kAnswerSmoothing};
   double score_ = 0;
+  TimePoint scored_;     // The latest outcome in the score.
   std::uint32_t limit_;  // Slots that the endpoint proved to take.
   TimePoint limit_changed_;
   std::uint32_t probes_answered_ = 0;
