--- a/src/placement/placement_load_test.cc
+++ b/src/placement/placement_load_test.cc
@@ -168,6 +168,18 @@
   CHECK(Part(owner.within, owner.offered) >= 0.99);
 }
 
+TEST_CASE("A class keeps its share when a tighter one wants everything") {
+  const Size size = GENERATE(from_range(std::begin(kSizes), std::end(kSizes)));
+  SimOptions options = TwoClasses(size, 2.3);
+  options.classes[0].load = 2.0;
+  options.classes[1].load = 0.3;
+  const SimResult ours = RunSim(options, Dispatcher(options));
+  const ClassResult& loose = ours.classes[1];
+  INFO(size.endpoints << " x " << size.slots);
+  CHECK(Part(loose.within, loose.offered) >= 0.99);
+  CHECK(ours.classes[0].refused > 0);
+}
+
 TEST_CASE("An idle share is lent") {
   SimOptions options = TwoClasses({15, 3}, 1.3);
   options.classes[0].load = 0.01;
