--- a/src/catalog/catalog_file_difference.cc
+++ b/src/catalog/catalog_file_difference.cc
@@ -64,11 +64,14 @@
 
 void CompareClasses(const std::string& subject, const pb::ClassTarget& before,
                     const pb::ClassTarget& after, Lines& lines) {
-  using namespace internal;
-  AddField(subject, "paths", PathsText(before), PathsText(after), lines);
-  AddField(subject, "latency", LatencyText(before), LatencyText(after), lines);
-  AddField(subject, "success", SuccessText(before), SuccessText(after), lines);
-  AddField(subject, "share", ShareText(before), ShareText(after), lines);
+  AddField(subject, "paths", internal::PathsText(before),
+           internal::PathsText(after), lines);
+  AddField(subject, "latency", internal::LatencyText(before),
+           internal::LatencyText(after), lines);
+  AddField(subject, "success", internal::SuccessText(before),
+           internal::SuccessText(after), lines);
+  AddField(subject, "share", internal::ShareText(before),
+           internal::ShareText(after), lines);
 }
 
 void CompareServices(const std::string& subject, const pb::Service& before,
--- a/src/cli/command_line.cc
+++ b/src/cli/command_line.cc
@@ -47,8 +47,10 @@
   }
   std::string text = "\nExit codes:\n  0   done\n";
   for (const auto& [code, names] : kinds) {
-    const std::string number = std::to_string(code);
-    text += "  " + number + std::string(4 - number.size(), ' ') + names + "\n";
+    constexpr std::size_t kColumn = 4;
+    std::string number = std::to_string(code);
+    number.resize(kColumn, ' ');
+    text.append("  ").append(number).append(names).append("\n");
   }
   return text;
 }
--- a/src/cli/ctl_options.cc
+++ b/src/cli/ctl_options.cc
@@ -132,6 +132,7 @@
     }
   }
   std::vector<SocketAddress> addresses;
+  addresses.reserve(texts.size());
   for (const std::string& it : texts) {
     addresses.push_back(SocketAddress::Parse(it).value());
   }
--- a/src/cli/operator_client.cc
+++ b/src/cli/operator_client.cc
@@ -57,7 +57,7 @@
 }  // namespace
 
 Result<std::unique_ptr<OperatorClient>> OperatorClient::Create(
-    std::vector<SocketAddress> addresses, Duration timeout) {
+    const std::vector<SocketAddress>& addresses, Duration timeout) {
   if (addresses.empty()) {
     return Error(ErrorKind::kInvalidArgument,
                  "expected --control ADDRESS:PORT, or the environment variable "
--- a/src/cli/operator_client.h
+++ b/src/cli/operator_client.h
@@ -24,7 +24,7 @@
   // `timeout` bounds each call with all its repetitions. Error:
   // kInvalidArgument without addresses.
   static Result<std::unique_ptr<OperatorClient>> Create(
-      std::vector<SocketAddress> addresses, Duration timeout);
+      const std::vector<SocketAddress>& addresses, Duration timeout);
 
   // Each throws Error: kNoQuorum if no control VM of a majority answered in
   // time, else the kind that the control VM gave.
--- a/src/jsonc/document.cc
+++ b/src/jsonc/document.cc
@@ -138,12 +138,13 @@
 
 Duration JsonValue::Time(Duration min, Duration max) const {
   if (type_ == Type::kString) {
+    const std::string_view text = text_;
     for (const TimeUnit& it : kTimeUnits) {
-      if (!std::string_view(text_).ends_with(it.suffix)) {
+      if (!text.ends_with(it.suffix)) {
         continue;
       }
-      const std::int64_t n = ParseDigits(
-          std::string_view(text_).substr(0, text_.size() - it.suffix.size()));
+      const std::int64_t n =
+          ParseDigits(text.substr(0, text.size() - it.suffix.size()));
       if (n >= 0 && n * it.unit >= min && n * it.unit <= max) {
         return n * it.unit;
       }
--- a/src/standin/backend_server.cc
+++ b/src/standin/backend_server.cc
@@ -101,10 +101,11 @@
       LargeContent(options_.service, KeyOf(message), size);
   const std::size_t begin =
       std::min(content.size(), block.number * block_bytes);
+  const std::string_view rest = std::string_view{content}.substr(begin);
   block.more = begin + block_bytes < content.size();
   builder.Option(kOptionETag, CoapToken::FromInteger(EntityTag(content)).span())
       .BlockOption(kOptionBlock2, block)
-      .Payload(Bytes(std::string_view(content).substr(begin, block_bytes)));
+      .Payload(Bytes(rest.substr(0, block_bytes)));
   return buf;
 }
 
--- a/src/standin/backend_server.h
+++ b/src/standin/backend_server.h
@@ -57,6 +57,7 @@
   struct MessageKey {
     SocketAddress from;
     std::uint16_t message_id;
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const MessageKey&) const = default;
   };
   struct Exchange {
--- a/src/standin/callers.cc
+++ b/src/standin/callers.cc
@@ -107,11 +107,12 @@
   const RequestKind& kind = options_.kinds[call.kind];
   const Duration deadline =
       std::max(kind.latency * kDeadlinePerLatency, kLeastDeadline);
+  const std::string_view path = kind.path;
   call.datagram.clear();
   CoapBuilder builder(call.datagram, CoapType::kConfirmable, kind.method,
                       ++message_ids_[call.flow], CoapToken::FromInteger(token));
   builder.Option(kOptionUriHost, kind.service)
-      .Option(kOptionUriPath, std::string_view(kind.path).substr(1));
+      .Option(kOptionUriPath, path.substr(1));
   if (kind.method == kCoapGet) {
     builder.Option(kOptionUriQuery, "key=" + call.key);
   }
--- a/src/standin/program/standin_backend.cc
+++ b/src/standin/program/standin_backend.cc
@@ -161,12 +161,12 @@
 }  // namespace vanillalatch::standin
 
 int main(int argc, char** argv) {
-  using namespace vanillalatch::
-      standin;  // NOLINT(google-build-using-namespace)
-  const auto stop = [](int) { stop_requested = 1; };
+  const auto stop = [](int) { vanillalatch::standin::stop_requested = 1; };
   std::signal(SIGTERM, stop);
   std::signal(SIGINT, stop);
   try {
+    using vanillalatch::standin::Parse;
+    using vanillalatch::standin::Program;
     Program(Parse(argc, argv)).Run();
     return 0;
   } catch (const std::exception& e) {
--- a/src/standin/program/standin_caller.cc
+++ b/src/standin/program/standin_caller.cc
@@ -109,9 +109,9 @@
 }  // namespace vanillalatch::standin
 
 int main(int argc, char** argv) {
-  using namespace vanillalatch::
-      standin;  // NOLINT(google-build-using-namespace)
   try {
+    using vanillalatch::standin::Parse;
+    using vanillalatch::standin::Run;
     return Run(Parse(argc, argv));
   } catch (const std::exception& e) {
     std::cerr << "standin_caller: " << e.what() << "\n";
--- a/src/standin/program/standin_ports.cc
+++ b/src/standin/program/standin_ports.cc
@@ -13,7 +13,6 @@
 
 namespace {
 
-using vanillalatch::SocketAddress;
 using vanillalatch::standin::Socket;
 
 constexpr std::uint32_t kLoopback = 0x7f000001;
--- a/src/standin/program/standin_report.cc
+++ b/src/standin/program/standin_report.cc
@@ -5,6 +5,7 @@
 // Exit code 0 if there were requests, all were answered whole, and no body ran
 // twice; else 1.
 #include <array>
+#include <cmath>
 #include <cstdint>
 #include <iostream>
 #include <nlohmann/json.hpp>
@@ -53,8 +54,8 @@
 
 std::string Percent(const Json& json, std::string_view field) {
   constexpr double kTenthsOfPercent = 1000;
-  const auto tenths = static_cast<std::int64_t>(
-      json.at(std::string(field)).get<double>() * kTenthsOfPercent + 0.5);
+  const auto tenths =
+      std::lround(json.at(std::string(field)).get<double>() * kTenthsOfPercent);
   return std::to_string(tenths / 10) + "." + std::to_string(tenths % 10) + "%";
 }
 
@@ -63,6 +64,7 @@
   TextTable table({"SENT", "ANSWERED", "REFUSED", "BROKEN", "MISROUTED",
                    "OUTCOME UNKNOWN", "UNANSWERED"});
   std::vector<std::string> row;
+  row.reserve(kTotals.size());
   for (const std::string_view it : kTotals) {
     row.push_back(std::to_string(Total(read.callers, it)));
   }
--- a/src/telemetry/log.cc
+++ b/src/telemetry/log.cc
@@ -74,10 +74,10 @@
   void formatAndAppend(
       log4cplus::tostream& output,
       const log4cplus::spi::InternalLoggingEvent& event) override {
+    const std::string_view message = event.getMessage();
     output << R"({"time":")" << UtcText(event.getTimestamp())
            << R"(","level":")" << LevelName(event.getLogLevel()) << R"(","vm":)"
-           << vm_ << ',' << std::string_view(event.getMessage()).substr(1)
-           << '\n';
+           << vm_ << ',' << message.substr(1) << '\n';
   }
 
  private:
