Replace a voter only once it no longer answers

A second process started under the name of a living control VM took that VM's place in the group: the leader removed the living voter as a lost identity.

--- a/src/consensus/group_change.cc
+++ b/src/consensus/group_change.cc
@@ -146,7 +146,8 @@
 }
 
 // A learner that holds everything committed on its synced disk becomes a
-// voter; a lost identity of the same VM is removed first.
+// voter; a lost identity of the same VM is removed first. While that identity
+// still answers, two processes run under one name, and the learner waits.
 bool ReplicaImpl::AdvanceLearner(TimePoint now) {
   for (const pb::Replica& it : configuration_.replicas()) {
     if (!it.learner() || MatchOf(it.id()) < commit_ ||
@@ -156,6 +157,9 @@
     pb::Configuration next = configuration_;
     if (const pb::Replica* former = FormerVoter(configuration_, it)) {
       const std::uint64_t lost = former->id();
+      if (IsActive(lost, now)) {
+        continue;
+      }
       RemoveIf(next,
                [&](const pb::Replica& other) { return other.id() == lost; });
     } else {
--- a/src/consensus/replica_test.cc
+++ b/src/consensus/replica_test.cc
@@ -1,6 +1,7 @@
 // Rules of the log that need a certain order of messages.
 #include "vanillalatch/consensus/replica.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <memory>
 
@@ -79,6 +80,11 @@
     replica_->OnMessage(now_, message);
   }
 
+  void Pass(Duration duration) {
+    now_ += duration;
+    replica_->OnTick(now_);
+  }
+
   Replica& replica() { return *replica_; }
   TimePoint now() const { return now_; }
 
@@ -126,6 +132,32 @@
   CHECK(one.replica().commit_index() == LogIndex(3));
 }
 
+TEST_CASE("a voter that answers is not replaced by its namesake", "[replica]") {
+  const bool answers = GENERATE(false, true);
+  CAPTURE(answers);
+  OneReplica one(3, 0, 2);
+  one.Lead();
+  one.Acknowledge(2, 3);
+  pb::ConsensusMessage message;
+  *message.mutable_introduce()->mutable_replica() = Member(3);
+  message.mutable_introduce()->mutable_replica()->set_id(33);
+  one.replica().OnMessage(one.now(), message);
+  REQUIRE(one.replica().configuration().replicas_size() == 4);
+  one.Pass(std::chrono::milliseconds(900));
+  for (const std::uint64_t it : {2, 33}) {
+    one.Acknowledge(it, 4);
+  }
+  if (answers) {
+    one.Acknowledge(3, 4);
+  }
+  one.Pass(std::chrono::milliseconds(500));
+  const pb::Configuration& group = one.replica().configuration();
+  const bool kept =
+      std::any_of(group.replicas().begin(), group.replicas().end(),
+                  [](const pb::Replica& it) { return it.id() == 3; });
+  CHECK(kept == answers);
+}
+
 TEST_CASE("a learner's acknowledgement commits nothing", "[replica]") {
   OneReplica one(3, 1, 2);
   one.Lead();
