--- a/src/placement/endpoint_pool.cc
+++ b/src/placement/endpoint_pool.cc
@@ -114,7 +114,7 @@
 
 EndpointPool::Rank EndpointPool::RankOf(TimePoint now,
                                         const EndpointTrack& track) const {
-  const int trouble = track.LooksSick() ? kSick
+  const int trouble = track.LooksSick()    ? kSick
                       : IsSlow(now, track) ? kSlow
                                            : kNone;
   const double share =
--- a/src/placement/placement_load_test.cc
+++ b/src/placement/placement_load_test.cc
@@ -102,6 +102,14 @@
         0.5 / static_cast<double>(size.endpoints));
 }
 
+TEST_CASE("A slow endpoint does not cost the class its target") {
+  SimOptions options = Plain({4, 2}, 0.7);
+  options.endpoints[0].slowness = 5;
+  options.classes[0].target.latency = milliseconds(150);
+  const SimResult ours = RunSim(options, Dispatcher(options));
+  CHECK(Part(ours.classes[0].within, ours.classes[0].offered) >= 0.99);
+}
+
 TEST_CASE("An endpoint that fails fast gets less than its even share") {
   const Size size = GENERATE(from_range(std::begin(kSizes), std::end(kSizes)));
   SimOptions options = Plain(size, 0.7);
--- a/src/placement/sim/placement_world.cc
+++ b/src/placement/sim/placement_world.cc
@@ -224,8 +224,11 @@
     Compare(report.state(), step.Word(2));
   } else if (what == "busy") {
     Compare(std::to_string(report.busy()), step.Word(2));
-  } else if (what == "at_most") {
-    if (report.requests() > step.Number(2)) {
+  } else if (what == "at_most" || what == "at_least") {
+    const std::uint64_t bound = step.Number(2);
+    const bool holds = what == "at_most" ? report.requests() <= bound
+                                         : report.requests() >= bound;
+    if (!holds) {
       throw Failure("it got " + std::to_string(report.requests()) +
                     " requests");
     }
--- a/src/placement/sim/placement_world.h
+++ b/src/placement/sim/placement_world.h
@@ -10,7 +10,8 @@
 //       one request after the other; those at endpoint 7 fail
 //   run 2s
 //   expect started 1 7 | waiting 1 | refused 1 overloaded
-//   expect state 7 ejected | busy 7 2 | queued 3 | at_most 7 10
+//   expect state 7 ejected | busy 7 2 | queued 3
+//   expect at_most 7 10 | at_least 7 2     requests that it got
 //   expect retry yes
 #ifndef VANILLALATCH_SRC_PLACEMENT_SIM_PLACEMENT_WORLD_H_
 #define VANILLALATCH_SRC_PLACEMENT_SIM_PLACEMENT_WORLD_H_
