--- a/src/storage/storage_bench.cc
+++ b/src/storage/storage_bench.cc
@@ -17,7 +17,7 @@
     disk->Sync("log");
   }
 }
-BENCHMARK(AppendAndSync)->Arg(200)->Arg(64 * 1024);
+BENCHMARK(AppendAndSync)->Arg(200)->Arg(65536);
 
 }  // namespace
 }  // namespace vanillalatch
