--- a/include/vanillalatch/admission/retry_budget.h
+++ b/include/vanillalatch/admission/retry_budget.h
@@ -1,5 +1,5 @@
-// Bounds retries to a tenth of the recent work, so that retries of failing
-// requests can't double the load that makes them fail.
+// Bounds retries to a tenth of the recent work and a few, so that retries of
+// failing requests can't double the load that makes them fail.
 //
 //   RetryBudget budget;
 //   budget.OnWork(now);            // For each first attempt.
