Show a joiner alone until a seed has sent it all members

A VM that had met one member acted as dispatcher on a list of two: in the scenario stop.scn of the requests the restarted vm-1 answered 'outcome unknown' for r175 that others held. The answer to a join now goes out at once and says when it is complete; a joiner that no seed answers shows after 1 s whom it has met.

--- a/src/membership/member_list.cc
+++ b/src/membership/member_list.cc
@@ -30,6 +30,8 @@
 constexpr Duration kRelayLifetime = milliseconds(1000);
 // How often a joiner asks a seed, and a member tries one that is missing.
 constexpr Duration kJoinInterval = milliseconds(300);
+// A joiner that no seed answers shows after this time whom it has met.
+constexpr Duration kJoinLimit = milliseconds(1000);
 constexpr Duration kSeekInterval = milliseconds(1000);
 constexpr int kPauseIntervals = 5;
 constexpr int kDeafIntervals = 3;
@@ -52,6 +54,7 @@
       sequence_(rng_() >> 40) {
   self_ = {NodeId{StableHash(options_.name)}, options_.name, options_.peer,
            MemberState::kAlive, options_.incarnation};
+  joined_ = options_.seeds.empty();
   Changed();
 }
 
@@ -62,6 +65,7 @@
                           rng_() % static_cast<std::uint64_t>(
                                        options_.probe_interval.count())));
   next_seek_ = now;
+  join_by_ = now + kJoinLimit;
   updates_.Push(self_.id, true);
 }
 
@@ -229,7 +233,11 @@
   if (event.now < next_seek_) {
     return;
   }
-  const bool alone = table_.LiveCount() == 0;
+  if (!joined_ && event.now >= join_by_ && table_.LiveCount() > 0) {
+    joined_ = true;
+    Changed();
+  }
+  const bool alone = !joined_ || table_.LiveCount() == 0;
   next_seek_ = event.now + (alone ? kJoinInterval : kSeekInterval);
   std::vector<const Member*> missing;
   for (const auto& [id, record] : table_.records()) {
@@ -250,7 +258,7 @@
   const SocketAddress seed =
       options_.seeds[next_seed_++ % options_.seeds.size()];
   const bool known =
-      std::any_of(view_.begin(), view_.end(), [&](const Member& it) {
+      joined_ && std::any_of(all_.begin(), all_.end(), [&](const Member& it) {
         return it.peer == seed && it.state != MemberState::kDead;
       });
   if (!known) {
@@ -335,6 +343,10 @@
   }
   last_heard_ = now;
   MergeMembers(event, from, message);
+  if (message.complete() && !joined_) {
+    joined_ = true;
+    Changed();
+  }
   leases.OnContact(now, false);
   for (const pb::LeaseUpdate& it : message.leases()) {
     leases.MergeLease(now, it, true);
@@ -370,7 +382,7 @@
       OnPingRequest(event, from, message);
       break;
     case pb::MembershipMessage::JOIN:
-      OnJoin(from, sender, message);
+      OnJoin(event, from, sender);
       break;
     default:
       break;
@@ -461,16 +473,17 @@
   }
 }
 
-void MemberListImpl::OnJoin(SocketAddress from, NodeId sender,
-                            const pb::MembershipMessage& message) {
+void MemberListImpl::OnJoin(Event& event, SocketAddress from, NodeId sender) {
   Sync& sync = syncs_[sender];
   sync.to = from;
+  sync.joins = true;
   sync.wanted.clear();
-  for (const Member& it : view_) {
+  for (const Member& it : all_) {
     if (it.state != MemberState::kDead && it.id != sender) {
       sync.wanted.push_back(it.id);
     }
   }
+  SendSyncs(event);
 }
 
 void MemberListImpl::OnAck(Event& event, const pb::MembershipMessage& message) {
@@ -524,13 +537,14 @@
 
 void MemberListImpl::Changed() {
   ++version_;
-  view_.clear();
-  view_.push_back(self_);
+  all_.clear();
+  all_.push_back(self_);
   for (const auto& [id, record] : table_.records()) {
-    view_.push_back(record.member);
+    all_.push_back(record.member);
   }
-  std::sort(view_.begin(), view_.end(),
+  std::sort(all_.begin(), all_.end(),
             [](const Member& a, const Member& b) { return a.id < b.id; });
+  view_ = joined_ ? all_ : std::vector<Member>{self_};
 }
 
 }  // namespace internal
--- a/src/membership/member_list_impl.h
+++ b/src/membership/member_list_impl.h
@@ -64,6 +64,7 @@
     bool members = false;
     NodeId member_cursor;
     std::vector<NodeId> wanted;  // Members to send with name and address.
+    bool joins = false;          // Wants to know when it has them all.
   };
 
   // Ticks.
@@ -93,8 +94,7 @@
   void OnAck(Event& event, const pb::MembershipMessage& message);
   void OnPingRequest(Event& event, SocketAddress from,
                      const pb::MembershipMessage& message);
-  void OnJoin(SocketAddress from, NodeId sender,
-              const pb::MembershipMessage& message);
+  void OnJoin(Event& event, SocketAddress from, NodeId sender);
   // Asks for members that are known by their ids only.
   void AskFor(Event& event, SocketAddress to, std::span<const NodeId> wanted);
   void Join(Event& event, SocketAddress to);
@@ -126,17 +126,22 @@
   MemberTable table_;
   UpdateQueue updates_;
   SendBudget budget_;
-  std::vector<Member> view_;
+  std::vector<Member> all_;   // By id, this VM included.
+  std::vector<Member> view_;  // As shown to others.
   std::uint64_t version_ = 0;
   std::uint64_t bytes_sent_ = 0;
 
   bool started_ = false;
   bool leaving_ = false;
+  // A seed has sent all its members, or there are no seeds. Before that this
+  // VM shows itself alone: half a list would have it act on half a list.
+  bool joined_ = false;
   std::optional<TimePoint> flap_hold_until_;
   TimePoint last_tick_;
   TimePoint last_heard_;
   TimePoint next_probe_;
   TimePoint next_seek_;
+  TimePoint join_by_;
   TimePoint next_push_;
   TimePoint next_sync_;
   TimePoint next_ask_;
--- a/src/membership/member_send.cc
+++ b/src/membership/member_send.cc
@@ -145,6 +145,10 @@
   pb::MembershipMessage message =
       NewMessage(pb::MembershipMessage::STATE, ++sequence_);
   AppendMembers(sync, room, message);
+  if (sync.joins && sync.wanted.empty()) {
+    sync.joins = false;
+    message.set_complete(true);
+  }
   event.leases.AppendChosen(event.now, sync.leases, room, message);
   return SendBytes(event, sync.to, message);
 }
@@ -170,7 +174,7 @@
     }
     sync.wanted.pop_back();
   }
-  for (const Member& it : view_) {
+  for (const Member& it : all_) {
     if (!sync.members || it.id < sync.member_cursor) {
       continue;
     }
@@ -188,7 +192,7 @@
 
 std::uint32_t MemberListImpl::MembersDigest() const {
   std::uint32_t digest = 0;
-  for (const Member& it : view_) {
+  for (const Member& it : all_) {
     digest ^= DigestOf(it);
   }
   return digest;
--- a/src/registry/membership_random_test.cc
+++ b/src/registry/membership_random_test.cc
@@ -64,7 +64,6 @@
 
   void CheckService(const FakeVm& vm, ServiceId service,
                     std::set<EndpointId>& shown) {
-    std::set<SocketAddress> addresses;
     for (const Endpoint& it : vm.registry->EndpointsOf(service)) {
       const auto registered = services_.find(it.id);
       if (it.service != service ||
@@ -137,13 +136,17 @@
     const bool up = vm.list != nullptr && !vm.frozen;
     switch (rng_() % 10) {
       case 0:
-        if (up) world_.KillVm(name);
+        if (up) {
+          world_.KillVm(name);
+        }
         break;
       case 1:
         Revive(name);
         break;
       case 2:
-        if (up) world_.Freeze(name);
+        if (up) {
+          world_.Freeze(name);
+        }
         break;
       case 3:
         world_.network().Cut(vm.peer, world_.Vm(AnyVm()).peer);
--- a/src/registry/registry.cc
+++ b/src/registry/registry.cc
@@ -582,6 +582,7 @@
     doubted_ &= ~(BucketMask{1} << theirs.bucket());
     for (std::size_t n = 0; n < known.size(); ++n) {
       MergeAge(now, *known[n], ages[n]);
+      Show(now, *known[n]);
     }
     return;
   }
--- a/src/registry/testing/fake_network.h
+++ b/src/registry/testing/fake_network.h
@@ -35,12 +35,14 @@
     most_ = most;
   }
   // Drops what `from` sends to `to`.
-  void Cut(SocketAddress from, SocketAddress to) { cuts_.insert({from, to}); }
+  void Cut(SocketAddress from, SocketAddress to) {
+    cuts_.insert({from.Packed(), to.Packed()});
+  }
   void Heal() { cuts_.clear(); }
 
   void Send(TimePoint now, SocketAddress from, SocketAddress to,
             ByteSpan bytes) {
-    if (cuts_.contains({from, to}) || Draw(100) < loss_) {
+    if (cuts_.contains({from.Packed(), to.Packed()}) || Draw(100) < loss_) {
       return;
     }
     const int copies = Draw(100) < duplicates_ ? 2 : 1;
@@ -73,7 +75,7 @@
 
   std::mt19937_64 rng_;
   std::multimap<TimePoint, Packet> queue_;
-  std::set<std::pair<SocketAddress, SocketAddress>> cuts_;
+  std::set<std::pair<std::uint64_t, std::uint64_t>> cuts_;  // Packed.
   std::uint64_t loss_ = 0;
   std::uint64_t duplicates_ = 0;
   Duration least_ = std::chrono::microseconds(400);
--- a/src/registry/testing/membership_world.cc
+++ b/src/registry/testing/membership_world.cc
@@ -36,7 +36,7 @@
     FakeVm& vm = vms_[name];
     vm.name = name;
     vm.peer = {kVmNetwork + static_cast<std::uint32_t>(vms_.size()), kPeerPort};
-    by_peer_[vm.peer] = &vm;
+    by_peer_[vm.peer.Packed()] = &vm;
     names_[NodeId{StableHash(name)}] = name;
     if (seeds_.size() < 3) {
       seeds_.push_back(vm.peer);
@@ -209,7 +209,7 @@
 }
 
 void MembershipWorld::Deliver(const FakeNetwork::Packet& packet) {
-  const auto it = by_peer_.find(packet.to);
+  const auto it = by_peer_.find(packet.to.Packed());
   if (it == by_peer_.end() || it->second->list == nullptr) {
     return;
   }
--- a/src/registry/testing/membership_world.h
+++ b/src/registry/testing/membership_world.h
@@ -131,7 +131,7 @@
   FakeNetwork network_;
   TimePoint now_{std::chrono::seconds(1)};
   std::map<std::string, FakeVm> vms_;
-  std::map<SocketAddress, FakeVm*> by_peer_;
+  std::map<std::uint64_t, FakeVm*> by_peer_;  // By packed address.
   std::map<NodeId, std::string> names_;
   std::map<std::string, FakeBackend> backends_;
   std::vector<SocketAddress> seeds_;
--- a/src/registry/testing/world_steps.cc
+++ b/src/registry/testing/world_steps.cc
@@ -326,8 +326,8 @@
 
 std::function<bool()> MembershipWorld::EndpointCondition(const Step& step,
                                                          std::size_t n) {
-  const std::string name = step.Word(n);
-  const std::string want = step.Word(n + 1);
+  const std::string& name = step.Word(n);
+  const std::string& want = step.Word(n + 1);
   return [=, this] {
     const auto viewers = Viewers(step);
     return std::all_of(viewers.begin(), viewers.end(), [&](FakeVm* vm) {
