--- /dev/null
+++ b/src/admission/answer_time.cc
@@ -0,0 +1,21 @@
+#include "vanillalatch/admission/answer_time.h"
+
+#include <algorithm>
+
+namespace vanillalatch {
+void AnswerTime::Add(TimePoint now, Duration sample) {
+  ++samples_;
+  updated_ = now;
+  if (samples_ == 1) {
+    mean_ = sample;
+    deviation_ = sample / 2;
+    return;
+  }
+  // The first samples all weigh the same.
+  const auto weight = static_cast<std::int64_t>(std::min(samples_, smoothing_));
+  const Duration error = sample - mean_;
+  mean_ += error / weight;
+  deviation_ += (std::chrono::abs(error) - deviation_) / weight;
+}
+
+}  // namespace vanillalatch
--- a/src/membership/member_list_impl.h
+++ b/src/membership/member_list_impl.h
@@ -43,10 +43,11 @@
   // The probe of one member that is under way.
   struct Probe {
     NodeId target;
+    std::uint64_t incarnation = 0;  // Of the target when it began.
     std::uint64_t sequence = 0;
     TimePoint started;
-    bool indirect = false;  // The other ways were tried as well.
-    bool again = false;     // The probe before failed on the same member.
+    bool retried = false;
+    bool again = false;  // The probe before failed on the same member.
     bool acked = false;
   };
   // A probe made for another member.
@@ -59,11 +60,11 @@
   // What one member still has to be sent, after its digests differed.
   struct Sync {
     SocketAddress to;
-    BucketMask buckets = 0;
-    std::size_t lease_cursor = 0;
+    std::vector<EndpointId> leases;
     bool members = false;
-    bool full = false;  // Members with name and address.
     NodeId member_cursor;
+    std::vector<NodeId> wanted;  // Members to send with name and address.
+    bool joins = false;          // Wants to know when it has them all.
   };
 
   // Ticks.
@@ -73,6 +74,10 @@
   void StepProbe(Event& event);
   void StartProbe(Event& event);
   void ProbeOtherWays(Event& event);
+  bool StillMeant(const Probe& probe);
+  void Suspect(Event& event, NodeId id);
+  // The buckets whose digests the next probe carries.
+  BucketMask NextQuarter();
   std::optional<NodeId> NextTarget();
   void SeekMissing(Event& event);
   void SeekSeed(Event& event);
@@ -89,12 +94,16 @@
   void OnAck(Event& event, const pb::MembershipMessage& message);
   void OnPingRequest(Event& event, SocketAddress from,
                      const pb::MembershipMessage& message);
-  void AskForMembers(Event& event, SocketAddress to);
+  void OnJoin(Event& event, SocketAddress from, NodeId sender);
+  // Asks for members that are known by their ids only.
+  void AskFor(Event& event, SocketAddress to, std::span<const NodeId> wanted);
+  void Join(Event& event, SocketAddress to);
 
   // Sending. False if the budget has no room.
   pb::MembershipMessage NewMessage(pb::MembershipMessage::Kind kind,
                                    std::uint64_t sequence) const;
-  bool SendPing(Event& event, const Member& to, std::uint64_t sequence);
+  bool SendPing(Event& event, const Member& to, std::uint64_t sequence,
+                BucketMask digests);
   bool Send(Event& event, SocketAddress to, pb::MembershipMessage message,
             BucketMask digests);
   bool SendBytes(Event& event, SocketAddress to,
@@ -117,17 +126,22 @@
   MemberTable table_;
   UpdateQueue updates_;
   SendBudget budget_;
-  std::vector<Member> view_;
+  std::vector<Member> all_;   // By id, this VM included.
+  std::vector<Member> view_;  // As shown to others.
   std::uint64_t version_ = 0;
   std::uint64_t bytes_sent_ = 0;
 
   bool started_ = false;
   bool leaving_ = false;
+  // A seed has sent all its members, or there are no seeds. Before that this
+  // VM shows itself alone: half a list would have it act on half a list.
+  bool joined_ = false;
   std::optional<TimePoint> flap_hold_until_;
   TimePoint last_tick_;
   TimePoint last_heard_;
   TimePoint next_probe_;
   TimePoint next_seek_;
+  TimePoint join_by_;
   TimePoint next_push_;
   TimePoint next_sync_;
   TimePoint next_ask_;
@@ -136,6 +150,7 @@
   std::optional<Probe> probe_;
   std::map<std::uint64_t, Relay> relays_;  // By our sequence.
   std::map<NodeId, Sync> syncs_;
+  NodeId last_sync_;
   std::vector<NodeId> order_;  // Members still to be probed in this round.
   std::size_t next_seed_ = 0;
   std::size_t next_quarter_ = 0;
--- a/src/membership/update_queue.h
+++ b/src/membership/update_queue.h
@@ -31,15 +31,25 @@
     queue_.insert(queue_.begin(), {id, full, 0});
   }
 
+  // Somebody else spreads it as well: that is one send less to do.
+  void Heard(NodeId id) {
+    for (QueuedUpdate& it : queue_) {
+      it.sent += it.id == id ? 1 : 0;
+    }
+  }
+
   // Calls append(update) for each entry until it returns false; drops what
-  // has been sent `sends` times.
+  // has been sent `sends` times. Leaves out what is about `skipped`.
   template <typename F>
-  void Drain(std::size_t sends, F append) {
+  void Drain(std::size_t sends, NodeId skipped, F append) {
     std::stable_sort(queue_.begin(), queue_.end(),
                      [](const QueuedUpdate& a, const QueuedUpdate& b) {
                        return a.sent < b.sent;
                      });
     for (QueuedUpdate& it : queue_) {
+      if (it.id == skipped) {
+        continue;
+      }
       if (!append(it)) {
         break;
       }
