--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -164,8 +164,9 @@
 // time.
 void EntryNodeImpl::ForgetIdle() {
   for (auto& [id, service] : services_) {
+    SessionPlacer& placer = *service.placer;
     service.pins.ExpireSome(now_, [&](SocketAddress, EndpointId endpoint) {
-      service.placer->Close(endpoint);
+      placer.Close(endpoint);
     });
     absl::erase_if(service.blocks,
                    [&](const auto& it) { return it.second.expires <= now_; });
