--- a/src/entry/entry_world.h
+++ b/src/entry/entry_world.h
@@ -134,7 +134,7 @@
                          const Bytes& bytes);
   void ServeRequest(Backend& backend, SocketAddress from,
                     const CoapMessage& message);
-  void AnswerRequest(Backend& backend, SocketAddress from, Bytes answer);
+  void AnswerRequest(Backend& backend, SocketAddress from, const Bytes& answer);
   void Send(const scenario::Step& step);
   void Many(const scenario::Step& step);
   void SendRequest(Request& request, std::size_t vm);
--- a/src/entry/entry_world_parties_test.cc
+++ b/src/entry/entry_world_parties_test.cc
@@ -23,6 +23,14 @@
   return {reinterpret_cast<const std::uint8_t*>(text.data()), text.size()};
 }
 
+std::string Joined(std::initializer_list<std::string_view> parts) {
+  std::string text;
+  for (const std::string_view it : parts) {
+    text.append(it);
+  }
+  return text;
+}
+
 // True if the answer names an error kind that means "not run".
 bool SaysNotRun(const std::string& body) {
   const std::string kind = body.substr(0, body.find(':'));
@@ -226,7 +234,7 @@
 }
 
 void EntryWorld::AnswerRequest(Backend& backend, SocketAddress from,
-                               Bytes answer) {
+                               const Bytes& answer) {
   const int copies = backend.mode == BackendMode::kDouble ? 2 : 1;
   for (int n = 0; n < copies; ++n) {
     After(backend.delay * (n + 1), [this, name = backend.name, from, answer] {
@@ -379,20 +387,21 @@
     const std::string body = Text(message->payload);
     const bool ran = message->code < 0x80;
     if (ran && body != "ran:" + name) {
-      Violation(name + " got the answer " + body);
+      Violation(Joined({name, " got the answer ", body}));
     }
     if (!ran && request.runs > 0 && SaysNotRun(body)) {
-      Violation(name + " ran, but the answer says " + body);
+      Violation(Joined({name, " ran, but the answer says ", body}));
     }
     if (++request.answers == 1) {
       request.code = message->code;
       request.body = body;
       request.max_age = message->UintOption(kOptionMaxAge).value_or(0);
       request.answered = now_;
-      Write("answer to " + name + ": " + std::to_string(message->code >> 5) +
-            "." + std::to_string(message->code % 32) + " " + body);
+      Write(
+          Joined({"answer to ", name, ": ", std::to_string(message->code >> 5),
+                  ".", std::to_string(message->code % 32), " ", body}));
     } else if (ran && request.code < 0x80 && message->code != request.code) {
-      Violation(name + " got a second, different answer " + body);
+      Violation(Joined({name, " got a second, different answer ", body}));
     }
     return;
   }
