--- a/src/standin/backend_server.h
+++ b/src/standin/backend_server.h
@@ -7,11 +7,11 @@
 #ifndef VANILLALATCH_SRC_STANDIN_BACKEND_SERVER_H_
 #define VANILLALATCH_SRC_STANDIN_BACKEND_SERVER_H_
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "vanillalatch/base/outbox.h"
@@ -57,8 +57,10 @@
   struct MessageKey {
     SocketAddress from;
     std::uint16_t message_id;
-    // NOLINTNEXTLINE(modernize-use-nullptr)
-    auto operator<=>(const MessageKey&) const = default;
+    friend bool operator<(const MessageKey& a, const MessageKey& b) {
+      return std::pair(a.from.Packed(), a.message_id) <
+             std::pair(b.from.Packed(), b.message_id);
+    }
   };
   struct Exchange {
     CoapToken token;
