--- a/src/registry/registry.cc
+++ b/src/registry/registry.cc
@@ -6,9 +6,7 @@
 #include <utility>
 #include <vector>
 
-#include "absl/container/flat_hash_map.h"
-#include "src/registry/lease.h"
-#include "src/registry/lease_store.h"
+#include "src/registry/registry_impl.h"
 
 namespace vanillalatch {
 namespace internal {
@@ -18,14 +16,6 @@
 
 constexpr Duration kMinLifetime = std::chrono::seconds(1);
 constexpr Duration kMaxLifetime = std::chrono::hours(24);
-// A change has this long to spread by itself before digests make a VM send it
-// to those that lack it.
-constexpr Duration kSpreadTime = milliseconds(500);
-// A bucket that changed within this time is left out of the digests.
-constexpr Duration kHotTime = milliseconds(300);
-// How long a bucket goes on to show the digest of each lease after it was
-// found to differ.
-constexpr Duration kUnsettledTime = milliseconds(2000);
 constexpr BucketMask kAllBuckets = ~BucketMask{0};
 // A lease without news of a renewal runs out at the end of its lifetime if
 // news would have come: a peer compared it within the last third of the
@@ -33,14 +23,6 @@
 // kGraceLifetimes, so that a burst of changes doesn't cost renewals.
 constexpr Duration kConfirmTime = milliseconds(1500);
 constexpr int kGraceLifetimes = 3;
-// With many changes waiting, registrations and renewals are sent fewer times
-// than endings are: digests find who missed one.
-constexpr std::size_t kManyPending = 30;
-constexpr std::size_t kReadySendsOfMany = 2;
-// A change sent fewer times than this is news.
-constexpr std::size_t kNewsSends = 2;
-// Tag and length of one message in a repeated field.
-constexpr std::size_t kFieldBytes = 3;
 
 // News of renewals would have come: a peer compared the lease of late.
 bool ConfirmedOfLate(const Lease& lease, TimePoint now) {
@@ -59,97 +41,7 @@
   return std::tuple(lease.claim, lease.endpoint.epoch, lease.endpoint.id);
 }
 
-std::uint16_t ShortDigest(char low, char high) {
-  return static_cast<std::uint16_t>(static_cast<std::uint8_t>(low) |
-                                    static_cast<std::uint8_t>(high) << 8);
-}
-
-class RegistryImpl : public Registry {
- public:
-  explicit RegistryImpl(RegistryOptions options)
-      : options_(std::move(options)) {}
-
-  Result<EndpointId> Register(TimePoint now,
-                              const Registration& registration) override;
-  Result<EndpointId> BeginLeave(TimePoint now, EndpointId id) override;
-  bool OnTick(TimePoint now) override;
-
-  std::span<const Endpoint> EndpointsOf(ServiceId service) const override {
-    return store_.ViewOf(service);
-  }
-  const Endpoint* Find(EndpointId id) const override {
-    return store_.FindInView(id);
-  }
-  const Endpoint* FindByAddress(SocketAddress address) const override {
-    return store_.FindInView(store_.AddressInView(address));
-  }
-  std::uint64_t VersionOf(ServiceId service) const override {
-    return store_.VersionOf(service);
-  }
-
-  void AppendLeases(TimePoint now, bool endings, std::size_t sends,
-                    std::size_t max_bytes,
-                    pb::MembershipMessage& message) override;
-  void AppendDigests(TimePoint now, BucketMask mask, std::size_t max_bytes,
-                     pb::MembershipMessage& message) override;
-  void AppendChosen(TimePoint now, std::vector<EndpointId>& chosen,
-                    std::size_t max_bytes,
-                    pb::MembershipMessage& message) override;
-  void MergeLease(TimePoint now, const pb::LeaseUpdate& update,
-                  bool spread) override;
-  std::vector<EndpointId> MergeDigests(
-      TimePoint now, const pb::MembershipMessage& message) override;
-  bool HasNews(bool endings) override;
-  void OnContact(TimePoint now, bool alone) override;
-
- private:
-  struct Pending {
-    EndpointId id;
-    std::size_t sent = 0;
-  };
-
-  // True if it still is to be sent, as an ending or as one of the others.
-  bool IsPending(const Pending& pending, bool endings);
-  std::optional<Error> Check(const Registration& registration);
-  Result<EndpointId> RenewHere(TimePoint now, const Registration& registration,
-                               Lease& lease);
-  EndpointId Add(TimePoint now, const Registration& registration,
-                 EndpointId id);
-  void MergeKnown(TimePoint now, Lease& lease, const Lease& incoming,
-                  bool spread);
-  void MergeNew(TimePoint now, Lease incoming, bool spread);
-  // Takes news of a renewal; a lapsed lease comes back, or is removed if its
-  // address was reused. False if it is no news.
-  bool TakeRenewal(TimePoint now, Lease& lease, TimePoint renewed);
-  // Settles who holds the address of `lease`; false if somebody else does.
-  bool TakeAddress(TimePoint now, const Lease& lease);
-  // Marks it gone and remembers it.
-  void Remove(TimePoint now, Lease& lease);
-  bool HasExpired(TimePoint now, const Lease& lease) const;
-  void Expire(TimePoint now, Lease& lease);
-  void Spread(EndpointId id);
-  // Somebody else spreads it as well: that is one send less to do.
-  void Heard(EndpointId id);
-  void Show(TimePoint now, const Lease& lease);
-  void UpdateDoubt(TimePoint now);
-  std::uint64_t NextClaim(SocketAddress address);
-  pb::LeaseBucket DigestOfBucket(TimePoint now, std::size_t bucket);
-  void MergeBucket(TimePoint now, const pb::LeaseBucket& theirs,
-                   std::vector<EndpointId>& lacking);
-  void MergeAge(TimePoint now, Lease& lease, char age);
-  // Leases that are not gone, by id.
-  std::vector<Lease*> KnownIn(std::size_t bucket);
-
-  RegistryOptions options_;
-  LeaseStore store_;
-  std::vector<Pending> pending_;
-  // Buckets whose leases may be out of date, for lack of contact.
-  BucketMask doubted_ = 0;
-  std::array<TimePoint, kBuckets> unsettled_until_{};
-  bool alone_ = false;
-  std::optional<TimePoint> last_contact_;
-  TimePoint contact_since_;
-};
+}  // namespace
 
 std::optional<Error> RegistryImpl::Check(const Registration& registration) {
   if (registration.data_center != options_.data_center) {
@@ -460,192 +352,12 @@
   }
 }
 
-void RegistryImpl::Spread(EndpointId id) {
-  std::erase_if(pending_, [&](const Pending& it) { return it.id == id; });
-  pending_.insert(pending_.begin(), {id, 0});
-}
-
-void RegistryImpl::Heard(EndpointId id) {
-  for (Pending& it : pending_) {
-    it.sent += it.id == id ? 1 : 0;
-  }
-}
-
 void RegistryImpl::Show(TimePoint now, const Lease& lease) {
   const bool doubted = ((doubted_ >> BucketOf(lease.endpoint.id)) & 1) != 0 &&
                        lease.renewed_here + options_.first_hand_bound < now;
   store_.Show(lease, doubted);
 }
 
-void RegistryImpl::AppendLeases(TimePoint now, bool endings, std::size_t sends,
-                                std::size_t max_bytes,
-                                pb::MembershipMessage& message) {
-  std::size_t size = message.ByteSizeLong();
-  const bool many = pending_.size() > kManyPending;
-  const std::size_t limit = many && !endings ? kReadySendsOfMany : sends;
-  std::stable_sort(
-      pending_.begin(), pending_.end(),
-      [](const Pending& a, const Pending& b) { return a.sent < b.sent; });
-  for (Pending& it : pending_) {
-    if (!IsPending(it, endings) || it.sent >= limit) {
-      continue;
-    }
-    pb::LeaseUpdate update;
-    ToUpdate(*store_.Find(it.id), now, update);
-    size += update.ByteSizeLong() + kFieldBytes;
-    if (size > max_bytes) {
-      break;
-    }
-    *message.add_leases() = std::move(update);
-    ++it.sent;
-  }
-  std::erase_if(pending_, [&](const Pending& it) {
-    return IsPending(it, endings) ? it.sent >= limit : !IsPending(it, !endings);
-  });
-}
-
-bool RegistryImpl::IsPending(const Pending& pending, bool endings) {
-  const Lease* lease = store_.Find(pending.id);
-  return lease != nullptr && lease->state != LeaseState::kLapsed &&
-         endings == (lease->state != LeaseState::kReady);
-}
-
-bool RegistryImpl::HasNews(bool endings) {
-  return std::any_of(pending_.begin(), pending_.end(), [&](const Pending& it) {
-    return it.sent < kNewsSends && IsPending(it, endings);
-  });
-}
-
-std::vector<Lease*> RegistryImpl::KnownIn(std::size_t bucket) {
-  std::vector<Lease*> known;
-  for (Lease* it : store_.Bucket(bucket)) {
-    if (it->state != LeaseState::kGone) {
-      known.push_back(it);
-    }
-  }
-  return known;
-}
-
-pb::LeaseBucket RegistryImpl::DigestOfBucket(TimePoint now,
-                                             std::size_t bucket) {
-  const bool unsettled = now < unsettled_until_[bucket] ||
-                         now - store_.ChangedAt(bucket) < kUnsettledTime;
-  pb::LeaseBucket digest;
-  digest.set_bucket(static_cast<std::uint32_t>(bucket));
-  std::uint32_t sum = 0;
-  for (const Lease* it : KnownIn(bucket)) {
-    const std::uint32_t own = DigestOf(*it);
-    sum ^= own;
-    digest.mutable_ages()->push_back(static_cast<char>(AgeOf(*it, now)));
-    if (unsettled) {
-      digest.mutable_lease_digests()->push_back(static_cast<char>(own));
-      digest.mutable_lease_digests()->push_back(static_cast<char>(own >> 8));
-    }
-  }
-  digest.set_digest(sum);
-  return digest;
-}
-
-void RegistryImpl::AppendDigests(TimePoint now, BucketMask mask,
-                                 std::size_t max_bytes,
-                                 pb::MembershipMessage& message) {
-  std::size_t size = message.ByteSizeLong();
-  for (std::size_t n = 0; n < kBuckets; ++n) {
-    if (((mask >> n) & 1) == 0 || now - store_.ChangedAt(n) < kHotTime) {
-      continue;
-    }
-    pb::LeaseBucket digest = DigestOfBucket(now, n);
-    size += digest.ByteSizeLong() + kFieldBytes;
-    if (size > max_bytes) {
-      return;
-    }
-    *message.add_buckets() = std::move(digest);
-  }
-}
-
-void RegistryImpl::MergeAge(TimePoint now, Lease& lease, char age) {
-  lease.confirmed = now;
-  const auto steps = static_cast<std::uint8_t>(age);
-  if (steps != kAgeUnknown &&
-      TakeRenewal(now, lease, RenewedFromAge(lease, steps, now))) {
-    Show(now, lease);
-  }
-}
-
-void RegistryImpl::MergeBucket(TimePoint now, const pb::LeaseBucket& theirs,
-                               std::vector<EndpointId>& lacking) {
-  const std::vector<Lease*> known = KnownIn(theirs.bucket());
-  const std::string& ages = theirs.ages();
-  const std::string& digests = theirs.lease_digests();
-  const pb::LeaseBucket own = DigestOfBucket(now, theirs.bucket());
-  if (own.digest() == theirs.digest() && ages.size() == known.size()) {
-    doubted_ &= ~(BucketMask{1} << theirs.bucket());
-    for (std::size_t n = 0; n < known.size(); ++n) {
-      MergeAge(now, *known[n], ages[n]);
-      Show(now, *known[n]);
-    }
-    return;
-  }
-  unsettled_until_[theirs.bucket()] = now + kUnsettledTime;
-  if (digests.size() != 2 * ages.size()) {
-    return;
-  }
-  absl::flat_hash_map<std::uint16_t, char> theirs_by_digest;
-  for (std::size_t n = 0; n < ages.size(); ++n) {
-    theirs_by_digest[ShortDigest(digests[2 * n], digests[2 * n + 1])] = ages[n];
-  }
-  std::size_t matched = 0;
-  for (Lease* it : known) {
-    const auto found =
-        theirs_by_digest.find(static_cast<std::uint16_t>(DigestOf(*it)));
-    if (found != theirs_by_digest.end()) {
-      MergeAge(now, *it, found->second);
-      ++matched;
-    } else if (now - it->changed >= kSpreadTime) {
-      lacking.push_back(it->endpoint.id);
-    }
-  }
-  if (matched == ages.size()) {
-    return;
-  }
-  for (const Lease* it : store_.Bucket(theirs.bucket())) {
-    if (it->state == LeaseState::kGone) {
-      lacking.push_back(it->endpoint.id);
-    }
-  }
-}
-
-std::vector<EndpointId> RegistryImpl::MergeDigests(
-    TimePoint now, const pb::MembershipMessage& message) {
-  std::vector<EndpointId> lacking;
-  for (const pb::LeaseBucket& it : message.buckets()) {
-    if (it.bucket() < kBuckets) {
-      MergeBucket(now, it, lacking);
-    }
-  }
-  return lacking;
-}
-
-void RegistryImpl::AppendChosen(TimePoint now, std::vector<EndpointId>& chosen,
-                                std::size_t max_bytes,
-                                pb::MembershipMessage& message) {
-  std::size_t size = message.ByteSizeLong();
-  while (!chosen.empty()) {
-    const Lease* lease = store_.Find(chosen.back());
-    if (lease != nullptr && lease->state != LeaseState::kLapsed) {
-      pb::LeaseUpdate update;
-      ToUpdate(*lease, now, update);
-      size += update.ByteSizeLong() + kFieldBytes;
-      if (size > max_bytes) {
-        return;
-      }
-      *message.add_lacking() = std::move(update);
-    }
-    chosen.pop_back();
-  }
-}
-
-}  // namespace
 }  // namespace internal
 
 Result<std::unique_ptr<Registry>> Registry::Create(RegistryOptions options) {
--- a/src/registry/testing/membership_world.h
+++ b/src/registry/testing/membership_world.h
@@ -114,6 +114,8 @@
   std::function<bool()> Condition(const scenario::Step& step, std::size_t n);
   std::function<bool()> EndpointCondition(const scenario::Step& step,
                                           std::size_t n);
+  std::size_t SentTotal() const;
+  std::size_t MeanRate() const;
   std::vector<FakeVm*> Viewers(const scenario::Step& step);
 
   TimePoint NextEvent();
@@ -137,6 +139,8 @@
   std::vector<SocketAddress> seeds_;
   std::set<std::pair<std::string, MemberState>> seen_states_;  // Since mark.
   std::function<void(FakeVm&)> watch_;
+  TimePoint marked_at_ = now_;
+  std::size_t marked_total_ = 0;  // Bytes sent by all VMs up to the mark.
   bool quiet_ = false;
   std::string journal_;
 };
--- a/src/registry/testing/world_steps.cc
+++ b/src/registry/testing/world_steps.cc
@@ -16,8 +16,10 @@
 //   converged [members]            all views are equal
 //   never VM STATE                 nobody saw this since the mark
 //   busiest_second N               bytes, of any VM, at most
+//   mean_rate N                    bytes a second and VM since the mark
 #include <algorithm>
 #include <cstdio>
+#include <numeric>
 #include <tuple>
 
 #include "src/registry/testing/membership_world.h"
@@ -234,9 +236,24 @@
     SetQuiet();
   } else {
     seen_states_.clear();
+    marked_at_ = now_;
+    marked_total_ = SentTotal();
   }
 }
 
+std::size_t MembershipWorld::SentTotal() const {
+  return std::accumulate(vms_.begin(), vms_.end(), std::size_t{0},
+                         [](std::size_t sum, const auto& it) {
+                           return sum + it.second.sent_total;
+                         });
+}
+
+std::size_t MembershipWorld::MeanRate() const {
+  const auto elapsed =
+      static_cast<std::size_t>((now_ - marked_at_) / std::chrono::seconds(1));
+  return (SentTotal() - marked_total_) / elapsed / vms_.size();
+}
+
 void MembershipWorld::DoWithin(const Step& step) {
   const std::optional<Duration> took =
       RunUntil(step.Time(0), Condition(step, 1));
@@ -321,6 +338,14 @@
       return bytes <= step.Number(n + 1);
     };
   }
+  if (kind == "mean_rate") {
+    return [=, this] {
+      if (std::getenv("VANILLALATCH_SHOW_TIMES") != nullptr) {
+        std::printf("mean rate: %zu bytes a second\n", MeanRate());
+      }
+      return MeanRate() <= step.Number(n + 1);
+    };
+  }
   throw Failure("no condition " + kind);
 }
 
