Wait for endpoints before a VM that has just started serves

Cause: a restarted entry VM became the dispatcher with an empty registry and answered for services whose endpoints it had not heard of; 'not run' could not be told, so callers got deadline_exceeded 83 ms after their request (scenarios/processes/planned_stops.scn: 34 unknown outcomes, 7 refused). Ruled out: the deadline's clock (it travels as time left).

--- a/src/entry/entry_node_impl.h
+++ b/src/entry/entry_node_impl.h
@@ -250,6 +250,7 @@
   void ReviewSources(ServiceState& service);
   void BecomeComplete(ServiceState& service);
   static void ReviewClaims(ServiceState& service);
+  bool AwaitsEndpoints(const ServiceState& service) const;
   void FinishCollection(ServiceState& service);
   void BeginCollection(ServiceState& service);
   void SendCollect(ServiceState& service);
--- a/src/entry/takeover.cc
+++ b/src/entry/takeover.cc
@@ -222,8 +222,19 @@
 }
 
 // What the replies say about requests that no living VM may know of.
+// A VM that has just started may not have heard of the endpoints yet: it can't
+// tell an empty service from its own ignorance.
+bool EntryNodeImpl::AwaitsEndpoints(const ServiceState& service) const {
+  return now_ < started_ + kJoinLimit && !options_.membership.seeds.empty() &&
+         registry_->EndpointsOf(service.id()).empty();
+}
+
 void EntryNodeImpl::FinishCollection(ServiceState& service) {
   Collection& collection = service.collection;
+  if (AwaitsEndpoints(service)) {
+    collection.resend = now_ + kPeerResend;
+    return;
+  }
   service.all_collected = collection.missing.empty();
   ReviewClaims(service);
   for (const auto& [instance, until] : service.known_dispatchers) {
