--- a/src/entry/entry_world.h
+++ b/src/entry/entry_world.h
@@ -119,7 +119,8 @@
   void RunNext();
   void After(Duration delay, std::function<void()> run);
   void Drain(std::size_t n, Outbox& out);
-  void Deliver(std::size_t n, SocketRole role, SocketAddress from, Bytes bytes);
+  void Deliver(std::size_t n, SocketRole role, SocketAddress from,
+               const Bytes& bytes);
   void Transmit(SocketAddress from, SocketAddress to, Bytes bytes);
   void Arrive(SocketAddress from, SocketAddress to, const Bytes& bytes);
   void Write(const std::string& line);
--- a/src/entry/entry_world_test.cc
+++ b/src/entry/entry_world_test.cc
@@ -351,7 +351,7 @@
 }
 
 void EntryWorld::Deliver(std::size_t n, SocketRole role, SocketAddress from,
-                         Bytes bytes) {
+                         const Bytes& bytes) {
   Vm& vm = vms_[n];
   const auto sender = static_cast<std::size_t>(from.ip - kVmNet - 1);
   if (vm.node == nullptr ||
@@ -359,9 +359,8 @@
     return;
   }
   if (vm.frozen) {
-    vm.waiting.push_back([this, n, role, from, bytes = std::move(bytes)] {
-      Deliver(n, role, from, bytes);
-    });
+    vm.waiting.push_back(
+        [this, n, role, from, bytes] { Deliver(n, role, from, bytes); });
     return;
   }
   Outbox out;
--- a/src/entry/takeover.cc
+++ b/src/entry/takeover.cc
@@ -188,9 +188,9 @@
   if (!service.dispatches || service.ready) {
     return;
   }
-  if (now_ >= collection.resend && collection.missing.empty()) {
-    FinishCollection(service);
-  } else if (now_ >= collection.ends) {
+  const bool all_replied =
+      now_ >= collection.resend && collection.missing.empty();
+  if (all_replied || now_ >= collection.ends) {
     FinishCollection(service);
   } else if (now_ >= collection.resend) {
     SendCollect(service);
