Walk the VMs and collections of an entry VM in order

Conclusion: small sets are ordered; large tables stay hashed, and what is walked there is sorted first.

--- a/src/entry/entry_node_impl.h
+++ b/src/entry/entry_node_impl.h
@@ -307,14 +307,14 @@
   std::uint64_t next_sequence_;
 
   std::uint64_t members_version_ = 0;
-  absl::flat_hash_map<NodeId, std::uint64_t> instances_;  // Of peers.
-  absl::flat_hash_map<NodeId, MemberState> member_states_;
-  absl::flat_hash_map<NodeId, TimePoint> lost_members_;  // Without notice.
+  std::map<NodeId, std::uint64_t> instances_;  // Of peers.
+  std::map<NodeId, MemberState> member_states_;
+  std::map<NodeId, TimePoint> lost_members_;  // Without notice.
   // When a member died last, and the one before: without notice.
   TimePoint lost_at_ = TimePoint::min();
   TimePoint lost_before_ = TimePoint::min();
-  absl::flat_hash_set<NodeId> greeted_;  // Know this VM's instance.
-  SocketAddress peer_from_;  // Sender of the peer datagram being handled.
+  std::set<NodeId> greeted_;  // Know this VM's instance.
+  SocketAddress peer_from_;   // Sender of the peer datagram being handled.
   bool joined_ = false;
   bool stopping_ = false;
   bool drained_by_catalog_ = false;  // Announced by membership.
--- a/src/entry/entry_random_test.cc
+++ b/src/entry/entry_random_test.cc
@@ -1,6 +1,7 @@
 // Random faults over fixed seeds: every step is checked by EntryWorld, and at
 // the end no slot and no record is left.
 #include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
 #include <random>
 #include <string>
@@ -13,6 +14,8 @@
 
 constexpr int kSeedsPerTest = 250;
 constexpr int kRounds = 4;
+// Listed in KNOWN-RED.txt; a test of their own, so that the others still run.
+constexpr std::array kKnownRedSeeds = {96, 186};
 
 // Writes a script of requests and faults. One VM always keeps its memory: what
 // no VM remembers can only be told by the time of issue (lost-all.scn).
@@ -121,7 +124,16 @@
 TEST_CASE("random faults", "[entry][random]") {
   const int first = GENERATE(range(0, 4)) * kSeedsPerTest;
   for (int seed = first + 1; seed <= first + kSeedsPerTest; ++seed) {
-    RunSeed(seed);
+    if (std::find(kKnownRedSeeds.begin(), kKnownRedSeeds.end(), seed) ==
+        kKnownRedSeeds.end()) {
+      RunSeed(seed);
+    }
+  }
+}
+
+TEST_CASE("random faults: known red seeds", "[entry][random]") {
+  for (const int it : kKnownRedSeeds) {
+    RunSeed(it);
   }
 }
 
--- a/src/entry/service_state.h
+++ b/src/entry/service_state.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -31,13 +32,13 @@
   TimePoint ends;
   TimePoint resend;
   // Parts still missing by member; kUnknownParts before its first reply.
-  absl::flat_hash_map<NodeId, std::uint32_t> missing;
-  absl::flat_hash_set<std::uint64_t> seen;  // Member and part.
+  std::map<NodeId, std::uint32_t> missing;
+  std::set<std::uint64_t> seen;  // Member and part.
   // Starts of dispatchers that members knew, and of members that never
   // dispatched.
-  absl::flat_hash_set<std::uint64_t> earlier;
-  absl::flat_hash_set<std::uint64_t> unserved;
-  absl::flat_hash_map<std::uint64_t, NodeId> served;  // Starts that did.
+  std::set<std::uint64_t> earlier;
+  std::set<std::uint64_t> unserved;
+  std::map<std::uint64_t, NodeId> served;  // Starts that did.
   // Members that say they know everything, unless one of these has served.
   std::map<NodeId, std::vector<std::uint64_t>> claims;
 };
@@ -71,7 +72,7 @@
   bool ready = false;       // It has collected what the members hold.
   NodeId dispatcher;        // Rank 0 as known; 0: none.
   // Starts of dispatchers that this VM has known, and until when.
-  absl::flat_hash_map<std::uint64_t, TimePoint> known_dispatchers;
+  std::map<std::uint64_t, TimePoint> known_dispatchers;
   NodeId successor;  // Rank 1 as known; 0: none.
   // The VM that this one has collected from may no longer be overruled by an
   // older dispatcher; 0: none has asked.
@@ -87,7 +88,7 @@
   bool complete = false;
   // This VM knew everything until lately, and can tell it until then, except
   // for what the dispatchers since then have added.
-  absl::flat_hash_set<NodeId> followers;
+  std::set<NodeId> followers;
   TimePoint complete_until;
   // VMs that know everything together, and still have to transfer it.
   std::vector<NodeId> sources;
--- a/src/entry/takeover.cc
+++ b/src/entry/takeover.cc
@@ -73,8 +73,8 @@
     if (it != instances_.end()) {
       service.known_dispatchers[it->second] = now_ + options_.exchange_lifetime;
     }
-    absl::erase_if(service.known_dispatchers,
-                   [&](const auto& known) { return known.second <= now_; });
+    std::erase_if(service.known_dispatchers,
+                  [&](const auto& known) { return known.second <= now_; });
   }
 }
 
@@ -183,8 +183,8 @@
 
 void EntryNodeImpl::TickCollection(ServiceState& service) {
   Collection& collection = service.collection;
-  absl::erase_if(collection.missing,
-                 [&](const auto& it) { return IsGone(it.first); });
+  std::erase_if(collection.missing,
+                [&](const auto& it) { return IsGone(it.first); });
   if (!service.dispatches || service.ready) {
     return;
   }
@@ -406,6 +406,7 @@
       parked.push_back(record.id);
     }
   });
+  std::sort(parked.begin(), parked.end());
   for (const RequestId it : parked) {
     RequestRecord* record = records_.Find(it);
     if (record != nullptr && record->state == RequestState::kParked) {
