--- a/include/vanillalatch/admission/class_target.h
+++ b/include/vanillalatch/admission/class_target.h
@@ -21,6 +21,7 @@
   Duration latency = std::chrono::seconds(1);
   std::uint32_t success_permille = 990;
   std::uint32_t share_percent = 0;  // Of the service's slots.
+  std::uint32_t urgency = 0;        // Zero goes first, whatever its latency.
 };
 
 }  // namespace vanillalatch
--- a/include/vanillalatch/catalog/state_machine.h
+++ b/include/vanillalatch/catalog/state_machine.h
@@ -31,7 +31,9 @@
 
   // Accepts the change if it was made from the current revision, else answers
   // with a conflict. A change id that is known gets its first outcome again
-  // and is applied no second time.
+  // and is applied no second time. A change of the flow table is always
+  // accepted, and has an effect if its version is the highest so far; its
+  // outcome is not remembered.
   pb::ChangeOutcome Apply(const pb::Change& change);
 
   // The recorded outcome of a change id.
@@ -46,6 +48,7 @@
                const std::deque<pb::ChangeOutcome>& outcomes);
 
  private:
+  pb::ChangeOutcome ApplyFlows(const pb::Change& change);
   void Remember(const pb::ChangeOutcome& outcome);
 
   pb::Catalog catalog_;
--- a/include/vanillalatch/consensus/replica.h
+++ b/include/vanillalatch/consensus/replica.h
@@ -50,6 +50,11 @@
   pb::Replica self;
   // Name and address of every control VM of the settings, this one included.
   std::vector<pb::Replica> initial;
+  // The group of `initial` may be founded, if all of them have empty logs.
+  bool may_found = true;
+  // Any VM may join, also one that is not among `initial`; those are then the
+  // first voters and the addresses to join through.
+  bool open = false;
   Duration heartbeat = std::chrono::milliseconds(200);
   Duration election_timeout = std::chrono::milliseconds(1000);
 };
--- a/include/vanillalatch/control/control_node.h
+++ b/include/vanillalatch/control/control_node.h
@@ -36,6 +36,12 @@
 struct ControlOptions {
   std::string vm;
   std::vector<ControlPeer> initial;  // The first voters, this VM included.
+  // Any VM may join through those of `initial`; this one then need not be
+  // among them, and is reached at `address`.
+  bool open = false;
+  bool may_found = true;  // The first voters may found the group.
+  std::string address;
+  std::string data_center;
   Duration heartbeat = std::chrono::milliseconds(200);
   Duration election_timeout = std::chrono::milliseconds(1000);
   // A Sync call with nothing newer is answered after this time.
--- a/include/vanillalatch/jsonc/document.h
+++ b/include/vanillalatch/jsonc/document.h
@@ -52,6 +52,8 @@
   std::string Name() const;
   // One of `choices`; returns its position.
   std::size_t Choice(std::initializer_list<std::string_view> choices) const;
+  // true or false.
+  bool Flag() const;
   // A whole number from `min` to `max`.
   std::int64_t Integer(std::int64_t min, std::int64_t max) const;
   // "100ms", "10s" or "2m", from `min` to `max`.
--- a/include/vanillalatch/membership/member.h
+++ b/include/vanillalatch/membership/member.h
@@ -27,6 +27,7 @@
   SocketAddress peer;  // Its peer socket.
   MemberState state = MemberState::kAlive;
   std::uint64_t incarnation = 0;
+  bool dispatches = true;  // Places work; a control VM does not.
 };
 
 }  // namespace vanillalatch
--- a/include/vanillalatch/membership/member_list.h
+++ b/include/vanillalatch/membership/member_list.h
@@ -60,6 +60,7 @@
 struct MemberListOptions {
   std::string name;  // Of this VM.
   std::string data_center;
+  bool dispatches = true;            // See Member.
   SocketAddress peer;                // This VM's peer socket.
   std::vector<SocketAddress> seeds;  // Peer sockets to join through.
   std::uint64_t incarnation = 1;     // Higher than at every earlier start.
--- /dev/null
+++ b/include/vanillalatch/packetflow/flow_dispatcher.h
@@ -0,0 +1,109 @@
+// Decides which endpoint takes each new flow of a service, or how long it
+// waits, or that it is refused. Runs where a service's opening packets meet,
+// so that one place counts the flows that are open at each endpoint.
+//
+// Answers the load of services whose flows carry one request or a few: an
+// endpoint works on as many flows as it has slots, a flow is open for a little
+// longer than its slot is in use, and flows that find no slot wait here, in
+// order of their classes, rather than at an endpoint.
+//
+//   auto dispatcher = FlowDispatcher::Create(options, seed).value();
+//   dispatcher->SetEndpoints(now, service, registry.EndpointsOf(service));
+//   dispatcher->Open(now, opening, actions);
+//   for (const FlowPlacement& it : actions.placements) ...
+#ifndef VANILLALATCH_PACKETFLOW_FLOW_DISPATCHER_H_
+#define VANILLALATCH_PACKETFLOW_FLOW_DISPATCHER_H_
+
+#include <memory>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "vanillalatch/packetflow/packet.h"
+#include "vanillalatch/placement/slot_scheduler.h"
+
+namespace vanillalatch {
+
+struct FlowOpening {
+  FlowId id;
+  SocketAddress route;  // That the caller opened it to.
+  ServiceId service;
+  ClassId work_class;
+  Duration timeout{};  // The caller gives up after this time.
+  std::uint32_t sequence = 0;
+  std::uint32_t copy = 0;   // Opening packets of this flow before this one.
+  std::string data_center;  // Whose endpoints are preferred.
+  std::string packet;       // As it came from the caller.
+};
+
+// The opening packet goes to this endpoint.
+struct FlowPlacement {
+  EndpointId endpoint;
+  std::string packet;
+};
+
+// The caller is told at once that the flow is not opened. Nothing has run.
+struct FlowRefusal {
+  FlowId id;
+  ErrorKind kind = ErrorKind::kOverloaded;
+  std::string packet;
+};
+
+struct FlowActions {
+  std::vector<FlowPlacement> placements;
+  std::vector<FlowRefusal> refusals;
+};
+
+struct FlowDispatcherOptions {
+  // Flows open at an endpoint for each of its slots, in percent: handshake
+  // and close take as long as a part of the work, during which another flow's
+  // work has the slot.
+  std::uint32_t overlap_percent = 150;
+};
+
+struct FlowDispatcherCounters {
+  std::uint64_t opened = 0;
+  std::uint64_t placed = 0;
+  std::uint64_t repeated = 0;  // Copies sent to the same endpoint again.
+  std::uint64_t moved = 0;     // Copies sent to another endpoint.
+  std::uint64_t refused = 0;
+  std::uint64_t ended = 0;
+  std::uint64_t expired = 0;   // Nobody told of their end.
+};
+
+class FlowDispatcher {
+ public:
+  // Copies of an opening packet from this one on go to another endpoint: the
+  // first has been silent twice.
+  static constexpr std::uint32_t kMoveFromCopy = 2;
+
+  // Error: kInvalidArgument for an overlap below 100 percent.
+  static Result<std::unique_ptr<FlowDispatcher>> Create(
+      FlowDispatcherOptions options, std::uint64_t seed);
+  virtual ~FlowDispatcher() = default;
+
+  virtual void SetClasses(std::span<const ClassTarget> classes) = 0;
+  virtual void SetEndpoints(TimePoint now, ServiceId service,
+                            std::span<const Endpoint> endpoints,
+                            FlowActions& actions) = 0;
+
+  virtual void Open(TimePoint now, FlowOpening opening,
+                    FlowActions& actions) = 0;
+  // The caller ended the flow, or gave it up.
+  virtual void End(TimePoint now, FlowId id, bool given_up,
+                   FlowActions& actions) = 0;
+  // True if it waits or was placed here and has not ended.
+  virtual bool Knows(FlowId id) const = 0;
+  // Takes the flows of one service that still wait, to hand them over.
+  virtual std::vector<FlowOpening> TakeWaiting(TimePoint now,
+                                               ServiceId service) = 0;
+
+  virtual void OnTick(TimePoint now, FlowActions& actions) = 0;
+  virtual TimePoint NextWake() const = 0;
+
+  virtual const FlowDispatcherCounters& counters() const = 0;
+};
+
+}  // namespace vanillalatch
+
+#endif  // VANILLALATCH_PACKETFLOW_FLOW_DISPATCHER_H_
--- /dev/null
+++ b/include/vanillalatch/packetflow/flow_node.h
@@ -0,0 +1,97 @@
+// One entry VM that carries the packets of flows: where each packet goes, and
+// what it tells the other entry VMs. No I/O; the bytes of a packet are opaque.
+//
+//   auto node = FlowNode::Create(options, seed).value();
+//   node->OnCatalog(now, catalog);
+//   FlowVerdict verdict = node->OnPacket(now, packet, bytes);
+//   if (verdict.kind == FlowVerdict::Kind::kForward) Send(*verdict.target);
+//   node->Finish(now, out);               // Once a batch of packets.
+//   FlowNodeActions actions = node->TakeActions();
+#ifndef VANILLALATCH_PACKETFLOW_FLOW_NODE_H_
+#define VANILLALATCH_PACKETFLOW_FLOW_NODE_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "catalog.pb.h"
+#include "vanillalatch/base/outbox.h"
+#include "vanillalatch/packetflow/endpoint_table.h"
+#include "vanillalatch/packetflow/flow_dispatcher.h"
+#include "vanillalatch/packetflow/packet.h"
+#include "vanillalatch/packetflow/peer_node.h"
+#include "vanillalatch/packetflow/route_table.h"
+
+namespace vanillalatch {
+
+struct FlowNodeOptions {
+  MemberListOptions members;
+  std::string data_center;  // Whose endpoints this VM's callers prefer.
+  FlowDispatcherOptions dispatcher;
+};
+
+// What happens to a packet at once.
+struct FlowVerdict {
+  enum class Kind : std::uint8_t {
+    kForward,  // To `target`, unchanged.
+    kReset,    // The caller is told that the flow is not there.
+    kDrop,     // Nobody is told.
+    kTaken,    // An opening packet; the decision follows in the actions.
+  };
+  Kind kind = Kind::kDrop;
+  const FlowTarget* target = nullptr;  // kForward
+};
+
+struct FlowNodeActions {
+  struct Place {
+    FlowTarget target;   // Its cookie is to be written into the packet.
+    std::string packet;  // An opening packet.
+  };
+  std::vector<Place> places;
+  std::vector<FlowRefusal> refusals;
+};
+
+struct FlowNodeCounters {
+  std::uint64_t packets = 0;
+  std::uint64_t forwarded = 0;
+  std::uint64_t unknown_route = 0;
+  std::uint64_t unknown_endpoint = 0;  // Dropped: no such cookie.
+  std::uint64_t handed_over = 0;       // Opening packets, to a dispatcher.
+  std::uint64_t placed_alone = 0;      // No dispatcher answered.
+  std::uint64_t stale_openings = 0;    // Of a catalog newer than ours.
+};
+
+class FlowNode {
+ public:
+  // Errors: those of PeerNode::Create() and FlowDispatcher::Create().
+  static Result<std::unique_ptr<FlowNode>> Create(FlowNodeOptions options,
+                                                  std::uint64_t seed);
+  virtual ~FlowNode() = default;
+
+  // Takes a catalog into force. One that is not newer changes nothing.
+  virtual void OnCatalog(TimePoint now, const pb::Catalog& catalog) = 0;
+  virtual std::uint64_t revision() const = 0;
+
+  virtual FlowVerdict OnPacket(TimePoint now, const FlowPacket& packet,
+                               ByteSpan bytes) = 0;
+  virtual void OnPeer(TimePoint now, SocketAddress from, ByteSpan bytes,
+                      Outbox& out) = 0;
+  virtual void OnTick(TimePoint now, Outbox& out) = 0;
+  virtual TimePoint NextWake() const = 0;
+  // Sends what packets and peers' messages have left to tell others.
+  virtual void Finish(TimePoint now, Outbox& out) = 0;
+  virtual FlowNodeActions TakeActions() = 0;
+
+  // Catalog and endpoints are known: callers' packets may come.
+  virtual bool Ready() const = 0;
+  // Hands what waits here to other VMs; packets are still carried.
+  virtual void BeginStop(TimePoint now, Outbox& out) = 0;
+
+  virtual const PeerNode& peers() const = 0;
+  virtual const FlowNodeCounters& counters() const = 0;
+  virtual const FlowDispatcherCounters& dispatcher_counters() const = 0;
+};
+
+}  // namespace vanillalatch
+
+#endif  // VANILLALATCH_PACKETFLOW_FLOW_NODE_H_
--- /dev/null
+++ b/include/vanillalatch/packetflow/peer_node.h
@@ -0,0 +1,64 @@
+// One VM among its peers: who is there, and which endpoints are registered.
+// Control VMs hear the endpoints' registrations, entry VMs use them; both hold
+// the same registry. No I/O.
+//
+//   auto peers = PeerNode::Create(options, seed).value();
+//   if (const pb::FlowMessage* it = peers->OnDatagram(now, from, bytes, out)) {
+//     ...
+//   }
+#ifndef VANILLALATCH_PACKETFLOW_PEER_NODE_H_
+#define VANILLALATCH_PACKETFLOW_PEER_NODE_H_
+
+#include <memory>
+
+#include "peer.pb.h"
+#include "vanillalatch/base/outbox.h"
+#include "vanillalatch/membership/member_list.h"
+#include "vanillalatch/registry/registry.h"
+
+namespace vanillalatch {
+
+class PeerNode {
+ public:
+  // Errors: those of MemberList::Create() and Registry::Create().
+  static Result<std::unique_ptr<PeerNode>> Create(MemberListOptions members,
+                                                  RegistryOptions registry,
+                                                  std::uint64_t seed);
+
+  // Takes a datagram of a peer. Returns what it says about flows, or nullptr;
+  // valid until the next call.
+  const pb::FlowMessage* OnDatagram(TimePoint now, SocketAddress from,
+                                    ByteSpan bytes, Outbox& out);
+  // The sender of the datagram that was taken last.
+  NodeId sender() const { return NodeId(incoming_.from()); }
+
+  void OnTick(TimePoint now, Outbox& out);
+  TimePoint NextWake() const;
+  // Dropped if the member is unknown.
+  void Send(NodeId to, const pb::FlowMessage& message, Outbox& out);
+  // Announces that this VM stops.
+  void Leave(TimePoint now, Outbox& out);
+
+  Registry& registry() { return *registry_; }
+  const Registry& registry() const { return *registry_; }
+  const MemberList& members() const { return *members_; }
+  std::uint64_t malformed() const { return malformed_; }
+
+ private:
+  PeerNode(std::uint64_t incarnation, std::unique_ptr<MemberList> members,
+           std::unique_ptr<Registry> registry)
+      : incarnation_(incarnation),
+        members_(std::move(members)),
+        registry_(std::move(registry)) {}
+
+  std::uint64_t incarnation_;
+  std::unique_ptr<MemberList> members_;
+  std::unique_ptr<Registry> registry_;
+  pb::PeerDatagram incoming_;
+  std::uint64_t malformed_ = 0;
+  TimePoint registry_due_{};
+};
+
+}  // namespace vanillalatch
+
+#endif  // VANILLALATCH_PACKETFLOW_PEER_NODE_H_
--- a/include/vanillalatch/placement/slot_scheduler.h
+++ b/include/vanillalatch/placement/slot_scheduler.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <span>
+#include <string>
 #include <vector>
 
 #include "control.pb.h"
@@ -37,6 +38,8 @@
   std::optional<EndpointId> pinned;
   // Endpoints that already failed this request; tried last.
   std::optional<EndpointId> avoid;
+  // A free slot of this data centre is taken before one elsewhere.
+  std::string data_center{};
 };
 
 // How a request that had a slot ended, as the dispatcher itself saw it.
@@ -62,6 +65,12 @@
   // A new endpoint's usable slots grow from one to all over this time.
   Duration cold_start_ramp = std::chrono::seconds(5);
   std::size_t max_queue = 4096;  // Requests.
+  // Work started at an endpoint for each of its slots, in percent. Above 100
+  // where work is seen to take longer than it holds its slot.
+  std::uint32_t overlap_percent = 100;
+  // Endpoints say themselves when they are warm (Endpoint::warm_at); else a
+  // new one ramps up over cold_start_ramp.
+  bool told_when_warm = false;
 };
 
 class SlotScheduler {
--- a/include/vanillalatch/registry/registry.h
+++ b/include/vanillalatch/registry/registry.h
@@ -37,6 +37,8 @@
   TimePoint load_reported;
   std::uint64_t epoch = 0;
   std::uint64_t version = 0;
+  std::string data_center;
+  TimePoint warm_at;  // It is slow after its start until then.
 
   friend bool operator==(const Endpoint&, const Endpoint&) = default;
 };
@@ -51,10 +53,15 @@
   std::uint32_t load_percent = 0;
   Duration lifetime = std::chrono::seconds(10);
   std::uint64_t epoch = 0;  // Grows at each start of the backend server.
+  Duration warm_in{};       // How much longer it is slow after its start.
 };
 
 struct RegistryOptions {
+  // Only registrations for this data centre are taken; empty: all are.
   std::string data_center;
+  // Epochs are start times, so that those of two endpoints can be compared: an
+  // address belongs to the one that started last.
+  bool epochs_are_start_times = false;
   // How long a removed endpoint is remembered, so that late updates can't
   // bring it back.
   Duration tombstone = std::chrono::seconds(60);
--- a/src/runtime/udp_socket.h
+++ b/include/vanillalatch/runtime/udp_socket.h
@@ -3,8 +3,8 @@
 //   UdpSocket socket = UdpSocket::Bind(address).value();
 //   while (socket.Receive(handle)) {}     // until the kernel has no more
 //   socket.Queue(to, bytes); socket.Flush();
-#ifndef VANILLALATCH_SRC_RUNTIME_UDP_SOCKET_H_
-#define VANILLALATCH_SRC_RUNTIME_UDP_SOCKET_H_
+#ifndef VANILLALATCH_RUNTIME_UDP_SOCKET_H_
+#define VANILLALATCH_RUNTIME_UDP_SOCKET_H_
 
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -22,6 +22,8 @@
  public:
   static constexpr std::size_t kBatch = 64;          // Datagrams a call.
   static constexpr std::size_t kBufferBytes = 2048;  // For one datagram.
+  // A handler may write to this many bytes in front of a received datagram.
+  static constexpr std::size_t kHeadroomBytes = 8;
 
   // A non-blocking socket bound to `address`. Error: kInvalidArgument if the
   // address can't be bound.
@@ -33,15 +35,15 @@
 
   int fd() const { return fd_; }
 
-  // Receives up to a batch and calls handle(SocketAddress, ByteSpan) for each
-  // datagram. Returns how many came.
+  // Receives up to a batch and calls handle(SocketAddress, std::span<std::uint8_t>)
+  // for each datagram. Returns how many came.
   template <typename Handler>
   std::size_t Receive(Handler&& handle) {
     const std::size_t n = ReceiveBatch();
     for (std::size_t i = 0; i < n; ++i) {
       handle(AddressOf(receive_.names[i]),
-             ByteSpan(receive_.bytes.data() + i * kBufferBytes,
-                      receive_.messages[i].msg_len));
+             std::span(receive_.bytes.data() + i * kBufferBytes + kHeadroomBytes,
+                       receive_.messages[i].msg_len));
     }
     return n;
   }
@@ -76,4 +78,4 @@
 
 }  // namespace vanillalatch
 
-#endif  // VANILLALATCH_SRC_RUNTIME_UDP_SOCKET_H_
+#endif  // VANILLALATCH_RUNTIME_UDP_SOCKET_H_
--- a/src/runtime/wakeup.h
+++ b/include/vanillalatch/runtime/wakeup.h
@@ -2,8 +2,8 @@
 //
 //   wakeup.SleepUntil(node.NextWake());   // timer fiber
 //   wakeup.BringForward(node.NextWake()); // after each event
-#ifndef VANILLALATCH_SRC_RUNTIME_WAKEUP_H_
-#define VANILLALATCH_SRC_RUNTIME_WAKEUP_H_
+#ifndef VANILLALATCH_RUNTIME_WAKEUP_H_
+#define VANILLALATCH_RUNTIME_WAKEUP_H_
 
 #include <boost/fiber/all.hpp>
 
@@ -26,4 +26,4 @@
 
 }  // namespace vanillalatch
 
-#endif  // VANILLALATCH_SRC_RUNTIME_WAKEUP_H_
+#endif  // VANILLALATCH_RUNTIME_WAKEUP_H_
--- a/src/bench/echo_backend.h
+++ b/src/bench/echo_backend.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <thread>
 
-#include "src/runtime/udp_socket.h"
+#include "vanillalatch/runtime/udp_socket.h"
 #include "vanillalatch/wire/coap.h"
 
 namespace vanillalatch {
--- a/src/bench/load_entry.cc
+++ b/src/bench/load_entry.cc
@@ -20,7 +20,7 @@
 #include <vector>
 
 #include "src/bench/echo_backend.h"
-#include "src/runtime/udp_socket.h"
+#include "vanillalatch/runtime/udp_socket.h"
 #include "vanillalatch/runtime/reactor.h"
 #include "vanillalatch/wire/coap.h"
 
--- a/src/bench/relay_baseline.cc
+++ b/src/bench/relay_baseline.cc
@@ -9,7 +9,7 @@
 #include <cstdio>
 #include <vector>
 
-#include "src/runtime/udp_socket.h"
+#include "vanillalatch/runtime/udp_socket.h"
 
 namespace vanillalatch {
 namespace {
--- a/src/catalog/state_machine.cc
+++ b/src/catalog/state_machine.cc
@@ -101,6 +101,9 @@
   std::uint32_t next_class = std::max(current.next_class_id(), 1U);
   pb::Catalog catalog;
   catalog.set_revision(current.revision() + 1);
+  if (current.has_flows()) {
+    *catalog.mutable_flows() = current.flows();
+  }
   *catalog.mutable_services() = change.services();
   *catalog.mutable_draining_vms() = change.draining_vms();
   for (pb::Service& service : *catalog.mutable_services()) {
@@ -161,7 +164,24 @@
   return "";
 }
 
+// Versions come from outside and only the highest counts, so that a change that
+// is sent again, or late, is accepted and changes nothing.
+pb::ChangeOutcome CatalogState::ApplyFlows(const pb::Change& change) {
+  pb::ChangeOutcome outcome;
+  outcome.set_change_id(change.change_id());
+  outcome.set_accepted(true);
+  if (change.flows().version() > catalog_.flows().version()) {
+    *catalog_.mutable_flows() = change.flows();
+    catalog_.set_revision(catalog_.revision() + 1);
+  }
+  outcome.set_revision(catalog_.revision());
+  return outcome;
+}
+
 pb::ChangeOutcome CatalogState::Apply(const pb::Change& change) {
+  if (change.has_flows()) {
+    return ApplyFlows(change);
+  }
   if (std::optional<pb::ChangeOutcome> known = OutcomeOf(change.change_id())) {
     return *known;
   }
--- a/src/cli/program/main.cc
+++ b/src/cli/program/main.cc
@@ -5,6 +5,7 @@
 
 #include "src/cli/command_line.h"
 #ifdef VL_HAS_SERVE
+#include "platform/doors.h"
 #include "vanillalatch/runtime/serve.h"
 #endif
 
@@ -12,7 +13,8 @@
 
 int Serve(const vanillalatch::Settings& settings, const std::string& path) {
 #ifdef VL_HAS_SERVE
-  return vanillalatch::RunServe(settings, path);
+  return vanillalatch::RunServe(settings, path,
+                                &vanillalatch::platform::OpenDoors);
 #else
   throw vanillalatch::Error(vanillalatch::ErrorKind::kUnsupported,
                             "this build has no servers");
--- a/src/consensus/group_change.cc
+++ b/src/consensus/group_change.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <set>
 
 #include "src/consensus/quorum.h"
 #include "src/consensus/replica_impl.h"
@@ -9,6 +10,12 @@
 constexpr Duration kIntroduceInterval = std::chrono::milliseconds(500);
 // An introduction that is not repeated for this long no longer counts.
 constexpr Duration kIntroductionAge = std::chrono::seconds(2);
+// A voter without a leader for this long may have been replaced while it was
+// cut off: several elections would have succeeded.
+constexpr Duration kAloneAge = std::chrono::seconds(4);
+// A voter that has not answered for this long is replaced by a learner that
+// waits: twice the longest election.
+constexpr Duration kReplaceAge = std::chrono::seconds(3);
 
 // A voter of the same VM under another identity, which was lost with its
 // disk; nullptr if there is none.
@@ -33,30 +40,39 @@
 
 // Asks to be let in while no leader sends anything to this replica.
 void ReplicaImpl::IntroduceIfAlone(TimePoint now) {
-  if (IsVoter() || now < introduce_due_) {
+  if (now < introduce_due_) {
+    return;
+  }
+  if (IsVoter() && (!options_.open || IsLeader() ||
+                    now < leader_contact_ + kAloneAge)) {
     return;
   }
   introduce_due_ = now + kIntroduceInterval;
   if (HearsLeader(now)) {
     return;
   }
+  std::set<std::string> addresses;
   for (const pb::Replica& it : options_.initial) {
-    if (it.vm() == options_.self.vm()) {
-      continue;
-    }
+    addresses.insert(it.address());
+  }
+  for (const pb::Replica& it : configuration_.replicas()) {
+    addresses.insert(it.address());
+  }
+  addresses.erase(options_.self.address());
+  for (const std::string& it : addresses) {
     pb::ConsensusMessage message;
     message.set_from(self());
     message.set_term(current_term());
     *message.mutable_introduce()->mutable_replica() = options_.self;
     message.mutable_introduce()->set_empty_log(log_.empty());
-    sends_.push_back({it.address(), std::move(message)});
+    sends_.push_back({it, std::move(message)});
   }
 }
 
 void ReplicaImpl::HandleIntroduce(TimePoint now,
                                   const pb::ConsensusMessage& message) {
   const pb::Introduce& body = message.introduce();
-  if (!NamedInSettings(body.replica().vm()) ||
+  if (!(options_.open || NamedInSettings(body.replica().vm())) ||
       body.replica().vm() == options_.self.vm()) {
     return;
   }
@@ -93,6 +109,9 @@
 // settings has said that its log is empty. A lost disk alone therefore never
 // founds a second group.
 void ReplicaImpl::TryForm(TimePoint now) {
+  if (!options_.may_found || !NamedInSettings(options_.self.vm())) {
+    return;
+  }
   const bool first = std::all_of(
       options_.initial.begin(), options_.initial.end(),
       [&](const pb::Replica& it) { return it.vm() >= options_.self.vm(); });
@@ -106,7 +125,9 @@
   pb::Configuration& configuration = *entry.mutable_configuration();
   *configuration.add_replicas() = options_.self;
   for (const auto& [vm, it] : introductions_) {
-    *configuration.add_replicas() = it.replica;
+    if (NamedInSettings(vm)) {
+      *configuration.add_replicas() = it.replica;
+    }
   }
   AppendEntry(std::move(entry));
   ReloadConfiguration(now);
@@ -155,7 +176,11 @@
       continue;
     }
     pb::Configuration next = configuration_;
-    if (const pb::Replica* former = FormerVoter(configuration_, it)) {
+    const pb::Replica* former = FormerVoter(configuration_, it);
+    if (former == nullptr && options_.open) {
+      former = SilentVoter(now);
+    }
+    if (former != nullptr) {
       const std::uint64_t lost = former->id();
       if (IsActive(lost, now)) {
         continue;
@@ -176,6 +201,18 @@
   return false;
 }
 
+// A voter that has not answered for long; nullptr if there is none.
+const pb::Replica* ReplicaImpl::SilentVoter(TimePoint now) const {
+  for (const pb::Replica& it : configuration_.replicas()) {
+    const auto peer = peers_.find(it.id());
+    if (!it.learner() && it.id() != self() && peer != peers_.end() &&
+        now >= peer->second.last_ack + kReplaceAge) {
+      return &it;
+    }
+  }
+  return nullptr;
+}
+
 void ReplicaImpl::ProposeConfiguration(TimePoint now,
                                        pb::Configuration configuration) {
   pb::LogEntry entry;
--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -21,7 +21,7 @@
   const bool named = std::any_of(
       options.initial.begin(), options.initial.end(),
       [&](const pb::Replica& it) { return it.vm() == options.self.vm(); });
-  if (!named) {
+  if (!named && !options.open) {
     return Error(ErrorKind::kInvalidArgument,
                  options.self.vm() + " is not among the control VMs");
   }
--- a/src/consensus/replica_impl.h
+++ b/src/consensus/replica_impl.h
@@ -124,6 +124,7 @@
   bool AdvanceLearner(TimePoint now);
   void ProposeConfiguration(TimePoint now, pb::Configuration configuration);
   bool NamedInSettings(std::string_view vm) const;
+  const pb::Replica* SilentVoter(TimePoint now) const;
   void HandOver(TimePoint now);
 
   const ReplicaOptions options_;
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -28,6 +28,11 @@
       out.self = out.initial.back();
     }
   }
+  out.may_found = options.may_found;
+  out.open = options.open;
+  if (out.self.address().empty()) {
+    out.self = ToReplica({options.vm, options.address, options.data_center});
+  }
   out.self.set_vm(options.vm);
   out.self.set_id(id);
   return out;
--- a/src/control/entry_calls.cc
+++ b/src/control/entry_calls.cc
@@ -44,7 +44,12 @@
 void ControlNodeImpl::AnswerSync(TimePoint now, const SyncCall& call) {
   pb::SyncReply reply;
   if (state_.catalog().revision() > call.revision) {
+    // Entry VMs never read the operator's document.
     *reply.mutable_catalog() = state_.catalog();
+    reply.mutable_catalog()->mutable_flows()->clear_document();
+  }
+  for (const pb::Replica& it : replica_->configuration().replicas()) {
+    reply.add_control_addresses(it.address());
   }
   reply.set_committed_revision(state_.catalog().revision());
   reply.set_from_quorum(replica_->FromQuorum(now));
--- a/src/control/operator_calls.cc
+++ b/src/control/operator_calls.cc
@@ -13,6 +13,13 @@
 constexpr LogIndex kNotProposed{};
 constexpr ReadRound kNotBegun{};
 
+// True if `change` needs no entry of its own once `logged` is committed.
+bool Settles(const pb::Change& logged, const pb::Change& change) {
+  return change.has_flows() ? logged.flows().version() >=
+                                  change.flows().version()
+                            : logged.change_id() == change.change_id();
+}
+
 std::string KindName(ErrorKind kind) {
   return std::string(AnswerFor(kind).name);
 }
@@ -54,6 +61,10 @@
     }
     call.index = kNotProposed;  // Another leader's entry took its place.
   }
+  if (call.index == kNotProposed && call.change.has_flows() &&
+      AnswerIfApplied(call)) {
+    return true;  // What this VM has applied, a majority holds.
+  }
   if (call.index == kNotProposed && IsLeader()) {
     if (AnswerIfApplied(call)) {
       return true;
@@ -79,6 +90,17 @@
 }
 
 bool ControlNodeImpl::AnswerIfApplied(ApplyCall& call) {
+  if (call.change.has_flows()) {
+    if (call.change.flows().version() > state_.catalog().flows().version()) {
+      return false;
+    }
+    pb::ChangeOutcome outcome;
+    outcome.set_change_id(call.change.change_id());
+    outcome.set_accepted(true);
+    outcome.set_revision(state_.catalog().revision());
+    AnswerApply(call.ticket, std::move(outcome));
+    return true;
+  }
   std::optional<pb::ChangeOutcome> outcome =
       state_.OutcomeOf(call.change.change_id());
   if (!outcome) {
@@ -92,8 +114,7 @@
 void ControlNodeImpl::ProposeChange(TimePoint now, ApplyCall& call) {
   const ReplicatedLog& log = replica_->log();
   for (std::uint64_t n = log.last_index(); n > applied_.value(); --n) {
-    if (log.At(n).has_change() &&
-        log.At(n).change().change_id() == call.change.change_id()) {
+    if (log.At(n).has_change() && Settles(log.At(n).change(), call.change)) {
       call.index = LogIndex(n);
       return;
     }
@@ -105,6 +126,7 @@
   pb::ApplyReply reply;
   *reply.mutable_outcome() = std::move(outcome);
   *reply.mutable_catalog() = state_.catalog();
+  reply.mutable_catalog()->clear_flows();
   reply.set_leader_address(LeaderAddress());
   actions_.applies.emplace_back(ticket, std::move(reply));
 }
--- a/src/jsonc/document.cc
+++ b/src/jsonc/document.cc
@@ -128,6 +128,13 @@
   return static_cast<std::size_t>(it - choices.begin());
 }
 
+bool JsonValue::Flag() const {
+  if (type_ != Type::kBool) {
+    Fail("true or false");
+  }
+  return text_ == "true";
+}
+
 std::int64_t JsonValue::Integer(std::int64_t min, std::int64_t max) const {
   if (type_ != Type::kInteger || integer_ < min || integer_ > max) {
     Fail("a whole number from " + std::to_string(min) + " to " +
--- /dev/null
+++ b/src/packetflow/endpoint_table.cc
@@ -0,0 +1,89 @@
+#include "vanillalatch/packetflow/endpoint_table.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace vanillalatch {
+namespace {
+
+constexpr int kHexadecimal = 16;
+
+}  // namespace
+
+std::optional<InstanceId> InstanceOfName(std::string_view name) {
+  std::uint64_t value = 0;
+  const char* end = name.data() + name.size();
+  const auto [stop, ec] =
+      std::from_chars(name.data(), end, value, kHexadecimal);
+  if (ec != std::errc() || stop != end) {
+    return std::nullopt;
+  }
+  return InstanceId(value);
+}
+
+std::string NameOfInstance(InstanceId instance) {
+  std::array<char, 16> buf{};
+  const auto [end, ec] = std::to_chars(buf.data(), buf.data() + buf.size(),
+                                       instance.value(), kHexadecimal);
+  return {buf.data(), end};
+}
+
+void EndpointTable::Set(TimePoint now, ServiceId service,
+                        std::span<const Endpoint> endpoints) {
+  for (auto& [cookie, it] : by_cookie_) {
+    const bool registered =
+        it.target.service != service ||
+        std::any_of(endpoints.begin(), endpoints.end(), [&](const Endpoint& e) {
+          return e.id == it.target.endpoint;
+        });
+    if (!registered && !it.lost) {
+      it.lost = now;
+    }
+  }
+  for (const Endpoint& it : endpoints) {
+    const std::optional<InstanceId> instance = InstanceOfName(it.name);
+    if (!instance) {
+      continue;
+    }
+    const FlowTarget target{it.address, *instance, CookieOf(*instance),
+                            service,    it.id,     it.epoch};
+    const auto [entry, added] =
+        by_cookie_.try_emplace(target.cookie, Entry{target, std::nullopt});
+    const FlowTarget& holder = entry->second.target;
+    // Of two endpoints with one cookie the older keeps it, on every VM.
+    const bool takes = added || holder.instance == *instance ||
+                       entry->second.lost ||
+                       std::pair(target.epoch, target.endpoint) <
+                           std::pair(holder.epoch, holder.endpoint);
+    if (takes) {
+      if (holder.endpoint != target.endpoint) {
+        by_endpoint_.erase(holder.endpoint);
+      }
+      entry->second = {target, std::nullopt};
+      by_endpoint_[target.endpoint] = target.cookie;
+    }
+  }
+}
+
+void EndpointTable::Forget(TimePoint now) {
+  absl::erase_if(by_cookie_, [&](const auto& it) {
+    if (!it.second.lost || now < *it.second.lost + kKeepLost) {
+      return false;
+    }
+    by_endpoint_.erase(it.second.target.endpoint);
+    return true;
+  });
+}
+
+const FlowTarget* EndpointTable::Find(FlowCookie cookie) const {
+  const auto it = by_cookie_.find(cookie);
+  return it == by_cookie_.end() ? nullptr : &it->second.target;
+}
+
+const FlowTarget* EndpointTable::Find(EndpointId endpoint) const {
+  const auto it = by_endpoint_.find(endpoint);
+  return it == by_endpoint_.end() ? nullptr : Find(it->second);
+}
+
+}  // namespace vanillalatch
--- /dev/null
+++ b/src/packetflow/flow_dispatcher.cc
@@ -0,0 +1,271 @@
+#include "vanillalatch/packetflow/flow_dispatcher.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "absl/container/flat_hash_map.h"
+
+namespace vanillalatch {
+namespace internal {
+namespace {
+
+// How often flows that nobody ended are looked for: a small part of the
+// shortest timeout that callers have, some hundred milliseconds.
+constexpr Duration kExpireInterval = std::chrono::milliseconds(50);
+
+class FlowDispatcherImpl final : public FlowDispatcher {
+ public:
+  FlowDispatcherImpl(FlowDispatcherOptions options, std::uint64_t seed)
+      : options_(options), seed_(seed) {}
+
+  void SetClasses(std::span<const ClassTarget> classes) override {
+    classes_.assign(classes.begin(), classes.end());
+    for (auto& [id, it] : schedulers_) {
+      it->SetClasses(classes_);
+    }
+  }
+
+  void SetEndpoints(TimePoint now, ServiceId service,
+                    std::span<const Endpoint> endpoints,
+                    FlowActions& actions) override {
+    SlotScheduler& scheduler = SchedulerOf(service);
+    scheduler.SetEndpoints(now, endpoints);
+    scheduler.OnTick(now, verdicts_);
+    CarryOut(now, actions);
+  }
+
+  void Open(TimePoint now, FlowOpening opening, FlowActions& actions) override;
+  void End(TimePoint now, FlowId id, bool given_up,
+           FlowActions& actions) override;
+  bool Knows(FlowId id) const override { return flows_.contains(id); }
+  std::vector<FlowOpening> TakeWaiting(TimePoint now,
+                                       ServiceId service) override;
+  void OnTick(TimePoint now, FlowActions& actions) override;
+  TimePoint NextWake() const override;
+  const FlowDispatcherCounters& counters() const override { return counters_; }
+
+ private:
+  struct Flow {
+    FlowOpening opening;
+    RequestId work;  // Differs each time the flow is submitted.
+    bool placed = false;
+    EndpointId endpoint;
+    TimePoint expires;  // Its slot is free then, whatever was heard.
+  };
+
+  SlotScheduler& SchedulerOf(ServiceId service);
+  void Submit(TimePoint now, Flow& flow, std::optional<EndpointId> avoid,
+              FlowActions& actions);
+  void OnCopy(TimePoint now, Flow& flow, const FlowOpening& opening,
+              FlowActions& actions);
+  // Frees the slot of a flow that was placed, or takes it out of the queue.
+  void Release(TimePoint now, const Flow& flow, WorkOutcome outcome);
+  void CarryOut(TimePoint now, FlowActions& actions);
+  void ExpireFlows(TimePoint now, FlowActions& actions);
+
+  FlowDispatcherOptions options_;
+  std::uint64_t seed_;
+  std::vector<ClassTarget> classes_;
+  std::map<ServiceId, std::unique_ptr<SlotScheduler>> schedulers_;
+  absl::flat_hash_map<FlowId, Flow> flows_;
+  absl::flat_hash_map<RequestId, FlowId> by_work_;
+  std::uint64_t last_work_ = 0;
+  TimePoint expire_due_{};
+  std::vector<Verdict> verdicts_;
+  FlowDispatcherCounters counters_;
+};
+
+SlotScheduler& FlowDispatcherImpl::SchedulerOf(ServiceId service) {
+  std::unique_ptr<SlotScheduler>& scheduler = schedulers_[service];
+  if (scheduler == nullptr) {
+    SlotSchedulerOptions options;
+    options.overlap_percent = options_.overlap_percent;
+    options.told_when_warm = true;
+    scheduler =
+        SlotScheduler::Create(options, StableHash(seed_, service.value()))
+            .value();
+    scheduler->SetClasses(classes_);
+  }
+  return *scheduler;
+}
+
+void FlowDispatcherImpl::Open(TimePoint now, FlowOpening opening,
+                              FlowActions& actions) {
+  const auto it = flows_.find(opening.id);
+  if (it != flows_.end()) {
+    if (it->second.opening.sequence == opening.sequence) {
+      OnCopy(now, it->second, opening, actions);
+      return;
+    }
+    // The caller uses the port again: the flow before has ended unheard.
+    Release(now, it->second, WorkOutcome::kCancelled);
+    flows_.erase(it);
+  }
+  ++counters_.opened;
+  const FlowId id = opening.id;
+  Flow& flow = flows_[id];
+  flow.opening = std::move(opening);
+  Submit(now, flow, std::nullopt, actions);
+}
+
+void FlowDispatcherImpl::Submit(TimePoint now, Flow& flow,
+                                std::optional<EndpointId> avoid,
+                                FlowActions& actions) {
+  flow.work = RequestId(++last_work_);
+  flow.placed = false;
+  flow.expires = now + flow.opening.timeout;
+  by_work_[flow.work] = flow.opening.id;
+  Work work;
+  work.request = flow.work;
+  work.work_class = flow.opening.work_class;
+  work.deadline = now + flow.opening.timeout;
+  work.avoid = avoid;
+  work.data_center = flow.opening.data_center;
+  SchedulerOf(flow.opening.service).Submit(now, work, verdicts_);
+  CarryOut(now, actions);
+}
+
+void FlowDispatcherImpl::OnCopy(TimePoint now, Flow& flow,
+                                const FlowOpening& opening,
+                                FlowActions& actions) {
+  if (!flow.placed || opening.copy <= flow.opening.copy) {
+    return;  // It waits, or the same copy came twice.
+  }
+  flow.opening.copy = opening.copy;
+  if (opening.copy < kMoveFromCopy) {
+    ++counters_.repeated;
+    actions.placements.push_back({flow.endpoint, flow.opening.packet});
+    return;
+  }
+  ++counters_.moved;
+  const EndpointId silent = flow.endpoint;
+  Release(now, flow, WorkOutcome::kTimedOut);
+  Submit(now, flow, silent, actions);
+}
+
+void FlowDispatcherImpl::Release(TimePoint now, const Flow& flow,
+                                 WorkOutcome outcome) {
+  by_work_.erase(flow.work);
+  SlotScheduler& scheduler = SchedulerOf(flow.opening.service);
+  if (flow.placed) {
+    scheduler.Finish(now, flow.work, outcome, verdicts_);
+  } else {
+    scheduler.Cancel(now, flow.work);
+  }
+}
+
+void FlowDispatcherImpl::End(TimePoint now, FlowId id, bool given_up,
+                             FlowActions& actions) {
+  const auto it = flows_.find(id);
+  if (it == flows_.end()) {
+    return;
+  }
+  ++counters_.ended;
+  const Flow flow = std::move(it->second);
+  flows_.erase(it);
+  Release(now, flow,
+          given_up ? WorkOutcome::kCancelled : WorkOutcome::kAnswered);
+  CarryOut(now, actions);
+}
+
+std::vector<FlowOpening> FlowDispatcherImpl::TakeWaiting(TimePoint now,
+                                                         ServiceId service) {
+  std::vector<FlowOpening> waiting;
+  for (auto it = flows_.begin(); it != flows_.end();) {
+    const auto next = std::next(it);
+    if (!it->second.placed && it->second.opening.service == service) {
+      Release(now, it->second, WorkOutcome::kCancelled);
+      waiting.push_back(std::move(it->second.opening));
+      flows_.erase(it);
+    }
+    it = next;
+  }
+  std::sort(waiting.begin(), waiting.end(),
+            [](const auto& a, const auto& b) { return a.id < b.id; });
+  return waiting;
+}
+
+void FlowDispatcherImpl::OnTick(TimePoint now, FlowActions& actions) {
+  for (auto& [id, it] : schedulers_) {
+    if (now >= it->NextWake()) {
+      it->OnTick(now, verdicts_);
+    }
+  }
+  CarryOut(now, actions);
+  if (now >= expire_due_) {
+    expire_due_ = now + kExpireInterval;
+    ExpireFlows(now, actions);
+  }
+}
+
+// A silent endpoint shows by copies of the opening packet; a flow without
+// them may have ended where no VM heard of it.
+void FlowDispatcherImpl::ExpireFlows(TimePoint now, FlowActions& actions) {
+  std::vector<Flow> expired;
+  absl::erase_if(flows_, [&](auto& it) {
+    if (!it.second.placed || now < it.second.expires) {
+      return false;
+    }
+    expired.push_back(std::move(it.second));
+    return true;
+  });
+  // The order in a hash map differs from run to run.
+  std::sort(expired.begin(), expired.end(),
+            [](const Flow& a, const Flow& b) { return a.work < b.work; });
+  for (const Flow& it : expired) {
+    ++counters_.expired;
+    Release(now, it,
+            it.opening.copy > 0 ? WorkOutcome::kTimedOut
+                                : WorkOutcome::kCancelled);
+  }
+  CarryOut(now, actions);
+}
+
+TimePoint FlowDispatcherImpl::NextWake() const {
+  TimePoint wake = flows_.empty() ? kNever : expire_due_;
+  for (const auto& [id, it] : schedulers_) {
+    wake = std::min(wake, it->NextWake());
+  }
+  return wake;
+}
+
+void FlowDispatcherImpl::CarryOut(TimePoint now, FlowActions& actions) {
+  for (const Verdict& it : std::exchange(verdicts_, {})) {
+    const auto known = by_work_.find(it.request);
+    if (known == by_work_.end()) {
+      continue;
+    }
+    const auto found = flows_.find(known->second);
+    Flow& flow = found->second;
+    if (it.kind == Verdict::Kind::kStart) {
+      ++counters_.placed;
+      flow.placed = true;
+      flow.endpoint = it.endpoint;
+      flow.expires = now + flow.opening.timeout;
+      actions.placements.push_back({it.endpoint, flow.opening.packet});
+      continue;
+    }
+    ++counters_.refused;
+    actions.refusals.push_back(
+        {flow.opening.id, it.error, std::move(flow.opening.packet)});
+    by_work_.erase(known);
+    flows_.erase(found);
+  }
+}
+
+}  // namespace
+}  // namespace internal
+
+Result<std::unique_ptr<FlowDispatcher>> FlowDispatcher::Create(
+    FlowDispatcherOptions options, std::uint64_t seed) {
+  constexpr std::uint32_t kWholePercent = 100;
+  if (options.overlap_percent < kWholePercent) {
+    return Error(ErrorKind::kInvalidArgument,
+                 "an endpoint takes at least one flow a slot");
+  }
+  return std::unique_ptr<FlowDispatcher>(
+      std::make_unique<internal::FlowDispatcherImpl>(options, seed));
+}
+
+}  // namespace vanillalatch
--- /dev/null
+++ b/src/packetflow/flow_node.cc
@@ -0,0 +1,426 @@
+#include "vanillalatch/packetflow/flow_node.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "absl/container/flat_hash_map.h"
+#include "vanillalatch/placement/rendezvous.h"
+
+namespace vanillalatch {
+namespace internal {
+namespace {
+
+// A dispatcher that is well answers within a hop of 0.5 ms each way and its
+// own share of a processor, which may be withheld for 75 ms.
+constexpr Duration kTakenTimeout = std::chrono::milliseconds(100);
+// Below the size that a network carries in one piece.
+constexpr std::size_t kMaxMessageBytes = 1100;
+// How often endpoints that were lost long ago are forgotten.
+constexpr Duration kForgetInterval = std::chrono::seconds(5);
+// Ranks of dispatchers that are tried before this VM places alone.
+constexpr std::size_t kDispatcherRanks = 3;
+
+class FlowNodeImpl final : public FlowNode {
+ public:
+  FlowNodeImpl(std::string data_center, std::unique_ptr<PeerNode> peers,
+               std::unique_ptr<FlowDispatcher> dispatcher)
+      : data_center_(std::move(data_center)),
+        peers_(std::move(peers)),
+        dispatcher_(std::move(dispatcher)) {}
+
+  void OnCatalog(TimePoint now, const pb::Catalog& catalog) override;
+  std::uint64_t revision() const override { return revision_; }
+  FlowVerdict OnPacket(TimePoint now, const FlowPacket& packet,
+                       ByteSpan bytes) override;
+  void OnPeer(TimePoint now, SocketAddress from, ByteSpan bytes,
+              Outbox& out) override;
+  void OnTick(TimePoint now, Outbox& out) override;
+  TimePoint NextWake() const override;
+  void Finish(TimePoint now, Outbox& out) override;
+  FlowNodeActions TakeActions() override;
+  bool Ready() const override;
+  void BeginStop(TimePoint now, Outbox& out) override;
+  const PeerNode& peers() const override { return *peers_; }
+  const FlowNodeCounters& counters() const override { return counters_; }
+  const FlowDispatcherCounters& dispatcher_counters() const override {
+    return dispatcher_->counters();
+  }
+
+ private:
+  // An opening that a dispatcher was asked to take.
+  struct Asked {
+    FlowOpening opening;
+    NodeId dispatcher;
+    TimePoint due;  // This VM decides alone then.
+  };
+
+  void OpenFlow(TimePoint now, const FlowRoute& route, const FlowPacket& packet,
+                ByteSpan bytes);
+  // The VM that places a service's flows; this one if no other is in reach.
+  NodeId DispatcherFor(TimePoint now, ServiceId service) const;
+  void HandOver(TimePoint now, FlowOpening opening, NodeId to);
+  void Place(TimePoint now, FlowOpening opening);
+  void EndFlow(TimePoint now, const FlowPacket& packet, ServiceId service);
+  void OnOpening(TimePoint now, NodeId from, const pb::FlowOpening& message);
+  // The opening as this VM's catalog has it; nullopt if the route is gone.
+  std::optional<FlowOpening> Reviewed(const pb::FlowOpening& message);
+  void RetryAsked(TimePoint now);
+  void UpdateEndpoints(TimePoint now);
+  // Services whose dispatcher is another VM now: what waits goes there.
+  void MoveWaiting(TimePoint now);
+  NodeId self() const { return peers_->members().self(); }
+  pb::FlowMessage& MessageTo(NodeId to) { return messages_[to]; }
+
+  std::string data_center_;
+  std::unique_ptr<PeerNode> peers_;
+  std::unique_ptr<FlowDispatcher> dispatcher_;
+  std::uint64_t revision_ = 0;
+  RouteTable routes_;
+  EndpointTable endpoints_;
+  std::map<ServiceId, std::uint64_t> endpoint_versions_;
+  std::uint64_t members_version_ = 0;
+  std::map<FlowId, Asked> asked_;
+  // VMs that left an opening unanswered, until they are heard again.
+  std::map<NodeId, TimePoint> silent_;
+  std::map<NodeId, pb::FlowMessage> messages_;
+  TimePoint forget_due_{};
+  FlowActions actions_;
+  FlowNodeCounters counters_;
+};
+
+void FlowNodeImpl::OnCatalog(TimePoint now, const pb::Catalog& catalog) {
+  if (catalog.revision() <= revision_) {
+    return;
+  }
+  revision_ = catalog.revision();
+  routes_ = RouteTable::From(catalog.flows());
+  dispatcher_->SetClasses(routes_.classes());
+  endpoint_versions_.clear();
+  UpdateEndpoints(now);
+}
+
+FlowVerdict FlowNodeImpl::OnPacket(TimePoint now, const FlowPacket& packet,
+                                   ByteSpan bytes) {
+  ++counters_.packets;
+  if (revision_ == 0) {
+    return {FlowVerdict::Kind::kDrop};
+  }
+  const FlowRoute* route = routes_.Find(packet.route);
+  if (route == nullptr) {
+    ++counters_.unknown_route;
+    return {packet.aborts ? FlowVerdict::Kind::kDrop
+                          : FlowVerdict::Kind::kReset};
+  }
+  if (packet.opens) {
+    OpenFlow(now, *route, packet, bytes);
+    return {FlowVerdict::Kind::kTaken};
+  }
+  const FlowTarget* target = endpoints_.Find(packet.cookie);
+  if (target == nullptr) {
+    ++counters_.unknown_endpoint;
+    return {FlowVerdict::Kind::kDrop};
+  }
+  if (packet.ends || packet.aborts) {
+    EndFlow(now, packet, target->service);
+  }
+  ++counters_.forwarded;
+  return {FlowVerdict::Kind::kForward, target};
+}
+
+void FlowNodeImpl::OpenFlow(TimePoint now, const FlowRoute& route,
+                            const FlowPacket& packet, ByteSpan bytes) {
+  FlowOpening opening;
+  opening.id = packet.id();
+  opening.route = packet.route;
+  opening.service = route.ServiceFor(opening.id);
+  opening.work_class = route.work_class;
+  opening.timeout = route.timeout;
+  opening.sequence = packet.sequence;
+  opening.copy = packet.copy;
+  opening.data_center = data_center_;
+  opening.packet.assign(bytes.begin(), bytes.end());
+  if (dispatcher_->Knows(opening.id)) {
+    Place(now, std::move(opening));
+    return;
+  }
+  if (asked_.contains(opening.id)) {
+    return;  // The answer to the packet before decides for its copies too.
+  }
+  const NodeId to = DispatcherFor(now, opening.service);
+  if (to == self()) {
+    Place(now, std::move(opening));
+  } else {
+    HandOver(now, std::move(opening), to);
+  }
+}
+
+NodeId FlowNodeImpl::DispatcherFor(TimePoint now, ServiceId service) const {
+  for (std::size_t rank = 0; rank < kDispatcherRanks; ++rank) {
+    const std::optional<NodeId> it =
+        DispatcherOf(service, peers_->members().members(), rank);
+    if (!it) {
+      break;
+    }
+    if (*it == self() || !silent_.contains(*it)) {
+      return *it;
+    }
+  }
+  return self();
+}
+
+void FlowNodeImpl::HandOver(TimePoint now, FlowOpening opening, NodeId to) {
+  ++counters_.handed_over;
+  pb::FlowOpening& message = *MessageTo(to).add_openings();
+  message.set_id(opening.id.value());
+  message.set_service(opening.service.value());
+  message.set_revision(revision_);
+  message.set_work_class(opening.work_class.value());
+  message.set_timeout_ms(static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(opening.timeout)
+          .count()));
+  message.set_route(opening.route.Packed());
+  message.set_sequence(opening.sequence);
+  message.set_copy(opening.copy);
+  message.set_data_center(opening.data_center);
+  message.set_packet(opening.packet);
+  const FlowId id = opening.id;
+  asked_[id] = {std::move(opening), to, now + kTakenTimeout};
+}
+
+void FlowNodeImpl::Place(TimePoint now, FlowOpening opening) {
+  dispatcher_->Open(now, std::move(opening), actions_);
+}
+
+void FlowNodeImpl::EndFlow(TimePoint now, const FlowPacket& packet,
+                           ServiceId service) {
+  const FlowId id = packet.id();
+  if (dispatcher_->Knows(id)) {
+    dispatcher_->End(now, id, packet.aborts, actions_);
+    return;
+  }
+  const NodeId to = DispatcherFor(now, service);
+  if (to != self()) {
+    pb::FlowEnd& message = *MessageTo(to).add_ends();
+    message.set_id(id.value());
+    message.set_service(service.value());
+    message.set_given_up(packet.aborts);
+  }
+}
+
+void FlowNodeImpl::OnPeer(TimePoint now, SocketAddress from, ByteSpan bytes,
+                          Outbox& out) {
+  const pb::FlowMessage* message = peers_->OnDatagram(now, from, bytes, out);
+  const NodeId sender = peers_->sender();
+  silent_.erase(sender);
+  if (message != nullptr) {
+    for (const pb::FlowOpening& it : message->openings()) {
+      OnOpening(now, sender, it);
+    }
+    for (const pb::FlowTaken& it : message->taken()) {
+      asked_.erase(FlowId(it.id()));
+    }
+    for (const pb::FlowEnd& it : message->ends()) {
+      dispatcher_->End(now, FlowId(it.id()), it.given_up(), actions_);
+    }
+  }
+}
+
+void FlowNodeImpl::OnOpening(TimePoint now, NodeId from,
+                             const pb::FlowOpening& message) {
+  if (message.revision() > revision_) {
+    // Placing it by an older catalog than its ingress has could undo what
+    // callers have seen already: the ingress places it itself.
+    ++counters_.stale_openings;
+    return;
+  }
+  MessageTo(from).add_taken()->set_id(message.id());
+  std::optional<FlowOpening> opening = Reviewed(message);
+  if (opening) {
+    Place(now, *std::move(opening));
+  } else {
+    actions_.refusals.push_back(
+        {FlowId(message.id()), ErrorKind::kNotFound, message.packet()});
+  }
+}
+
+std::optional<FlowOpening> FlowNodeImpl::Reviewed(
+    const pb::FlowOpening& message) {
+  FlowOpening opening;
+  opening.id = FlowId(message.id());
+  opening.route = SocketAddress::FromPacked(message.route());
+  opening.service = ServiceId(message.service());
+  opening.work_class = ClassId(message.work_class());
+  opening.timeout = std::chrono::milliseconds(message.timeout_ms());
+  opening.sequence = message.sequence();
+  opening.copy = message.copy();
+  opening.data_center = message.data_center();
+  opening.packet = message.packet();
+  if (message.revision() < revision_) {
+    const FlowRoute* route = routes_.Find(opening.route);
+    if (route == nullptr) {
+      return std::nullopt;
+    }
+    opening.service = route->ServiceFor(opening.id);
+    opening.work_class = route->work_class;
+    opening.timeout = route->timeout;
+  }
+  return opening;
+}
+
+void FlowNodeImpl::OnTick(TimePoint now, Outbox& out) {
+  peers_->OnTick(now, out);
+  UpdateEndpoints(now);
+  if (peers_->members().version() != members_version_) {
+    members_version_ = peers_->members().version();
+    MoveWaiting(now);
+  }
+  RetryAsked(now);
+  dispatcher_->OnTick(now, actions_);
+  if (now >= forget_due_) {
+    forget_due_ = now + kForgetInterval;
+    endpoints_.Forget(now);
+  }
+}
+
+void FlowNodeImpl::RetryAsked(TimePoint now) {
+  std::vector<FlowOpening> overdue;
+  for (auto it = asked_.begin(); it != asked_.end();) {
+    if (now < it->second.due) {
+      ++it;
+      continue;
+    }
+    silent_.try_emplace(it->second.dispatcher, now);
+    overdue.push_back(std::move(it->second.opening));
+    it = asked_.erase(it);
+  }
+  for (FlowOpening& it : overdue) {
+    ++counters_.placed_alone;
+    Place(now, std::move(it));
+  }
+}
+
+void FlowNodeImpl::UpdateEndpoints(TimePoint now) {
+  const Registry& registry = peers_->registry();
+  for (const ServiceId it : routes_.services()) {
+    const std::uint64_t version = registry.VersionOf(it);
+    const auto [known, added] = endpoint_versions_.try_emplace(it, version);
+    if (!added && known->second == version) {
+      continue;
+    }
+    known->second = version;
+    endpoints_.Set(now, it, registry.EndpointsOf(it));
+    std::vector<Endpoint> usable;
+    for (const Endpoint& endpoint : registry.EndpointsOf(it)) {
+      if (endpoints_.Find(endpoint.id) != nullptr) {
+        usable.push_back(endpoint);
+      }
+    }
+    dispatcher_->SetEndpoints(now, it, usable, actions_);
+  }
+}
+
+void FlowNodeImpl::MoveWaiting(TimePoint now) {
+  for (const ServiceId it : routes_.services()) {
+    const NodeId to = DispatcherFor(now, it);
+    if (to == self()) {
+      continue;
+    }
+    for (FlowOpening& opening : dispatcher_->TakeWaiting(now, it)) {
+      HandOver(now, std::move(opening), to);
+    }
+  }
+}
+
+TimePoint FlowNodeImpl::NextWake() const {
+  TimePoint wake = std::min(peers_->NextWake(), dispatcher_->NextWake());
+  for (const auto& [id, it] : asked_) {
+    wake = std::min(wake, it.due);
+  }
+  return wake;
+}
+
+void FlowNodeImpl::Finish(TimePoint now, Outbox& out) {
+  for (auto& [to, message] : messages_) {
+    // Openings are the only large part; each fits a datagram by itself.
+    pb::FlowMessage part;
+    std::size_t bytes = 0;
+    const auto flush = [&] {
+      if (bytes > 0) {
+        peers_->Send(to, part, out);
+        part.Clear();
+        bytes = 0;
+      }
+    };
+    const auto room_for = [&](const auto& item) {
+      const std::size_t n = item.ByteSizeLong() + 3;
+      if (bytes + n > kMaxMessageBytes) {
+        flush();
+      }
+      bytes += n;
+    };
+    for (pb::FlowOpening& it : *message.mutable_openings()) {
+      room_for(it);
+      *part.add_openings() = std::move(it);
+    }
+    for (const pb::FlowTaken& it : message.taken()) {
+      room_for(it);
+      *part.add_taken() = it;
+    }
+    for (const pb::FlowEnd& it : message.ends()) {
+      room_for(it);
+      *part.add_ends() = it;
+    }
+    flush();
+  }
+  messages_.clear();
+}
+
+FlowNodeActions FlowNodeImpl::TakeActions() {
+  FlowNodeActions actions;
+  for (FlowPlacement& it : actions_.placements) {
+    if (const FlowTarget* target = endpoints_.Find(it.endpoint)) {
+      actions.places.push_back({*target, std::move(it.packet)});
+    }
+  }
+  actions.refusals = std::move(actions_.refusals);
+  actions_ = {};
+  return actions;
+}
+
+bool FlowNodeImpl::Ready() const {
+  return revision_ > 0 && endpoints_.size() > 0;
+}
+
+void FlowNodeImpl::BeginStop(TimePoint now, Outbox& out) {
+  peers_->Leave(now, out);
+  members_version_ = peers_->members().version();
+  MoveWaiting(now);
+  Finish(now, out);
+}
+
+}  // namespace
+}  // namespace internal
+
+Result<std::unique_ptr<FlowNode>> FlowNode::Create(FlowNodeOptions options,
+                                                   std::uint64_t seed) {
+  RegistryOptions registry;
+  registry.epochs_are_start_times = true;
+  // An entry VM that is cut off goes on with the endpoints that it knows.
+  registry.doubt_after = std::chrono::hours(24);
+  Result<std::unique_ptr<FlowDispatcher>> dispatcher =
+      FlowDispatcher::Create(options.dispatcher, seed);
+  if (!dispatcher.ok()) {
+    return dispatcher.error();
+  }
+  Result<std::unique_ptr<PeerNode>> peers =
+      PeerNode::Create(std::move(options.members), std::move(registry), seed);
+  if (!peers.ok()) {
+    return peers.error();
+  }
+  return std::unique_ptr<FlowNode>(std::make_unique<internal::FlowNodeImpl>(
+      std::move(options.data_center), std::move(*peers),
+      std::move(*dispatcher)));
+}
+
+}  // namespace vanillalatch
--- /dev/null
+++ b/src/packetflow/peer_node.cc
@@ -0,0 +1,86 @@
+#include "vanillalatch/packetflow/peer_node.h"
+
+#include <algorithm>
+
+namespace vanillalatch {
+namespace {
+
+// How often leases that ran out are dropped: a small part of the shortest
+// lease, one second.
+constexpr Duration kRegistryInterval = std::chrono::milliseconds(100);
+
+}  // namespace
+
+Result<std::unique_ptr<PeerNode>> PeerNode::Create(MemberListOptions members,
+                                                   RegistryOptions registry,
+                                                   std::uint64_t seed) {
+  const std::uint64_t incarnation = members.incarnation;
+  Result<std::unique_ptr<MemberList>> list =
+      MemberList::Create(std::move(members), seed);
+  if (!list.ok()) {
+    return list.error();
+  }
+  Result<std::unique_ptr<Registry>> leases =
+      Registry::Create(std::move(registry));
+  if (!leases.ok()) {
+    return leases.error();
+  }
+  return std::unique_ptr<PeerNode>(
+      new PeerNode(incarnation, std::move(*list), std::move(*leases)));
+}
+
+const pb::FlowMessage* PeerNode::OnDatagram(TimePoint now, SocketAddress from,
+                                            ByteSpan bytes, Outbox& out) {
+  incoming_.Clear();
+  if (!incoming_.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
+      NodeId(incoming_.from()) == members_->self()) {
+    ++malformed_;
+    return nullptr;
+  }
+  if (incoming_.has_membership()) {
+    members_->OnMessage(now, from, sender(), incoming_.membership(), *registry_,
+                        out);
+    return nullptr;
+  }
+  if (!incoming_.has_flow()) {
+    ++malformed_;
+    return nullptr;
+  }
+  return &incoming_.flow();
+}
+
+void PeerNode::OnTick(TimePoint now, Outbox& out) {
+  if (now >= registry_due_) {
+    registry_due_ = now + kRegistryInterval;
+    registry_->OnTick(now);
+  }
+  if (now >= members_->NextWake()) {
+    members_->OnTick(now, *registry_, out);
+  }
+}
+
+TimePoint PeerNode::NextWake() const {
+  return std::min(registry_due_, members_->NextWake());
+}
+
+void PeerNode::Send(NodeId to, const pb::FlowMessage& message, Outbox& out) {
+  const std::span<const Member> all = members_->members();
+  const auto it = std::find_if(all.begin(), all.end(),
+                               [&](const Member& m) { return m.id == to; });
+  if (it == all.end()) {
+    return;
+  }
+  pb::PeerDatagram datagram;
+  datagram.set_from(members_->self().value());
+  datagram.set_incarnation(incarnation_);
+  *datagram.mutable_flow() = message;
+  const std::size_t n = datagram.ByteSizeLong();
+  datagram.SerializeWithCachedSizesToArray(
+      out.Reserve(SocketRole::kPeer, it->peer, n).data());
+}
+
+void PeerNode::Leave(TimePoint now, Outbox& out) {
+  members_->Leave(now, *registry_, out);
+}
+
+}  // namespace vanillalatch
--- a/src/placement/class_table.cc
+++ b/src/placement/class_table.cc
@@ -79,7 +79,7 @@
     by_latency_.push_back(&it);
   }
   const auto key = [](const ClassState* it) {
-    return std::tuple(it->target.latency, it->target.id);
+    return std::tuple(it->target.urgency, it->target.latency, it->target.id);
   };
   std::sort(by_latency_.begin(), by_latency_.end(),
             [&](const auto* a, const auto* b) { return key(a) < key(b); });
--- a/src/placement/endpoint_pool.cc
+++ b/src/placement/endpoint_pool.cc
@@ -9,6 +9,8 @@
 // Answers that an endpoint needs before its speed is compared.
 constexpr std::uint64_t kComparedAnswers = 4;
 
+constexpr std::uint32_t kWholePercent = 100;
+
 enum Trouble : int { kNone = 0, kSlow = 1, kSick = 2 };
 
 }  // namespace
@@ -17,7 +19,8 @@
   for (auto& [id, it] : tracks_) {
     it.SetMissing();
   }
-  for (const Endpoint& it : endpoints) {
+  for (Endpoint it : endpoints) {
+    it.slots = (it.slots * overlap_percent_ + kWholePercent - 1) / kWholePercent;
     const auto [track, added] =
         tracks_.try_emplace(it.id, EndpointTrack(now, it, ramp_));
     if (!added) {
@@ -84,7 +87,7 @@
     if (!it.HasFreeSlot(now) || (work.avoid == id && OthersTakeNew(id))) {
       continue;
     }
-    const Rank rank = RankOf(now, it);
+    const Rank rank = RankOf(now, work, it);
     if (std::get<0>(rank) == kSlow &&
         now + it.answer_time().high() > latest_finish) {
       continue;
@@ -112,7 +115,7 @@
   });
 }
 
-EndpointPool::Rank EndpointPool::RankOf(TimePoint now,
+EndpointPool::Rank EndpointPool::RankOf(TimePoint now, const Work& work,
                                         const EndpointTrack& track) const {
   const int trouble = track.LooksSick()    ? kSick
                       : IsSlow(now, track) ? kSlow
@@ -122,7 +125,16 @@
   const Endpoint& endpoint = track.endpoint();
   const bool hint = !track.answer_time().KnownAt(now) &&
                     now - endpoint.load_reported <= kLoadMaxAge;
-  return {trouble, share, hint ? endpoint.load_percent : 0.0,
+  const bool crowded =
+      track.busy() >= endpoint.slots * kWholePercent / overlap_percent_;
+  const bool elsewhere =
+      !work.data_center.empty() && work.data_center != endpoint.data_center;
+  return {trouble,
+          crowded,
+          now < endpoint.warm_at,
+          elsewhere,
+          share,
+          hint ? endpoint.load_percent : 0.0,
           track.last_started()};
 }
 
--- a/src/placement/endpoint_pool.h
+++ b/src/placement/endpoint_pool.h
@@ -36,8 +36,11 @@
   // A reported load says nothing when it is older.
   static constexpr Duration kLoadMaxAge = std::chrono::seconds(2);
 
-  EndpointPool(Duration ramp, std::uint64_t seed)
-      : ramp_(ramp), random_(seed) {}
+  EndpointPool(const SlotSchedulerOptions& options, std::uint64_t seed)
+      : ramp_(options.told_when_warm ? Duration::zero()
+                                     : options.cold_start_ramp),
+        overlap_percent_(options.overlap_percent),
+        random_(seed) {}
 
   void Set(TimePoint now, std::span<const Endpoint> endpoints);
   // Moves on ramps, back-offs and the usual answer time.
@@ -70,10 +73,12 @@
   const std::map<EndpointId, EndpointTrack>& tracks() const { return tracks_; }
 
  private:
-  // Lower is better: kind of trouble, busy share, reported load, last start.
-  using Rank = std::tuple<int, double, double, TimePoint>;
+  // Lower is better: kind of trouble, all slots in use, still cold, in another
+  // data centre, busy share, reported load, last start.
+  using Rank = std::tuple<int, bool, bool, bool, double, double, TimePoint>;
 
-  Rank RankOf(TimePoint now, const EndpointTrack& track) const;
+  Rank RankOf(TimePoint now, const Work& work,
+              const EndpointTrack& track) const;
   bool IsSlow(TimePoint now, const EndpointTrack& track) const;
   EndpointTrack* ChooseProbe(TimePoint now, const Work& work);
   bool OthersTakeNew(EndpointId id) const;
@@ -83,6 +88,7 @@
   Duration BackOff(std::uint32_t ejections);
 
   Duration ramp_;
+  std::uint32_t overlap_percent_;
   std::mt19937_64 random_;
   std::map<EndpointId, EndpointTrack> tracks_;
   Duration usual_{};
--- a/src/placement/rendezvous.cc
+++ b/src/placement/rendezvous.cc
@@ -12,8 +12,8 @@
 namespace {
 
 bool TakesWork(const Member& member) {
-  return member.state == MemberState::kAlive ||
-         member.state == MemberState::kSuspect;
+  return member.dispatches && (member.state == MemberState::kAlive ||
+                               member.state == MemberState::kSuspect);
 }
 
 }  // namespace
--- a/src/placement/slot_scheduler.cc
+++ b/src/placement/slot_scheduler.cc
@@ -33,7 +33,7 @@
   CentralScheduler(SlotSchedulerOptions options, std::uint64_t seed)
       : options_(options),
         classes_(seed),
-        pool_(options.cold_start_ramp, seed),
+        pool_(options, seed),
         gate_(queue_, classes_, pool_) {}
 
   void SetClasses(std::span<const ClassTarget> classes) override {
--- a/src/registry/lease.cc
+++ b/src/registry/lease.cc
@@ -88,6 +88,8 @@
   update.set_lifetime_ms(Milliseconds(lease.lifetime));
   update.set_load_percent(it.load_percent);
   update.set_age_ms(Milliseconds(now - it.registered));
+  update.set_data_center(it.data_center);
+  update.set_warm_in_ms(Milliseconds(it.warm_at - now));
 }
 
 std::optional<Lease> FromUpdate(const pb::LeaseUpdate& update, TimePoint now) {
@@ -106,6 +108,8 @@
   it.version = update.version();
   it.registered = now - milliseconds(update.age_ms());
   it.load_percent = update.load_percent();
+  it.data_center = update.data_center();
+  it.warm_at = now + milliseconds(update.warm_in_ms());
   lease.claim = update.claim();
   lease.lifetime = milliseconds(update.lifetime_ms());
   lease.renewed = now + milliseconds(update.ttl_ms()) - lease.lifetime;
--- a/src/registry/registry.cc
+++ b/src/registry/registry.cc
@@ -44,7 +44,8 @@
 }  // namespace
 
 std::optional<Error> RegistryImpl::Check(const Registration& registration) {
-  if (registration.data_center != options_.data_center) {
+  if (!options_.data_center.empty() &&
+      registration.data_center != options_.data_center) {
     return Error(ErrorKind::kWrongDataCenter,
                  "registration for data centre " + registration.data_center);
   }
@@ -61,6 +62,13 @@
     return Error(ErrorKind::kConflict,
                  "a later registration of " + registration.name + " is known");
   }
+  const Lease* holder = store_.FindByAddress(registration.address);
+  if (options_.epochs_are_start_times && holder != nullptr &&
+      registration.epoch < holder->endpoint.epoch) {
+    return Error(ErrorKind::kConflict,
+                 holder->endpoint.name + " started later at " +
+                     registration.address.ToString());
+  }
   return std::nullopt;
 }
 
@@ -125,6 +133,8 @@
   endpoint.load_reported = now;
   endpoint.epoch = registration.epoch;
   endpoint.version = 1;
+  endpoint.data_center = registration.data_center;
+  endpoint.warm_at = now + registration.warm_in;
   lease.claim = NextClaim(registration.address);
   lease.lifetime = registration.lifetime;
   lease.renewed = now;
@@ -361,9 +371,6 @@
 }  // namespace internal
 
 Result<std::unique_ptr<Registry>> Registry::Create(RegistryOptions options) {
-  if (options.data_center.empty()) {
-    return Error(ErrorKind::kInvalidArgument, "a registry needs a data centre");
-  }
   return std::unique_ptr<Registry>(
       std::make_unique<internal::RegistryImpl>(std::move(options)));
 }
--- a/src/runtime/control_shell.cc
+++ b/src/runtime/control_shell.cc
@@ -12,12 +12,33 @@
 constexpr Duration kLongestStop = std::chrono::seconds(3);
 constexpr Duration kStopPoll = std::chrono::milliseconds(20);
 
+// In a fleet a control VM is known by its address alone.
+void JoinThroughSeeds(const Settings& settings, ControlOptions& options) {
+  options.vm = settings.control->listen.ToString();
+  options.address = options.vm;
+  options.data_center = settings.data_center;
+  options.open = true;
+  options.may_found = settings.control->first_start;
+  for (const SocketAddress& it : settings.fleet->control) {
+    options.initial.push_back({it.ToString(), it.ToString(), ""});
+  }
+}
+
+// The reply to a gRPC call.
+template <typename Call>
+auto Replying(const Call& call) {
+  return [call](const auto& reply) { call.Reply(reply); };
+}
+
 ControlOptions OptionsFrom(const Settings& settings) {
   ControlOptions options;
   options.vm = settings.vm;
   for (const ControlVoter& it : settings.control->voters) {
     options.initial.push_back({it.vm, it.address.ToString(), it.data_center});
   }
+  if (settings.control->voters.empty()) {
+    JoinThroughSeeds(settings, options);
+  }
   return options;
 }
 
@@ -92,31 +113,31 @@
 
 void ControlShell::Accept(const ApplyCall& call) {
   const Ticket ticket(++last_ticket_);
-  applies_[ticket] = call;
+  applies_[ticket] = Replying(call);
   node_->OnApply(Now(), ticket, *call.request);
 }
 
 void ControlShell::Accept(const GetCall& call) {
   const Ticket ticket(++last_ticket_);
-  gets_[ticket] = call;
+  gets_[ticket] = Replying(call);
   node_->OnGet(Now(), ticket);
 }
 
 void ControlShell::Accept(const HistoryCall& call) {
   const Ticket ticket(++last_ticket_);
-  histories_[ticket] = call;
+  histories_[ticket] = Replying(call);
   node_->OnHistory(Now(), ticket, *call.request);
 }
 
 void ControlShell::Accept(const StatusCall& call) {
   const Ticket ticket(++last_ticket_);
-  statuses_[ticket] = call;
+  statuses_[ticket] = Replying(call);
   node_->OnStatus(Now(), ticket);
 }
 
 void ControlShell::Accept(const SyncCall& call) {
   const Ticket ticket(++last_ticket_);
-  syncs_[ticket] = call;
+  syncs_[ticket] = Replying(call);
   node_->OnSync(Now(), ticket, *call.request);
 }
 
@@ -125,17 +146,32 @@
   call.Reply({});
 }
 
-template <typename Call, typename Replies>
-void ControlShell::Answer(OpenCalls<Call>& open, const Replies& replies) {
+template <typename Reply, typename Replies>
+void ControlShell::Answer(OpenCalls<Reply>& open, const Replies& replies) {
   for (const auto& [ticket, reply] : replies) {
     const auto it = open.find(ticket);
     if (it != open.end()) {
-      it->second.Reply(reply);
+      it->second(reply);
       open.erase(it);
     }
   }
 }
 
+void ControlShell::Apply(const pb::ApplyRequest& request,
+                         std::function<void(const pb::ApplyReply&)> then) {
+  const Ticket ticket(++last_ticket_);
+  applies_[ticket] = std::move(then);
+  node_->OnApply(Now(), ticket, request);
+  CarryOut();
+}
+
+void ControlShell::Get(std::function<void(const pb::GetReply&)> then) {
+  const Ticket ticket(++last_ticket_);
+  gets_[ticket] = std::move(then);
+  node_->OnGet(Now(), ticket);
+  CarryOut();
+}
+
 void ControlShell::CarryOut() {
   const ControlActions actions = node_->TakeActions();
   for (const ControlActions::Send& it : actions.sends) {
--- a/src/runtime/control_shell.h
+++ b/src/runtime/control_shell.h
@@ -4,10 +4,11 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <functional>
 #include <memory>
 #include <vector>
 
-#include "src/runtime/wakeup.h"
+#include "vanillalatch/runtime/wakeup.h"
 #include "vanillalatch/control/control_node.h"
 #include "vanillalatch/rpc/control_client.h"
 #include "vanillalatch/rpc/control_service.h"
@@ -27,6 +28,11 @@
 
   const ControlNode& node() const { return *node_; }
 
+  // Calls from this thread; each gets one reply.
+  void Apply(const pb::ApplyRequest& request,
+             std::function<void(const pb::ApplyReply&)> then);
+  void Get(std::function<void(const pb::GetReply&)> then);
+
  private:
   ControlShell(std::unique_ptr<Disk> disk, std::unique_ptr<ControlNode> node);
 
@@ -45,10 +51,11 @@
   void Accept(const SyncCall& call);
   void Accept(const StepCall& call);
 
-  template <typename Call>
-  using OpenCalls = absl::flat_hash_map<Ticket, Call>;
-  template <typename Call, typename Replies>
-  void Answer(OpenCalls<Call>& open, const Replies& replies);
+  template <typename Reply>
+  using OpenCalls =
+      absl::flat_hash_map<Ticket, std::function<void(const Reply&)>>;
+  template <typename Reply, typename Replies>
+  void Answer(OpenCalls<Reply>& open, const Replies& replies);
 
   std::unique_ptr<Disk> disk_;
   std::unique_ptr<ControlNode> node_;
@@ -56,11 +63,11 @@
   ControlClient client_;
   Wakeup wakeup_;
   std::uint64_t last_ticket_ = 0;
-  OpenCalls<ApplyCall> applies_;
-  OpenCalls<GetCall> gets_;
-  OpenCalls<HistoryCall> histories_;
-  OpenCalls<StatusCall> statuses_;
-  OpenCalls<SyncCall> syncs_;
+  OpenCalls<pb::ApplyReply> applies_;
+  OpenCalls<pb::GetReply> gets_;
+  OpenCalls<pb::HistoryReply> histories_;
+  OpenCalls<pb::StatusReply> statuses_;
+  OpenCalls<pb::SyncReply> syncs_;
   std::unique_ptr<RpcServer> server_;
   std::vector<boost::fibers::fiber> fibers_;
   bool stopping_ = false;
--- a/src/runtime/entry_shell.cc
+++ b/src/runtime/entry_shell.cc
@@ -10,9 +10,6 @@
 namespace {
 
 constexpr std::size_t kMailboxCalls = 64;  // A power of two.
-// Longer than a control VM holds a call that has nothing newer.
-constexpr Duration kSyncTimeout = std::chrono::milliseconds(2500);
-constexpr Duration kSyncPause = std::chrono::milliseconds(100);
 constexpr Duration kStopPoll = std::chrono::milliseconds(20);
 // Stops with the announcement on its way to every member.
 constexpr Duration kFarewell = std::chrono::milliseconds(100);
@@ -33,6 +30,15 @@
   return options;
 }
 
+std::vector<std::string> AddressTexts(
+    const std::vector<SocketAddress>& addresses) {
+  std::vector<std::string> texts;
+  for (const SocketAddress& it : addresses) {
+    texts.push_back(it.ToString());
+  }
+  return texts;
+}
+
 }  // namespace
 
 Result<std::unique_ptr<EntryShell>> EntryShell::Create(
@@ -71,12 +77,8 @@
       admin_address_(settings.entry->admin.ToString()),
       unix_epoch_ms_(UnixEpochMs()),
       vm_(settings.vm),
-      mailbox_(kMailboxCalls),
-      last_quorum_(Now()) {
-  for (const SocketAddress& it : settings.entry->control) {
-    control_addresses_.push_back(it.ToString());
-  }
-}
+      follower_(AddressTexts(settings.entry->control)),
+      mailbox_(kMailboxCalls) {}
 
 void EntryShell::Start(Reactor& reactor) {
   for (const SocketRole it :
@@ -101,6 +103,7 @@
   }
   boost::this_fiber::sleep_for(kFarewell);
   stopped_ = true;
+  follower_.Stop();
   server_->Stop();
 }
 
@@ -110,7 +113,7 @@
   view.counters = &node_->counters();
   view.catalog = &catalog_;
   view.report = node_->Report(now);
-  view.catalog_age = now - last_quorum_;
+  view.catalog_age = now - follower_.last_quorum();
   view.hops = node_->TakeHops();
   view.unix_epoch_ms = unix_epoch_ms_;
   return view;
@@ -141,34 +144,19 @@
 }
 
 void EntryShell::SyncCatalog() {
-  std::size_t n = std::random_device()();
-  while (!stopped_) {
-    if (!SyncOnce(control_addresses_[n % control_addresses_.size()])) {
-      ++n;
-      boost::this_fiber::sleep_for(kSyncPause);
-    }
-  }
-}
-
-bool EntryShell::SyncOnce(const std::string& address) {
-  pb::SyncRequest request = node_->Report(Now());
-  request.set_admin_address(admin_address_);
-  const std::optional<pb::SyncReply> reply =
-      client_.Sync(address, request, kSyncTimeout);
-  if (!reply) {
-    return false;
-  }
-  if (reply->has_catalog()) {
-    node_->OnCatalog(Now(), reply->catalog(), out_);
-    Flush();
-    if (node_->revision().value() == reply->catalog().revision()) {
-      catalog_ = reply->catalog();
-    }
-  }
-  if (reply->from_quorum()) {
-    last_quorum_ = Now();
-  }
-  return reply->from_quorum();
+  follower_.Run(
+      [this] {
+        pb::SyncRequest request = node_->Report(Now());
+        request.set_admin_address(admin_address_);
+        return request;
+      },
+      [this](const pb::Catalog& catalog) {
+        node_->OnCatalog(Now(), catalog, out_);
+        Flush();
+        if (node_->revision().value() == catalog.revision()) {
+          catalog_ = catalog;
+        }
+      });
 }
 
 void EntryShell::ServeAdmin() {
--- a/src/runtime/entry_shell.h
+++ b/src/runtime/entry_shell.h
@@ -8,10 +8,10 @@
 #include <vector>
 
 #include "src/runtime/publisher.h"
-#include "src/runtime/udp_socket.h"
-#include "src/runtime/wakeup.h"
+#include "vanillalatch/runtime/udp_socket.h"
+#include "src/runtime/catalog_follower.h"
+#include "vanillalatch/runtime/wakeup.h"
 #include "vanillalatch/entry/entry_node.h"
-#include "vanillalatch/rpc/control_client.h"
 #include "vanillalatch/rpc/control_service.h"
 #include "vanillalatch/runtime/reactor.h"
 #include "vanillalatch/settings/settings.h"
@@ -41,22 +41,19 @@
   void RunTimer();
   void SyncCatalog();
   void ServeAdmin();
-  // One call to a control VM. False if it failed.
-  bool SyncOnce(const std::string& address);
   pb::ExplainReply Explain(const std::string& request_id) const;
   // Sends what the node decided.
   void Flush();
 
   std::vector<UdpSocket> sockets_;
   std::unique_ptr<EntryNode> node_;
-  std::vector<std::string> control_addresses_;
   std::string admin_address_;
   std::int64_t unix_epoch_ms_;
   std::string vm_;
   pb::Catalog catalog_;  // In force.
   Outbox out_;
   Wakeup wakeup_;
-  ControlClient client_;
+  CatalogFollower follower_;
   AdminMailbox mailbox_;
   std::unique_ptr<RpcServer> server_;
   std::vector<boost::fibers::fiber> fibers_;
--- /dev/null
+++ b/src/runtime/fleet_shell.h
@@ -0,0 +1,65 @@
+// Runs a control VM's PeerNode, and lets doors reach it and the ControlShell.
+#ifndef VANILLALATCH_SRC_RUNTIME_FLEET_SHELL_H_
+#define VANILLALATCH_SRC_RUNTIME_FLEET_SHELL_H_
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "src/runtime/control_shell.h"
+#include "vanillalatch/packetflow/peer_node.h"
+#include "vanillalatch/runtime/control_gate.h"
+#include "vanillalatch/runtime/reactor.h"
+#include "vanillalatch/runtime/udp_socket.h"
+#include "vanillalatch/runtime/wakeup.h"
+#include "vanillalatch/settings/settings.h"
+
+namespace vanillalatch {
+
+// How this VM appears among the VMs of its fleet.
+MemberListOptions FleetMember(const Settings& settings, bool dispatches);
+
+class FleetShell final : public ControlGate {
+ public:
+  // Errors: those of UdpSocket::Bind() and PeerNode::Create().
+  static Result<std::unique_ptr<FleetShell>> Create(const Settings& settings,
+                                                    ControlShell& control);
+
+  // Starts its fibers on this thread.
+  void Start(Reactor& reactor);
+  // Tells the other VMs that this one stops.
+  void Stop();
+
+  void Register(Registration registration, bool leaving,
+                Then<Result<EndpointId>> then) override;
+  void EndRegistration(std::string name,
+                       Then<Result<EndpointId>> then) override;
+  void Apply(pb::Change change, Then<pb::ApplyReply> then) override;
+  void Get(Then<pb::GetReply> then) override;
+
+ private:
+  using Job = std::function<void()>;
+
+  FleetShell(UdpSocket socket, std::unique_ptr<PeerNode> peers,
+             ControlShell& control);
+
+  void ServeSocket(FdWaiter& waiter);
+  void RunTimer();
+  void RunJobs();
+  void Post(Job job);
+  Result<EndpointId> RegisterNow(const Registration& registration,
+                                 bool leaving);
+  void Flush();
+
+  UdpSocket socket_;
+  std::unique_ptr<PeerNode> peers_;
+  ControlShell& control_;
+  std::map<std::string, EndpointId> registered_;  // Last, by name.
+  boost::fibers::buffered_channel<Job> jobs_;
+  Outbox out_;
+  Wakeup wakeup_;
+};
+
+}  // namespace vanillalatch
+
+#endif  // VANILLALATCH_SRC_RUNTIME_FLEET_SHELL_H_
--- /dev/null
+++ b/src/runtime/flow_shell.cc
@@ -0,0 +1,154 @@
+#include "vanillalatch/runtime/flow_shell.h"
+
+#include <random>
+#include <utility>
+
+#include "src/runtime/catalog_follower.h"
+#include "src/runtime/fleet_shell.h"
+#include "vanillalatch/runtime/wakeup.h"
+#include "vanillalatch/telemetry/log.h"
+
+namespace vanillalatch {
+
+// What only the sources of this library know.
+class FlowShellCore::Link {
+ public:
+  explicit Link(const Settings& settings) : follower(Addresses(settings)) {}
+
+  CatalogFollower follower;
+  Wakeup wakeup;
+
+ private:
+  static std::vector<std::string> Addresses(const Settings& settings) {
+    std::vector<std::string> texts;
+    for (const SocketAddress& it : settings.fleet->control) {
+      texts.push_back(it.ToString());
+    }
+    return texts;
+  }
+};
+
+Result<FlowShellCore::Sockets> FlowShellCore::Bind(const Settings& settings) {
+  Result<UdpSocket> packets = UdpSocket::Bind(settings.flows->listen);
+  if (!packets.ok()) {
+    return packets.error();
+  }
+  Result<UdpSocket> peers = UdpSocket::Bind(settings.fleet->listen);
+  if (!peers.ok()) {
+    return peers.error();
+  }
+  return Sockets{std::move(*packets), std::move(*peers)};
+}
+
+Result<std::unique_ptr<FlowNode>> FlowShellCore::MakeNode(
+    const Settings& settings) {
+  FlowNodeOptions options;
+  options.members = FleetMember(settings, true);
+  options.data_center = settings.data_center;
+  return FlowNode::Create(std::move(options), std::random_device()());
+}
+
+FlowShellCore::FlowShellCore(const Settings& settings, Sockets sockets,
+                             std::unique_ptr<FlowNode> node)
+    : sockets_(std::move(sockets)),
+      node_(std::move(node)),
+      link_(std::make_unique<Link>(settings)),
+      vm_(settings.vm),
+      data_center_(settings.data_center),
+      packet_port_(settings.flows->listen.port),
+      drain_limit_(settings.flows->drain_limit) {}
+
+FlowShellCore::~FlowShellCore() = default;
+
+void FlowShellCore::Start(Reactor& reactor) {
+  FdWaiter& packets = reactor.Watch(sockets_.packets.fd());
+  FdWaiter& peers = reactor.Watch(sockets_.peers.fd());
+  boost::fibers::fiber([this, &packets] { ServePackets(packets); }).detach();
+  boost::fibers::fiber([this, &peers] { ServePeers(peers); }).detach();
+  boost::fibers::fiber([this] { RunTimer(); }).detach();
+  boost::fibers::fiber([this] {
+    link_->follower.Run(
+        [this] {
+          pb::SyncRequest request;
+          request.set_vm(vm_);
+          request.set_data_center(data_center_);
+          request.set_revision(node_->revision());
+          request.set_state(stopping_ ? "stopping" : "serving");
+          return request;
+        },
+        [this](const pb::Catalog& catalog) {
+          node_->OnCatalog(Now(), catalog);
+          LogEvent(LogLevel::kInfo, "catalog_in_force",
+                   {{"revision", node_->revision()},
+                    {"version", catalog.flows().version()},
+                    {"routes", catalog.flows().routes_size()}});
+          Flush();
+        });
+  }).detach();
+}
+
+void FlowShellCore::Stop() {
+  stopping_ = true;
+  ready_ = false;
+  node_->BeginStop(Now(), out_);
+  Flush();
+  boost::this_fiber::sleep_for(drain_limit_);
+  link_->follower.Stop();
+}
+
+void FlowShellCore::ServePackets(FdWaiter& waiter) {
+  for (;;) {
+    waiter.WaitReadable();
+    std::size_t n = 0;
+    do {
+      n = ReceivePackets(Now());
+      Flush();
+      boost::this_fiber::yield();
+    } while (n > 0);
+  }
+}
+
+void FlowShellCore::ServePeers(FdWaiter& waiter) {
+  for (;;) {
+    waiter.WaitReadable();
+    std::size_t n = 0;
+    do {
+      const TimePoint now = Now();
+      n = sockets_.peers.Receive([&](SocketAddress from, ByteSpan bytes) {
+        node_->OnPeer(now, from, bytes, out_);
+      });
+      Flush();
+      boost::this_fiber::yield();
+    } while (n > 0);
+  }
+}
+
+void FlowShellCore::RunTimer() {
+  for (;;) {
+    link_->wakeup.SleepUntil(node_->NextWake());
+    node_->OnTick(Now(), out_);
+    Flush();
+  }
+}
+
+void FlowShellCore::Flush() {
+  const TimePoint now = Now();
+  const FlowNodeActions actions = node_->TakeActions();
+  for (const FlowNodeActions::Place& it : actions.places) {
+    SendPlaced(it);
+  }
+  for (const FlowRefusal& it : actions.refusals) {
+    SendRefused(it);
+  }
+  sockets_.packets.Flush();
+  node_->Finish(now, out_);
+  for (const Outbox::Item& it : out_.items()) {
+    sockets_.peers.Queue(it.to, out_.Bytes(it));
+  }
+  sockets_.peers.Flush();
+  out_.Clear();
+  ready_ = !stopping_ && node_->Ready();
+  link_->wakeup.BringForward(node_->NextWake());
+}
+
+}  // namespace vanillalatch
--- a/src/runtime/runtime_test.cc
+++ b/src/runtime/runtime_test.cc
@@ -3,7 +3,7 @@
 #include <thread>
 #include <vector>
 
-#include "src/runtime/udp_socket.h"
+#include "vanillalatch/runtime/udp_socket.h"
 #include "vanillalatch/runtime/reactor.h"
 
 namespace vanillalatch {
--- a/src/runtime/serve.cc
+++ b/src/runtime/serve.cc
@@ -9,6 +9,7 @@
 
 #include "src/runtime/control_shell.h"
 #include "src/runtime/entry_shell.h"
+#include "src/runtime/fleet_shell.h"
 #include "src/runtime/publisher.h"
 #include "vanillalatch/runtime/reactor.h"
 #include "vanillalatch/telemetry/log.h"
@@ -90,23 +91,34 @@
 
 }  // namespace
 
-int RunServe(const Settings& settings, const std::string& settings_path) {
+int RunServe(const Settings& settings, const std::string& settings_path,
+             const OpenDoorsFunction& open_doors) {
   const SignalFile signals;
   StartLogging(settings.log_level, settings.log_file, settings.vm);
   Reactor& reactor = Reactor::StartOnThisThread();
   Publisher publisher = Publisher::Create(settings).value();
   std::unique_ptr<ControlShell> control;
+  std::unique_ptr<FleetShell> fleet;
   std::unique_ptr<EntryShell> entry;
   if (settings.control) {
     control = ControlShell::Create(settings).value();
     control->Start();
   }
+  if (settings.control && settings.fleet) {
+    fleet = FleetShell::Create(settings, *control).value();
+    fleet->Start(reactor);
+  }
+  const std::unique_ptr<Doors> doors =
+      open_doors(settings, fleet.get()).value();
+  doors->Start(reactor);
   if (settings.entry) {
     entry = EntryShell::Create(settings).value();
     entry->Start(reactor);
   }
   LogEvent(LogLevel::kInfo, "started",
-           {{"entry", entry != nullptr}, {"control", control != nullptr}});
+           {{"entry", entry != nullptr},
+            {"control", control != nullptr},
+            {"flows", settings.flows.has_value()}});
   boost::fibers::fiber([&] {
     for (;;) {
       Publish(publisher, entry.get(), control.get());
@@ -116,9 +128,13 @@
   WaitForStop(signals, reactor.Watch(signals.fd()),
               [&] { ReloadLog(settings_path, settings.vm); });
   LogEvent(LogLevel::kInfo, "stopping");
+  doors->Stop();
   if (entry != nullptr) {
     entry->Stop();
   }
+  if (fleet != nullptr) {
+    fleet->Stop();
+  }
   if (control != nullptr) {
     control->Stop();
   }
--- a/src/runtime/udp_socket.cc
+++ b/src/runtime/udp_socket.cc
@@ -1,4 +1,4 @@
-#include "src/runtime/udp_socket.h"
+#include "vanillalatch/runtime/udp_socket.h"
 
 #include <unistd.h>
 
@@ -62,8 +62,9 @@
 
 std::size_t UdpSocket::ReceiveBatch() {
   for (std::size_t i = 0; i < kBatch; ++i) {
-    receive_.pieces[i] = {receive_.bytes.data() + i * kBufferBytes,
-                          kBufferBytes};
+    receive_.pieces[i] = {
+        receive_.bytes.data() + i * kBufferBytes + kHeadroomBytes,
+        kBufferBytes - kHeadroomBytes};
     msghdr& header = receive_.messages[i].msg_hdr;
     header = {};
     header.msg_iov = &receive_.pieces[i];
--- a/src/runtime/wakeup.cc
+++ b/src/runtime/wakeup.cc
@@ -1,4 +1,4 @@
-#include "src/runtime/wakeup.h"
+#include "vanillalatch/runtime/wakeup.h"
 
 #include <algorithm>
 
