Decline openings at an entry VM that does not know the endpoints yet

Cause: a VM that had just started became the dispatcher of plans before the leases had reached it, and refused 131 openings for lack of an endpoint. Ruled out: the stops (callers' packets were carried on). Conclusion: a VM is ready, for callers and to dispatch, when each service has had an endpoint for two seconds; before that its peers place for it.

--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
+#include <set>
 #include <utility>
 
 #include "absl/container/flat_hash_map.h"
@@ -14,6 +16,11 @@
 // A dispatcher that is well answers within a hop of 0.5 ms each way and its
 // own share of a processor, which may be withheld for 75 ms.
 constexpr Duration kTakenTimeout = std::chrono::milliseconds(100);
+// Endpoints reach a VM that has just started in several messages, within the
+// byte budget of membership.
+constexpr Duration kSettleTime = std::chrono::seconds(2);
+// A VM that declined is asked again after this time, well within kSettleTime.
+constexpr Duration kDeclinePause = std::chrono::milliseconds(500);
 // Below the size that a network carries in one piece.
 constexpr std::size_t kMaxMessageBytes = 1100;
 // How often endpoints that were lost long ago are forgotten.
@@ -39,7 +46,7 @@
   TimePoint NextWake() const override;
   void Finish(TimePoint now, Outbox& out) override;
   FlowNodeActions TakeActions() override;
-  bool Ready() const override;
+  bool Ready() const override { return settled_; }
   void BeginStop(TimePoint now, Outbox& out) override;
   const PeerNode& peers() const override { return *peers_; }
   const FlowNodeCounters& counters() const override { return counters_; }
@@ -66,6 +73,8 @@
   // The opening as this VM's catalog has it; nullopt if the route is gone.
   std::optional<FlowOpening> Reviewed(const pb::FlowOpening& message);
   void RetryAsked(TimePoint now);
+  void OnTaken(TimePoint now, NodeId from, const pb::FlowTaken& message);
+  void NoteSettled(TimePoint now);
   void UpdateEndpoints(TimePoint now);
   // Services whose dispatcher is another VM now: what waits goes there.
   void MoveWaiting(TimePoint now);
@@ -82,7 +91,11 @@
   std::uint64_t members_version_ = 0;
   std::map<FlowId, Asked> asked_;
   // VMs that left an opening unanswered, until they are heard again.
-  std::map<NodeId, TimePoint> silent_;
+  std::set<NodeId> silent_;
+  std::map<NodeId, TimePoint> declined_until_;
+  // Every service has had an endpoint since then.
+  std::optional<TimePoint> complete_since_;
+  bool settled_ = false;
   std::map<NodeId, pb::FlowMessage> messages_;
   TimePoint forget_due_{};
   FlowActions actions_;
@@ -162,7 +175,11 @@
     if (!it) {
       break;
     }
-    if (*it == self() || !silent_.contains(*it)) {
+    const auto declined = declined_until_.find(*it);
+    const bool able = !silent_.contains(*it) &&
+                      (declined == declined_until_.end() ||
+                       now >= declined->second);
+    if (*it == self() || able) {
       return *it;
     }
   }
@@ -218,7 +235,7 @@
       OnOpening(now, sender, it);
     }
     for (const pb::FlowTaken& it : message->taken()) {
-      asked_.erase(FlowId(it.id()));
+      OnTaken(now, sender, it);
     }
     for (const pb::FlowEnd& it : message->ends()) {
       dispatcher_->End(now, FlowId(it.id()), it.given_up(), actions_);
@@ -234,7 +251,12 @@
     ++counters_.stale_openings;
     return;
   }
-  MessageTo(from).add_taken()->set_id(message.id());
+  pb::FlowTaken& taken = *MessageTo(from).add_taken();
+  taken.set_id(message.id());
+  if (!settled_) {
+    taken.set_declined(true);
+    return;
+  }
   std::optional<FlowOpening> opening = Reviewed(message);
   if (opening) {
     Place(now, *std::move(opening));
@@ -244,6 +266,43 @@
   }
 }
 
+void FlowNodeImpl::OnTaken(TimePoint now, NodeId from,
+                           const pb::FlowTaken& message) {
+  const auto it = asked_.find(FlowId(message.id()));
+  if (it == asked_.end()) {
+    return;
+  }
+  FlowOpening opening = std::move(it->second.opening);
+  asked_.erase(it);
+  if (!message.declined()) {
+    return;
+  }
+  declined_until_[from] = now + kDeclinePause;
+  const NodeId to = DispatcherFor(now, opening.service);
+  if (to == self()) {
+    Place(now, std::move(opening));
+  } else {
+    HandOver(now, std::move(opening), to);
+  }
+}
+
+// Ready for callers, and to dispatch, once what is known of the endpoints has
+// had the time to become whole.
+void FlowNodeImpl::NoteSettled(TimePoint now) {
+  const Registry& registry = peers_->registry();
+  const std::vector<ServiceId>& services = routes_.services();
+  const bool complete =
+      !services.empty() &&
+      std::all_of(services.begin(), services.end(), [&](ServiceId it) {
+        return !registry.EndpointsOf(it).empty();
+      });
+  if (settled_ || !complete) {
+    return;
+  }
+  complete_since_ = complete_since_.value_or(now);
+  settled_ = now >= *complete_since_ + kSettleTime;
+}
+
 std::optional<FlowOpening> FlowNodeImpl::Reviewed(
     const pb::FlowOpening& message) {
   FlowOpening opening;
@@ -276,6 +335,7 @@
     MoveWaiting(now);
   }
   RetryAsked(now);
+  NoteSettled(now);
   dispatcher_->OnTick(now, actions_);
   if (now >= forget_due_) {
     forget_due_ = now + kForgetInterval;
@@ -290,7 +350,7 @@
       ++it;
       continue;
     }
-    silent_.try_emplace(it->second.dispatcher, now);
+    silent_.insert(it->second.dispatcher);
     overdue.push_back(std::move(it->second.opening));
     it = asked_.erase(it);
   }
@@ -388,10 +448,6 @@
   return actions;
 }
 
-bool FlowNodeImpl::Ready() const {
-  return revision_ > 0 && endpoints_.size() > 0;
-}
-
 void FlowNodeImpl::BeginStop(TimePoint now, Outbox& out) {
   peers_->Leave(now, out);
   members_version_ = peers_->members().version();
