Answer outcome_unknown when a VM that knows of the request can't be asked

Ruled out: a grant by mistake (no hold reply was sent), a resend of the caller. Conclusion: without a holder, what another VM knows of may not be sent.

--- a/src/entry/entry_random_test.cc
+++ b/src/entry/entry_random_test.cc
@@ -15,7 +15,7 @@
 constexpr int kSeedsPerTest = 250;
 constexpr int kRounds = 4;
 // Listed in KNOWN-RED.txt; a test of their own, so that the others still run.
-constexpr std::array kKnownRedSeeds = {96, 186};
+constexpr std::array kKnownRedSeeds = {96};
 
 // Writes a script of requests and faults. One VM always keeps its memory: what
 // no VM remembers can only be told by the time of issue (lost-all.scn).
--- a/src/entry/holds.cc
+++ b/src/entry/holds.cc
@@ -12,8 +12,10 @@
   const ServiceState& service = *FindService(record.service);
   const NodeId holder = HolderFor(service);
   if (holder == NodeId{}) {
+    // Another VM that knows of the request may only be cut off from this one,
+    // in one direction, and have it run as well.
     if (record.state == RequestState::kPlaced && !record.idempotent &&
-        MayRunElsewhere(record)) {
+        (MayRunElsewhere(record) || !record.tell.empty())) {
       record.unsettled = 1;
       GiveUp(record, ErrorKind::kOutcomeUnknown, kRetryLater);
     } else if (record.state == RequestState::kPlaced) {
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -75,7 +75,7 @@
   record.member = {NodeId{update.id()}, update.name(),
                    SocketAddress::FromPacked(update.address()),
                    MemberState::kAlive, update.incarnation(),
-                   update.dispatches()};
+                   !update.observes()};
   record.penalty_at = now;
   Enter(now, record, static_cast<MemberState>(update.state()));
   return Outcome::kJoined;
@@ -104,7 +104,7 @@
     const SocketAddress peer = SocketAddress::FromPacked(update.address());
     moved = peer != member.peer;
     member.peer = peer;
-    member.dispatches = update.dispatches();
+    member.dispatches = !update.observes();
   }
   MemberState from = member.state;
   if (later && claimed == MemberState::kSuspect) {
@@ -228,7 +228,7 @@
   if (full) {
     update.set_name(member.name);
     update.set_address(member.peer.Packed());
-    update.set_dispatches(member.dispatches);
+    update.set_observes(!member.dispatches);
   }
 }
 
--- a/src/registry/registry.cc
+++ b/src/registry/registry.cc
@@ -133,7 +133,9 @@
   endpoint.load_reported = now;
   endpoint.epoch = registration.epoch;
   endpoint.version = 1;
-  endpoint.data_center = registration.data_center;
+  if (options_.data_center.empty()) {
+    endpoint.data_center = registration.data_center;  // Else all have the same.
+  }
   endpoint.warm_at = now + registration.warm_in;
   lease.claim = NextClaim(registration.address);
   lease.lifetime = registration.lifetime;
