--- a/include/vanillalatch/packetflow/flow_node.h
+++ b/include/vanillalatch/packetflow/flow_node.h
@@ -59,6 +59,7 @@
   std::uint64_t handed_over = 0;       // Opening packets, to a dispatcher.
   std::uint64_t placed_alone = 0;      // No dispatcher answered.
   std::uint64_t stale_openings = 0;    // Of a catalog newer than ours.
+  std::uint64_t parked = 0;            // Came before the endpoints were known.
 };
 
 class FlowNode {
@@ -71,6 +72,10 @@
   // Takes a catalog into force. One that is not newer changes nothing.
   virtual void OnCatalog(TimePoint now, const pb::Catalog& catalog) = 0;
   virtual std::uint64_t revision() const = 0;
+  // Endpoints as a control VM knows them. `whole`: it has heard all there are.
+  virtual void OnEndpoints(TimePoint now,
+                           const std::vector<pb::LeaseUpdate>& updates,
+                           bool whole) = 0;
 
   virtual FlowVerdict OnPacket(TimePoint now, const FlowPacket& packet,
                                ByteSpan bytes) = 0;
--- a/include/vanillalatch/runtime/flow_shell.h
+++ b/include/vanillalatch/runtime/flow_shell.h
@@ -83,6 +83,7 @@
   void ServePackets(FdWaiter& waiter);
   void ServePeers(FdWaiter& waiter);
   void RunTimer();
+  void TakeSync(const pb::SyncReply& reply);
   // Sends what the node decided.
   void Flush();
 
--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -49,7 +49,9 @@
     commit_ = snapshot_->index();
     handed_out_ = commit_;
   }
-  ResetElection(now);
+  // Voters refuse a pre-vote while they hear a leader: after the start of all
+  // VMs there is none to wait for.
+  RetryElection(now);
   ReloadConfiguration(now);
 }
 
--- a/src/control/entry_calls.cc
+++ b/src/control/entry_calls.cc
@@ -6,6 +6,8 @@
 namespace vanillalatch::internal {
 namespace {
 
+// An entry VM that has just started asks for endpoints this often.
+constexpr Duration kEndpointsHold = std::chrono::milliseconds(100);
 // How long a status call waits for the other control VMs.
 constexpr Duration kStatusWait = std::chrono::milliseconds(500);
 
@@ -22,8 +24,12 @@
 void ControlNodeImpl::OnSync(TimePoint now, Ticket ticket,
                              const pb::SyncRequest& request) {
   reports_.Note(now, request);
+  const Duration hold =
+      request.wants_endpoints()
+          ? std::min<Duration>(options_.sync_hold, kEndpointsHold)
+          : options_.sync_hold;
   syncs_.push_back({ticket, request.revision(), replica_->FromQuorum(now),
-                    now + options_.sync_hold});
+                    now + hold});
   Pump(now);
 }
 
@@ -46,7 +52,9 @@
   if (state_.catalog().revision() > call.revision) {
     // Entry VMs never read the operator's document.
     *reply.mutable_catalog() = state_.catalog();
-    reply.mutable_catalog()->mutable_flows()->clear_document();
+    if (reply.catalog().has_flows()) {
+      reply.mutable_catalog()->mutable_flows()->clear_document();
+    }
   }
   for (const pb::Replica& it : replica_->configuration().replicas()) {
     reply.add_control_addresses(it.address());
--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -21,6 +21,9 @@
 constexpr Duration kSettleTime = std::chrono::seconds(2);
 // A VM that declined is asked again after this time, well within kSettleTime.
 constexpr Duration kDeclinePause = std::chrono::milliseconds(500);
+// Openings that come before the endpoints are known wait this long. Callers
+// wait 1.4 s for an answer, and most of it is left to an endpoint.
+constexpr Duration kParkTime = std::chrono::milliseconds(800);
 // Below the size that a network carries in one piece.
 constexpr std::size_t kMaxMessageBytes = 1100;
 // How often endpoints that were lost long ago are forgotten.
@@ -38,6 +41,8 @@
 
   void OnCatalog(TimePoint now, const pb::Catalog& catalog) override;
   std::uint64_t revision() const override { return revision_; }
+  void OnEndpoints(TimePoint now, const std::vector<pb::LeaseUpdate>& updates,
+                   bool whole) override;
   FlowVerdict OnPacket(TimePoint now, const FlowPacket& packet,
                        ByteSpan bytes) override;
   void OnPeer(TimePoint now, SocketAddress from, ByteSpan bytes,
@@ -62,11 +67,19 @@
     TimePoint due;  // This VM decides alone then.
   };
 
+  struct Parked {
+    FlowOpening opening;
+    TimePoint due;
+  };
+
   void OpenFlow(TimePoint now, const FlowRoute& route, const FlowPacket& packet,
                 ByteSpan bytes);
   // The VM that places a service's flows; this one if no other is in reach.
   NodeId DispatcherFor(TimePoint now, ServiceId service) const;
+  // Places the opening here, or has another VM do so.
+  void Direct(TimePoint now, FlowOpening opening);
   void HandOver(TimePoint now, FlowOpening opening, NodeId to);
+  void ReleaseParked(TimePoint now);
   void Place(TimePoint now, FlowOpening opening);
   void EndFlow(TimePoint now, const FlowPacket& packet, ServiceId service);
   void OnOpening(TimePoint now, NodeId from, const pb::FlowOpening& message);
@@ -90,6 +103,7 @@
   std::map<ServiceId, std::uint64_t> endpoint_versions_;
   std::uint64_t members_version_ = 0;
   std::map<FlowId, Asked> asked_;
+  std::map<FlowId, Parked> parked_;
   // VMs that left an opening unanswered, until they are heard again.
   std::set<NodeId> silent_;
   std::map<NodeId, TimePoint> declined_until_;
@@ -113,6 +127,19 @@
   UpdateEndpoints(now);
 }
 
+void FlowNodeImpl::OnEndpoints(TimePoint now,
+                               const std::vector<pb::LeaseUpdate>& updates,
+                               bool whole) {
+  for (const pb::LeaseUpdate& it : updates) {
+    peers_->registry().MergeLease(now, it, false);
+  }
+  UpdateEndpoints(now);
+  if (whole && !updates.empty() && revision_ > 0) {
+    settled_ = true;
+    ReleaseParked(now);
+  }
+}
+
 FlowVerdict FlowNodeImpl::OnPacket(TimePoint now, const FlowPacket& packet,
                                    ByteSpan bytes) {
   ++counters_.packets;
@@ -157,9 +184,19 @@
     Place(now, std::move(opening));
     return;
   }
-  if (asked_.contains(opening.id)) {
+  if (asked_.contains(opening.id) || parked_.contains(opening.id)) {
     return;  // The answer to the packet before decides for its copies too.
   }
+  if (!settled_) {
+    ++counters_.parked;
+    const FlowId id = opening.id;
+    parked_[id] = {std::move(opening), now + kParkTime};
+    return;
+  }
+  Direct(now, std::move(opening));
+}
+
+void FlowNodeImpl::Direct(TimePoint now, FlowOpening opening) {
   const NodeId to = DispatcherFor(now, opening.service);
   if (to == self()) {
     Place(now, std::move(opening));
@@ -168,6 +205,18 @@
   }
 }
 
+void FlowNodeImpl::ReleaseParked(TimePoint now) {
+  for (auto it = parked_.begin(); it != parked_.end();) {
+    if (!settled_ && now < it->second.due) {
+      ++it;
+      continue;
+    }
+    FlowOpening opening = std::move(it->second.opening);
+    it = parked_.erase(it);
+    Direct(now, std::move(opening));
+  }
+}
+
 NodeId FlowNodeImpl::DispatcherFor(TimePoint now, ServiceId service) const {
   for (std::size_t rank = 0; rank < kDispatcherRanks; ++rank) {
     const std::optional<NodeId> it =
@@ -278,12 +327,7 @@
     return;
   }
   declined_until_[from] = now + kDeclinePause;
-  const NodeId to = DispatcherFor(now, opening.service);
-  if (to == self()) {
-    Place(now, std::move(opening));
-  } else {
-    HandOver(now, std::move(opening), to);
-  }
+  Direct(now, std::move(opening));
 }
 
 // Ready for callers, and to dispatch, once what is known of the endpoints has
@@ -336,6 +380,7 @@
   }
   RetryAsked(now);
   NoteSettled(now);
+  ReleaseParked(now);
   dispatcher_->OnTick(now, actions_);
   if (now >= forget_due_) {
     forget_due_ = now + kForgetInterval;
@@ -397,6 +442,9 @@
   for (const auto& [id, it] : asked_) {
     wake = std::min(wake, it.due);
   }
+  for (const auto& [id, it] : parked_) {
+    wake = std::min(wake, it.due);
+  }
   return wake;
 }
 
--- a/src/registry/lease_store.h
+++ b/src/registry/lease_store.h
@@ -53,6 +53,14 @@
       }
     }
   }
+  template <typename F>
+  void ForEach(F visit) const {
+    for (const std::vector<Lease*>& bucket : buckets_) {
+      for (const Lease* it : bucket) {
+        visit(*it);
+      }
+    }
+  }
 
  private:
   struct View {
--- a/src/registry/registry.cc
+++ b/src/registry/registry.cc
@@ -339,6 +339,16 @@
   return changed;
 }
 
+std::vector<pb::LeaseUpdate> RegistryImpl::Leases(TimePoint now) const {
+  std::vector<pb::LeaseUpdate> updates;
+  store_.ForEach([&](const Lease& it) {
+    if (it.live()) {
+      ToUpdate(it, now, updates.emplace_back());
+    }
+  });
+  return updates;
+}
+
 void RegistryImpl::UpdateDoubt(TimePoint now) {
   if (!last_contact_) {
     last_contact_ = now;
--- a/src/runtime/catalog_follower.cc
+++ b/src/runtime/catalog_follower.cc
@@ -37,8 +37,8 @@
   const pb::SyncRequest request = report();
   const std::optional<pb::SyncReply> reply =
       client_.Sync(address, request, kSyncTimeout);
-  if (reply && reply->has_catalog()) {
-    take(reply->catalog());
+  if (reply && (reply->has_catalog() || reply->endpoints_size() > 0)) {
+    take(*reply);
   }
   const bool connected = reply && reply->from_quorum();
   if (connected != connected_) {
--- a/src/runtime/catalog_follower.h
+++ b/src/runtime/catalog_follower.h
@@ -19,8 +19,8 @@
  public:
   // What this VM has in force, as the control VMs are told.
   using Report = std::function<pb::SyncRequest()>;
-  // A catalog that is newer than the report said.
-  using Take = std::function<void(const pb::Catalog&)>;
+  // What is newer than the report said.
+  using Take = std::function<void(const pb::SyncReply&)>;
 
   // gRPC addresses of control VMs to begin with; others are learned.
   explicit CatalogFollower(std::vector<std::string> addresses);
--- a/src/runtime/entry_shell.cc
+++ b/src/runtime/entry_shell.cc
@@ -150,7 +150,8 @@
         request.set_admin_address(admin_address_);
         return request;
       },
-      [this](const pb::Catalog& catalog) {
+      [this](const pb::SyncReply& reply) {
+        const pb::Catalog& catalog = reply.catalog();
         node_->OnCatalog(Now(), catalog, out_);
         Flush();
         if (node_->revision().value() == catalog.revision()) {
--- a/src/runtime/fleet_shell.cc
+++ b/src/runtime/fleet_shell.cc
@@ -1,17 +1,30 @@
 #include "src/runtime/fleet_shell.h"
 
+#include <cstdlib>
 #include <random>
 #include <utility>
 
+#include "vanillalatch/base/hash.h"
 #include "vanillalatch/telemetry/log.h"
 
 namespace vanillalatch {
 namespace {
 
 constexpr std::size_t kJobs = 4096;  // A power of two.
+// Endpoints that changed are stored this often at most: some syncs a second
+// would be a good part of what a small disk does.
+constexpr Duration kKeepInterval = std::chrono::seconds(1);
+// Endpoints that were stored longer ago have likely changed meanwhile.
+constexpr std::int64_t kKeptForMs = 30'000;
 // All VMs of a fleet are one group, whatever their data centre.
 constexpr std::string_view kFleetGroup = "fleet";
 
+std::int64_t UnixNowMs() {
+  return UnixEpochMs() + std::chrono::duration_cast<std::chrono::milliseconds>(
+                             Now().time_since_epoch())
+                             .count();
+}
+
 }  // namespace
 
 MemberListOptions FleetMember(const Settings& settings, bool dispatches) {
@@ -25,10 +38,7 @@
       options.seeds.push_back(it);
     }
   }
-  options.incarnation = static_cast<std::uint64_t>(
-      UnixEpochMs() + std::chrono::duration_cast<std::chrono::milliseconds>(
-                          Now().time_since_epoch())
-                          .count());
+  options.incarnation = static_cast<std::uint64_t>(UnixNowMs());
   return options;
 }
 
@@ -47,17 +57,28 @@
     return peers.error();
   }
   return std::unique_ptr<FleetShell>(
-      new FleetShell(std::move(*socket), std::move(*peers), control));
+      new FleetShell(std::move(*socket), std::move(*peers), control,
+                     settings.doors.lease));
 }
 
 FleetShell::FleetShell(UdpSocket socket, std::unique_ptr<PeerNode> peers,
-                       ControlShell& control)
+                       ControlShell& control, Duration lease)
     : socket_(std::move(socket)),
       peers_(std::move(peers)),
       control_(control),
-      jobs_(kJobs) {}
+      jobs_(kJobs),
+      whole_at_(Now() + lease) {}
 
 void FleetShell::Start(Reactor& reactor) {
+  control_.SetAddEndpoints(
+      [this](pb::SyncReply reply, ControlShell::Then<pb::SyncReply> then) {
+        Post([this, reply = std::move(reply), then = std::move(then)] {
+          AddEndpoints(reply, then);
+        });
+      });
+  control_.SetOnNote([this](const std::string& text) {
+    Post([this, text] { TakeKept(text); });
+  });
   FdWaiter& waiter = reactor.Watch(socket_.fd());
   boost::fibers::fiber([this, &waiter] { ServeSocket(waiter); }).detach();
   boost::fibers::fiber([this] { RunTimer(); }).detach();
@@ -89,10 +110,64 @@
   for (;;) {
     wakeup_.SleepUntil(peers_->NextWake());
     peers_->OnTick(Now(), out_);
+    KeepEndpoints();
     Flush();
   }
 }
 
+void FleetShell::AddEndpoints(pb::SyncReply reply,
+                              ControlShell::Then<pb::SyncReply> then) {
+  const TimePoint now = Now();
+  for (pb::LeaseUpdate& it : peers_->registry().Leases(now)) {
+    *reply.add_endpoints() = std::move(it);
+  }
+  reply.set_endpoints_whole(now >= whole_at_);
+  then(reply);
+}
+
+void FleetShell::KeepEndpoints() {
+  const TimePoint now = Now();
+  if (now < keep_due_ || now < whole_at_) {
+    return;
+  }
+  keep_due_ = now + kKeepInterval;
+  pb::KeptEndpoints kept;
+  std::uint64_t digest = 0;
+  for (pb::LeaseUpdate& it : peers_->registry().Leases(now)) {
+    digest ^= StableHash(StableHash(it.name()),
+                         StableHash(it.epoch(), it.version() * 4 + it.state()));
+    it.set_ttl_ms(it.lifetime_ms());
+    *kept.add_endpoints() = std::move(it);
+  }
+  if (digest == kept_digest_) {
+    return;
+  }
+  kept_digest_ = digest;
+  kept.set_unix_ms(UnixNowMs());
+  control_.KeepNote(kept.SerializeAsString());
+}
+
+void FleetShell::TakeKept(const std::string& text) {
+  pb::KeptEndpoints kept;
+  if (text.empty() || !kept.ParseFromString(text)) {
+    return;
+  }
+  const std::int64_t age_ms = UnixNowMs() - kept.unix_ms();
+  const bool fresh = std::abs(age_ms) <= kKeptForMs;
+  LogEvent(LogLevel::kInfo, "endpoints_restored",
+           {{"endpoints", kept.endpoints_size()},
+            {"age_ms", age_ms},
+            {"used", fresh}});
+  if (!fresh) {
+    return;
+  }
+  const TimePoint now = Now();
+  for (const pb::LeaseUpdate& it : kept.endpoints()) {
+    peers_->registry().MergeLease(now, it, false);
+  }
+  whole_at_ = std::min(whole_at_, now);
+}
+
 void FleetShell::RunJobs() {
   Job job;
   while (jobs_.pop(job) == boost::fibers::channel_op_status::success) {
@@ -161,15 +236,13 @@
 }
 
 void FleetShell::Apply(pb::Change change, Then<pb::ApplyReply> then) {
-  Post([this, change = std::move(change), then = std::move(then)] {
-    pb::ApplyRequest request;
-    *request.mutable_change() = change;
-    control_.Apply(request, then);
-  });
+  pb::ApplyRequest request;
+  *request.mutable_change() = std::move(change);
+  control_.Apply(std::move(request), std::move(then));
 }
 
 void FleetShell::Get(Then<pb::GetReply> then) {
-  Post([this, then = std::move(then)] { control_.Get(then); });
+  control_.Get(std::move(then));
 }
 
 void FleetShell::Flush() {
--- a/src/runtime/fleet_shell.h
+++ b/src/runtime/fleet_shell.h
@@ -41,7 +41,7 @@
   using Job = std::function<void()>;
 
   FleetShell(UdpSocket socket, std::unique_ptr<PeerNode> peers,
-             ControlShell& control);
+             ControlShell& control, Duration lease);
 
   void ServeSocket(FdWaiter& waiter);
   void RunTimer();
@@ -49,6 +49,12 @@
   void Post(Job job);
   Result<EndpointId> RegisterNow(const Registration& registration,
                                  bool leaving);
+  // Endpoints as they are now, for an entry VM that has just started.
+  void AddEndpoints(pb::SyncReply reply, ControlShell::Then<pb::SyncReply> then);
+  // Stores the endpoints when they have changed, so that a start of the whole
+  // fleet need not wait for every heartbeat.
+  void KeepEndpoints();
+  void TakeKept(const std::string& text);
   void Flush();
 
   UdpSocket socket_;
@@ -58,6 +64,10 @@
   boost::fibers::buffered_channel<Job> jobs_;
   Outbox out_;
   Wakeup wakeup_;
+  // Every endpoint has had the time to be heard, here or at a peer.
+  TimePoint whole_at_;
+  TimePoint keep_due_{};
+  std::uint64_t kept_digest_ = 0;
 };
 
 }  // namespace vanillalatch
--- a/src/runtime/flow_shell.cc
+++ b/src/runtime/flow_shell.cc
@@ -74,19 +74,33 @@
           request.set_data_center(data_center_);
           request.set_revision(node_->revision());
           request.set_state(stopping_ ? "stopping" : "serving");
+          request.set_wants_endpoints(!node_->Ready());
           return request;
         },
-        [this](const pb::Catalog& catalog) {
-          node_->OnCatalog(Now(), catalog);
-          LogEvent(LogLevel::kInfo, "catalog_in_force",
-                   {{"revision", node_->revision()},
-                    {"version", catalog.flows().version()},
-                    {"routes", catalog.flows().routes_size()}});
-          Flush();
-        });
+        [this](const pb::SyncReply& reply) { TakeSync(reply); });
   }).detach();
 }
 
+void FlowShellCore::TakeSync(const pb::SyncReply& reply) {
+  const TimePoint now = Now();
+  if (reply.has_catalog()) {
+    node_->OnCatalog(now, reply.catalog());
+    LogEvent(LogLevel::kInfo, "catalog_in_force",
+             {{"revision", node_->revision()},
+              {"version", reply.catalog().flows().version()},
+              {"routes", reply.catalog().flows().routes_size()}});
+  }
+  if (!node_->Ready()) {
+    node_->OnEndpoints(
+        now, {reply.endpoints().begin(), reply.endpoints().end()},
+        reply.endpoints_whole());
+    LogEvent(LogLevel::kInfo, "endpoints_taken",
+             {{"endpoints", reply.endpoints_size()},
+              {"whole", reply.endpoints_whole()}});
+  }
+  Flush();
+}
+
 void FlowShellCore::Stop() {
   stopping_ = true;
   ready_ = false;
--- a/src/runtime/serve.cc
+++ b/src/runtime/serve.cc
@@ -72,7 +72,7 @@
     publisher.Publish(entry->View());
   }
   if (control != nullptr) {
-    publisher.Publish(control->node().Status());
+    publisher.Publish(control->Status());
   }
 }
 
@@ -102,12 +102,12 @@
   std::unique_ptr<EntryShell> entry;
   if (settings.control) {
     control = ControlShell::Create(settings).value();
+    if (settings.fleet) {
+      fleet = FleetShell::Create(settings, *control).value();
+      fleet->Start(reactor);
+    }
     control->Start();
   }
-  if (settings.control && settings.fleet) {
-    fleet = FleetShell::Create(settings, *control).value();
-    fleet->Start(reactor);
-  }
   const std::unique_ptr<Doors> doors =
       open_doors(settings, fleet.get()).value();
   doors->Start(reactor);
--- a/src/settings/settings_test.cc
+++ b/src/settings/settings_test.cc
@@ -80,7 +80,7 @@
       // Keys.
       {"\"vm\": \"one\"", "\"name\": \"one\"",
        "3: name: expected one of the keys vm, data_center, entry, control, "
-       "log, trace_file, metrics, got an unknown key"},
+       "fleet, flows, doors, log, trace_file, metrics, got an unknown key"},
       {"\"vm\": \"one\",", "", "1: vm: expected this key, got nothing"},
       {"\"data_center\"", "\"vm\"",
        "4: vm: expected each key once, got it twice"},
