--- a/include/vanillalatch/consensus/replica.h
+++ b/include/vanillalatch/consensus/replica.h
@@ -64,6 +64,7 @@
   pb::Vote vote;
   std::optional<pb::Snapshot> snapshot;
   ReplicatedLog log;
+  std::uint64_t commit = 0;  // Entries known to be committed, at least.
 };
 
 struct ReplicaActions {
@@ -76,6 +77,9 @@
   std::optional<pb::Vote> vote;
   // Replace the stored log from the first's index on.
   std::vector<pb::LogEntry> append;
+  // Grew to this. To be stored, without a sync: it only saves a VM that starts
+  // from waiting for a leader.
+  std::optional<std::uint64_t> commit;
   // After that.
   std::vector<Send> sends;
   std::vector<pb::LogEntry> committed;
--- a/src/consensus/election.cc
+++ b/src/consensus/election.cc
@@ -4,6 +4,13 @@
 #include "src/consensus/replica_impl.h"
 
 namespace vanillalatch::internal {
+namespace {
+
+// The first election after a start begins after 5 to 15 % of the timeout: a
+// few round trips between data centres.
+constexpr Duration::rep kFirstElectionDivisor = 20;
+
+}  // namespace
 
 // Compares the term of a message with ours. True: go on with the message.
 bool ReplicaImpl::AcceptTerm(TimePoint now,
@@ -61,6 +68,15 @@
       now + options_.election_timeout + Duration(extra(random_));
 }
 
+// After the start of all VMs there is no leader to wait for; while there is
+// one, voters refuse the pre-vote.
+void ReplicaImpl::FirstElection(TimePoint now) {
+  const Duration::rep part =
+      options_.election_timeout.count() / kFirstElectionDivisor;
+  std::uniform_int_distribution<Duration::rep> extra(0, 2 * part);
+  election_deadline_ = now + Duration(part + extra(random_));
+}
+
 // A failed election is tried again sooner: no leader is there to wait for.
 void ReplicaImpl::RetryElection(TimePoint now) {
   const Duration::rep quarter = options_.election_timeout.count() / 4;
--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -49,9 +49,9 @@
     commit_ = snapshot_->index();
     handed_out_ = commit_;
   }
-  // Voters refuse a pre-vote while they hear a leader: after the start of all
-  // VMs there is none to wait for.
-  RetryElection(now);
+  commit_ = std::max(commit_, std::min(stored.commit, log_.last_index()));
+  commit_told_ = commit_;
+  FirstElection(now);
   ReloadConfiguration(now);
 }
 
@@ -123,6 +123,10 @@
     }
     unsaved_from_.reset();
   }
+  if (commit_told_ != commit_) {
+    commit_told_ = commit_;
+    actions.commit = commit_;
+  }
   actions.sends = std::exchange(sends_, {});
   while (handed_out_ < commit_) {
     actions.committed.push_back(log_.At(++handed_out_));
--- a/src/consensus/replica_impl.h
+++ b/src/consensus/replica_impl.h
@@ -83,6 +83,7 @@
   bool HearsLeader(TimePoint now) const;
   void ResetElection(TimePoint now);
   void RetryElection(TimePoint now);
+  void FirstElection(TimePoint now);
   void BecomeFollower(TimePoint now, std::uint64_t term,
                       std::uint64_t leader_id);
   void Campaign(TimePoint now, bool pre_vote, bool transfer);
@@ -135,6 +136,7 @@
   std::optional<pb::Snapshot> snapshot_;
   std::uint64_t commit_ = 0;
   std::uint64_t handed_out_ = 0;  // Committed entries given to the owner.
+  std::uint64_t commit_told_ = 0;  // Given to the owner to be stored.
   pb::Configuration configuration_;
   std::uint64_t configuration_index_ = 0;
 
--- a/src/consensus/replica_store.cc
+++ b/src/consensus/replica_store.cc
@@ -95,6 +95,7 @@
       loaded_.vote = batch.vote();
     }
     AppendBatch(batch, loaded_.log);
+    loaded_.commit = std::max(loaded_.commit, batch.commit());
   }
   if (first) {
     throw Error(ErrorKind::kCorrupt, "the log has no first record");
@@ -134,10 +135,14 @@
     base.set_term(actions.install->term());
     RewriteLog(ReplicatedLog(base, {}));
   }
-  if (!actions.vote && actions.append.empty()) {
+  const bool sync = actions.vote || !actions.append.empty();
+  if (!sync && !actions.commit) {
     return;
   }
   pb::StoredBatch batch;
+  if (actions.commit) {
+    batch.set_commit(*actions.commit);
+  }
   if (actions.vote) {
     *batch.mutable_vote() = *actions.vote;
   }
@@ -145,7 +150,9 @@
     *batch.add_entries() = it;
   }
   disk_->Append(kLogFile, EncodeRecord(batch.SerializeAsString()));
-  disk_->Sync(kLogFile);
+  if (sync) {
+    disk_->Sync(kLogFile);
+  }
 }
 
 void ReplicaStore::Compact(const pb::Snapshot& snapshot,
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -164,7 +164,7 @@
 }
 
 void ControlNodeImpl::CarryOut(ReplicaActions actions) {
-  if (actions.NeedsSync()) {
+  if (actions.NeedsSync() || actions.commit) {
     failed_ = true;
     store_.Save(actions);
     failed_ = false;
