Find silent endpoints from flows whose callers do not go on

Cause: flows placed at endpoints that are cut off, crashed or full waited for the caller's copies (200, 600 ms) before another endpoint was tried. Changes: the entry VM that sees a flow's next packet tells the dispatcher; an endpoint whose flows don't go on for four usual handshakes gets none but a probe each 0.5 s, and those flows are moved. A VM that paused, or that is told of nothing, judges nobody.

--- a/include/vanillalatch/packetflow/flow_dispatcher.h
+++ b/include/vanillalatch/packetflow/flow_dispatcher.h
@@ -33,6 +33,9 @@
   std::uint32_t sequence = 0;
   std::uint32_t copy = 0;   // Opening packets of this flow before this one.
   std::string data_center;  // Whose endpoints are preferred.
+  // Whoever sees the flow's next packets tells this VM: their absence says that
+  // the endpoint is silent.
+  bool watched = false;
   std::string packet;       // As it came from the caller.
 };
 
@@ -69,6 +72,7 @@
   std::uint64_t refused = 0;
   std::uint64_t ended = 0;
   std::uint64_t expired = 0;   // Nobody told of their end.
+  std::uint64_t silenced = 0;  // Endpoints found to answer nobody.
 };
 
 class FlowDispatcher {
@@ -76,6 +80,15 @@
   // Copies of an opening packet from this one on go to another endpoint: the
   // first has been silent twice.
   static constexpr std::uint32_t kMoveFromCopy = 2;
+  // An endpoint is silent if its callers go on with no flow for this many
+  // usual handshakes, within the two bounds: below the first, a VM that gets
+  // its processor late would look like it; above the second, callers send
+  // copies anyway.
+  static constexpr int kHandshakesOfSilence = 4;
+  static constexpr Duration kLeastSilence = std::chrono::milliseconds(40);
+  static constexpr Duration kMostSilence = std::chrono::milliseconds(250);
+  // A silent endpoint gets one flow to answer this often.
+  static constexpr Duration kSilentProbe = std::chrono::milliseconds(500);
 
   // Error: kInvalidArgument for an overlap below 100 percent.
   static Result<std::unique_ptr<FlowDispatcher>> Create(
@@ -89,6 +102,10 @@
 
   virtual void Open(TimePoint now, FlowOpening opening,
                     FlowActions& actions) = 0;
+  // A packet behind the opening one has come from the caller.
+  virtual void Seen(TimePoint now, FlowId id) = 0;
+  // Another VM dispatches the service now and hears of its flows.
+  virtual void Unwatch(ServiceId service) = 0;
   // The caller ended the flow, or gave it up.
   virtual void End(TimePoint now, FlowId id, bool given_up,
                    FlowActions& actions) = 0;
--- a/include/vanillalatch/placement/slot_scheduler.h
+++ b/include/vanillalatch/placement/slot_scheduler.h
@@ -100,6 +100,9 @@
   virtual void OnTick(TimePoint now, std::vector<Verdict>& verdicts) = 0;
   virtual TimePoint NextWake() const = 0;
 
+  // An endpoint that answers nobody takes nothing new while another one does.
+  virtual void SetSilent(EndpointId endpoint, bool silent) = 0;
+
   // True while the service's retry budget has room; takes one from it.
   virtual bool TakeRetry(TimePoint now) = 0;
 
--- a/src/packetflow/flow_dispatcher.cc
+++ b/src/packetflow/flow_dispatcher.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "absl/container/flat_hash_map.h"
+#include "vanillalatch/admission/answer_time.h"
 
 namespace vanillalatch {
 namespace internal {
@@ -13,6 +14,15 @@
 // How often flows that nobody ended are looked for: a small part of the
 // shortest timeout that callers have, some hundred milliseconds.
 constexpr Duration kExpireInterval = std::chrono::milliseconds(50);
+// How often silent endpoints are looked for: a part of kLeastSilence.
+constexpr Duration kReviewInterval = std::chrono::milliseconds(10);
+// After a longer pause of this VM, what it has not heard yet says nothing.
+constexpr Duration kLongestGap = std::chrono::milliseconds(30);
+// Flows without an answer that make an endpoint silent; of one alone, the
+// packet may have been lost.
+constexpr std::size_t kUnansweredFlows = 2;
+// Handshakes that the usual time is taken from.
+constexpr std::uint64_t kHandshakeSmoothing = 64;
 
 class FlowDispatcherImpl final : public FlowDispatcher {
  public:
@@ -31,11 +41,20 @@
                     FlowActions& actions) override {
     SlotScheduler& scheduler = SchedulerOf(service);
     scheduler.SetEndpoints(now, endpoints);
+    std::erase_if(answering_, [&](const auto& known) {
+      return known.second.service == service &&
+             std::none_of(endpoints.begin(), endpoints.end(),
+                          [&](const Endpoint& it) {
+                            return it.id == known.first;
+                          });
+    });
     scheduler.OnTick(now, verdicts_);
     CarryOut(now, actions);
   }
 
   void Open(TimePoint now, FlowOpening opening, FlowActions& actions) override;
+  void Seen(TimePoint now, FlowId id) override;
+  void Unwatch(ServiceId service) override;
   void End(TimePoint now, FlowId id, bool given_up,
            FlowActions& actions) override;
   bool Knows(FlowId id) const override { return flows_.contains(id); }
@@ -51,8 +70,17 @@
     RequestId work;  // Differs each time the flow is submitted.
     bool placed = false;
     EndpointId endpoint;
+    TimePoint placed_at;
+    TimePoint sent_at;  // The last copy of its opening packet.
+    bool seen = false;
     TimePoint expires;  // Its slot is free then, whatever was heard.
   };
+  struct Answering {
+    ServiceId service;
+    TimePoint last_seen;  // A flow's next packet.
+    bool silent = false;
+    TimePoint probe_due;
+  };
 
   SlotScheduler& SchedulerOf(ServiceId service);
   void Submit(TimePoint now, Flow& flow, std::optional<EndpointId> avoid,
@@ -62,6 +90,14 @@
   // Frees the slot of a flow that was placed, or takes it out of the queue.
   void Release(TimePoint now, const Flow& flow, WorkOutcome outcome);
   void CarryOut(TimePoint now, FlowActions& actions);
+  void NoteAnswer(TimePoint now, const Flow& flow);
+  // Finds endpoints that answer nobody and moves their flows elsewhere.
+  void ReviewSilence(TimePoint now, FlowActions& actions);
+  Duration SilenceLimit(TimePoint now) const;
+  // True if the flow has waited for its endpoint for too long.
+  bool Unanswered(TimePoint now, const Flow& flow) const;
+  // A silent endpoint of the service that is to be tried again.
+  std::optional<EndpointId> TakeProbe(TimePoint now, ServiceId service);
   void ExpireFlows(TimePoint now, FlowActions& actions);
 
   FlowDispatcherOptions options_;
@@ -72,6 +108,11 @@
   absl::flat_hash_map<RequestId, FlowId> by_work_;
   std::uint64_t last_work_ = 0;
   TimePoint expire_due_{};
+  std::map<EndpointId, Answering> answering_;
+  AnswerTime handshake_{kHandshakeSmoothing};
+  TimePoint review_due_{};
+  TimePoint last_tick_{};
+  TimePoint heard_since_{};  // Without a pause of this VM.
   std::vector<Verdict> verdicts_;
   FlowDispatcherCounters counters_;
 };
@@ -109,9 +150,21 @@
   Submit(now, flow, std::nullopt, actions);
 }
 
+std::optional<EndpointId> FlowDispatcherImpl::TakeProbe(TimePoint now,
+                                                        ServiceId service) {
+  for (auto& [id, it] : answering_) {
+    if (it.silent && it.service == service && now >= it.probe_due) {
+      it.probe_due = now + kSilentProbe;
+      return id;
+    }
+  }
+  return std::nullopt;
+}
+
 void FlowDispatcherImpl::Submit(TimePoint now, Flow& flow,
                                 std::optional<EndpointId> avoid,
                                 FlowActions& actions) {
+  flow.seen = false;
   flow.work = RequestId(++last_work_);
   flow.placed = false;
   flow.expires = now + flow.opening.timeout;
@@ -121,6 +174,9 @@
   work.work_class = flow.opening.work_class;
   work.deadline = now + flow.opening.timeout;
   work.avoid = avoid;
+  if (!avoid && flow.opening.watched) {
+    work.pinned = TakeProbe(now, flow.opening.service);
+  }
   work.data_center = flow.opening.data_center;
   SchedulerOf(flow.opening.service).Submit(now, work, verdicts_);
   CarryOut(now, actions);
@@ -133,6 +189,7 @@
     return;  // It waits, or the same copy came twice.
   }
   flow.opening.copy = opening.copy;
+  flow.sent_at = now;
   if (opening.copy < kMoveFromCopy) {
     ++counters_.repeated;
     actions.placements.push_back({flow.endpoint, flow.opening.packet});
@@ -155,6 +212,94 @@
   }
 }
 
+void FlowDispatcherImpl::NoteAnswer(TimePoint now, const Flow& flow) {
+  Answering& answering = answering_[flow.endpoint];
+  answering.service = flow.opening.service;
+  answering.last_seen = now;
+  if (std::exchange(answering.silent, false)) {
+    SchedulerOf(flow.opening.service).SetSilent(flow.endpoint, false);
+  }
+}
+
+void FlowDispatcherImpl::Seen(TimePoint now, FlowId id) {
+  const auto it = flows_.find(id);
+  if (it == flows_.end() || !it->second.placed || it->second.seen) {
+    return;
+  }
+  it->second.seen = true;
+  handshake_.Add(now, now - it->second.sent_at);
+  NoteAnswer(now, it->second);
+}
+
+void FlowDispatcherImpl::Unwatch(ServiceId service) {
+  for (auto& [id, it] : flows_) {
+    if (it.opening.service == service) {
+      it.opening.watched = false;
+    }
+  }
+}
+
+Duration FlowDispatcherImpl::SilenceLimit(TimePoint now) const {
+  if (!handshake_.KnownAt(now)) {
+    return kMostSilence;
+  }
+  return std::clamp<Duration>(handshake_.mean() * kHandshakesOfSilence,
+                              kLeastSilence, kMostSilence);
+}
+
+bool FlowDispatcherImpl::Unanswered(TimePoint now, const Flow& flow) const {
+  if (!flow.placed || flow.seen || !flow.opening.watched) {
+    return false;
+  }
+  const TimePoint from = std::max(flow.sent_at, heard_since_);
+  const auto it = answering_.find(flow.endpoint);
+  const bool others =
+      it != answering_.end() && it->second.last_seen >= flow.placed_at;
+  return !others && now >= from + SilenceLimit(now);
+}
+
+void FlowDispatcherImpl::ReviewSilence(TimePoint now, FlowActions& actions) {
+  std::map<EndpointId, std::vector<FlowId>> unanswered;
+  for (const auto& [id, it] : flows_) {
+    if (Unanswered(now, it)) {
+      unanswered[it.endpoint].push_back(id);
+    }
+  }
+  std::vector<FlowId> moving;
+  for (auto& [endpoint, ids] : unanswered) {
+    Answering& answering = answering_[endpoint];
+    const Flow& first = flows_.at(ids.front());
+    const bool copied =
+        std::any_of(ids.begin(), ids.end(), [&](const FlowId& it) {
+          return flows_.at(it).opening.copy > 0;
+        });
+    if (!answering.silent && ids.size() < kUnansweredFlows && !copied) {
+      continue;
+    }
+    if (!answering.silent) {
+      ++counters_.silenced;
+      answering.silent = true;
+      answering.service = first.opening.service;
+      answering.probe_due = now + kSilentProbe;
+      SchedulerOf(answering.service).SetSilent(endpoint, true);
+    }
+    moving.insert(moving.end(), ids.begin(), ids.end());
+  }
+  // The order in a hash map differs from run to run.
+  std::sort(moving.begin(), moving.end());
+  for (const FlowId& it : moving) {
+    const auto flow = flows_.find(it);
+    if (flow == flows_.end()) {
+      continue;
+    }
+    ++counters_.moved;
+    const EndpointId silent = flow->second.endpoint;
+    Release(now, flow->second, WorkOutcome::kCancelled);
+    Submit(now, flow->second, silent, actions);
+  }
+  CarryOut(now, actions);
+}
+
 void FlowDispatcherImpl::End(TimePoint now, FlowId id, bool given_up,
                              FlowActions& actions) {
   const auto it = flows_.find(id);
@@ -164,6 +309,9 @@
   ++counters_.ended;
   const Flow flow = std::move(it->second);
   flows_.erase(it);
+  if (flow.placed && !given_up) {
+    NoteAnswer(now, flow);
+  }
   Release(now, flow,
           given_up ? WorkOutcome::kCancelled : WorkOutcome::kAnswered);
   CarryOut(now, actions);
@@ -193,6 +341,14 @@
     }
   }
   CarryOut(now, actions);
+  if (now - last_tick_ > kLongestGap) {
+    heard_since_ = now;
+  }
+  last_tick_ = now;
+  if (now >= review_due_) {
+    review_due_ = now + kReviewInterval;
+    ReviewSilence(now, actions);
+  }
   if (now >= expire_due_) {
     expire_due_ = now + kExpireInterval;
     ExpireFlows(now, actions);
@@ -223,7 +379,8 @@
 }
 
 TimePoint FlowDispatcherImpl::NextWake() const {
-  TimePoint wake = flows_.empty() ? kNever : expire_due_;
+  TimePoint wake =
+      flows_.empty() ? kNever : std::min(expire_due_, review_due_);
   for (const auto& [id, it] : schedulers_) {
     wake = std::min(wake, it->NextWake());
   }
@@ -242,6 +399,8 @@
       ++counters_.placed;
       flow.placed = true;
       flow.endpoint = it.endpoint;
+      flow.placed_at = now;
+      flow.sent_at = now;
       flow.expires = now + flow.opening.timeout;
       actions.placements.push_back({it.endpoint, flow.opening.packet});
       continue;
--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -26,6 +26,11 @@
 constexpr Duration kParkTime = std::chrono::milliseconds(800);
 // Below the size that a network carries in one piece.
 constexpr std::size_t kMaxMessageBytes = 1100;
+// A flow that goes on is told of twice: one message may be lost.
+constexpr std::uint8_t kSeenTold = 2;
+// Flows that went on are remembered for one to two times this; longer than
+// most of them last.
+constexpr Duration kSeenGeneration = std::chrono::seconds(30);
 // How often endpoints that were lost long ago are forgotten.
 constexpr Duration kForgetInterval = std::chrono::seconds(5);
 // Ranks of dispatchers that are tried before this VM places alone.
@@ -81,6 +86,8 @@
   void HandOver(TimePoint now, FlowOpening opening, NodeId to);
   void ReleaseParked(TimePoint now);
   void Place(TimePoint now, FlowOpening opening);
+  // Tells the dispatcher that the flow's caller goes on.
+  void NoteSeen(TimePoint now, FlowId id, ServiceId service);
   void EndFlow(TimePoint now, const FlowPacket& packet, ServiceId service);
   void OnOpening(TimePoint now, NodeId from, const pb::FlowOpening& message);
   // The opening as this VM's catalog has it; nullopt if the route is gone.
@@ -111,6 +118,11 @@
   std::optional<TimePoint> complete_since_;
   bool settled_ = false;
   std::map<NodeId, pb::FlowMessage> messages_;
+  // Flows whose packets have come here, and how often that was told. Two
+  // generations, so that flows without an end are forgotten.
+  absl::flat_hash_map<FlowId, std::uint8_t> seen_;
+  absl::flat_hash_map<FlowId, std::uint8_t> seen_before_;
+  TimePoint generation_due_{};
   TimePoint forget_due_{};
   FlowActions actions_;
   FlowNodeCounters counters_;
@@ -163,6 +175,8 @@
   }
   if (packet.ends || packet.aborts) {
     EndFlow(now, packet, target->service);
+  } else {
+    NoteSeen(now, packet.id(), target->service);
   }
   ++counters_.forwarded;
   return {FlowVerdict::Kind::kForward, target};
@@ -255,12 +269,37 @@
 }
 
 void FlowNodeImpl::Place(TimePoint now, FlowOpening opening) {
+  opening.watched = DispatcherFor(now, opening.service) == self();
   dispatcher_->Open(now, std::move(opening), actions_);
 }
 
+void FlowNodeImpl::NoteSeen(TimePoint now, FlowId id, ServiceId service) {
+  auto it = seen_.find(id);
+  if (it == seen_.end()) {
+    const auto before = seen_before_.find(id);
+    const std::uint8_t told =
+        before == seen_before_.end() ? 0 : before->second;
+    it = seen_.emplace(id, told).first;
+  }
+  if (it->second >= kSeenTold) {
+    return;
+  }
+  ++it->second;
+  if (dispatcher_->Knows(id)) {
+    dispatcher_->Seen(now, id);
+    return;
+  }
+  const NodeId to = DispatcherFor(now, service);
+  if (to != self()) {
+    MessageTo(to).add_seen()->set_id(id.value());
+  }
+}
+
 void FlowNodeImpl::EndFlow(TimePoint now, const FlowPacket& packet,
                            ServiceId service) {
   const FlowId id = packet.id();
+  seen_.erase(id);
+  seen_before_.erase(id);
   if (dispatcher_->Knows(id)) {
     dispatcher_->End(now, id, packet.aborts, actions_);
     return;
@@ -286,6 +325,9 @@
     for (const pb::FlowTaken& it : message->taken()) {
       OnTaken(now, sender, it);
     }
+    for (const pb::FlowSeen& it : message->seen()) {
+      dispatcher_->Seen(now, FlowId(it.id()));
+    }
     for (const pb::FlowEnd& it : message->ends()) {
       dispatcher_->End(now, FlowId(it.id()), it.given_up(), actions_);
     }
@@ -386,6 +428,10 @@
     forget_due_ = now + kForgetInterval;
     endpoints_.Forget(now);
   }
+  if (now >= generation_due_) {
+    generation_due_ = now + kSeenGeneration;
+    seen_before_ = std::exchange(seen_, {});
+  }
 }
 
 void FlowNodeImpl::RetryAsked(TimePoint now) {
@@ -431,6 +477,7 @@
     if (to == self()) {
       continue;
     }
+    dispatcher_->Unwatch(it);
     for (FlowOpening& opening : dispatcher_->TakeWaiting(now, it)) {
       HandOver(now, std::move(opening), to);
     }
@@ -475,6 +522,10 @@
       room_for(it);
       *part.add_taken() = it;
     }
+    for (const pb::FlowSeen& it : message.seen()) {
+      room_for(it);
+      *part.add_seen() = it;
+    }
     for (const pb::FlowEnd& it : message.ends()) {
       room_for(it);
       *part.add_ends() = it;
--- a/src/placement/endpoint_pool.cc
+++ b/src/placement/endpoint_pool.cc
@@ -11,7 +11,7 @@
 
 constexpr std::uint32_t kWholePercent = 100;
 
-enum Trouble : int { kNone = 0, kSlow = 1, kSick = 2 };
+enum Trouble : int { kNone = 0, kSlow = 1, kSick = 2, kSilent = 3 };
 
 }  // namespace
 
@@ -88,6 +88,9 @@
       continue;
     }
     const Rank rank = RankOf(now, work, it);
+    if (std::get<0>(rank) == kSilent && AnyAnswers()) {
+      continue;
+    }
     if (std::get<0>(rank) == kSlow &&
         now + it.answer_time().high() > latest_finish) {
       continue;
@@ -100,6 +103,12 @@
   return best;
 }
 
+bool EndpointPool::AnyAnswers() const {
+  return std::any_of(tracks_.begin(), tracks_.end(), [](const auto& it) {
+    return it.second.TakesNew() && !it.second.silent();
+  });
+}
+
 EndpointTrack* EndpointPool::ChooseProbe(TimePoint now, const Work& work) {
   for (auto& [id, it] : tracks_) {
     if (it.CanProbe(now) && work.avoid != id) {
@@ -117,7 +126,8 @@
 
 EndpointPool::Rank EndpointPool::RankOf(TimePoint now, const Work& work,
                                         const EndpointTrack& track) const {
-  const int trouble = track.LooksSick()    ? kSick
+  const int trouble = track.silent()      ? kSilent
+                      : track.LooksSick()    ? kSick
                       : IsSlow(now, track) ? kSlow
                                            : kNone;
   const double share =
@@ -241,16 +251,19 @@
 
 std::uint32_t EndpointPool::UsableSlots(TimePoint now) const {
   std::uint32_t slots = 0;
+  const bool any_answers = AnyAnswers();
   for (const auto& [id, it] : tracks_) {
-    slots += it.UsableSlots(now);
+    slots += it.silent() && any_answers ? 0 : it.UsableSlots(now);
   }
   return slots;
 }
 
 std::uint32_t EndpointPool::FreeSlots(TimePoint now) const {
   std::uint32_t slots = 0;
+  const bool any_answers = AnyAnswers();
   for (const auto& [id, it] : tracks_) {
-    const std::uint32_t usable = it.UsableSlots(now);
+    const std::uint32_t usable =
+        it.silent() && any_answers ? 0 : it.UsableSlots(now);
     slots += usable - std::min(usable, it.busy());
   }
   return slots;
--- a/src/placement/endpoint_pool.h
+++ b/src/placement/endpoint_pool.h
@@ -81,6 +81,8 @@
               const EndpointTrack& track) const;
   bool IsSlow(TimePoint now, const EndpointTrack& track) const;
   EndpointTrack* ChooseProbe(TimePoint now, const Work& work);
+  // Some endpoint takes new work and is not silent.
+  bool AnyAnswers() const;
   bool OthersTakeNew(EndpointId id) const;
   void ReviewUsual(TimePoint now);
   void EjectOrDoubt(TimePoint now, EndpointTrack& track);
--- a/src/placement/endpoint_track.h
+++ b/src/placement/endpoint_track.h
@@ -82,6 +82,8 @@
   bool HasFreePinnedSlot() const { return present_ && busy_ < endpoint_.slots; }
   bool LooksSick() const { return score_ > kSickScore; }
   bool LooksFailing() const { return score_ > kFailingScore; }
+  void SetSilent(bool silent) { silent_ = silent; }
+  bool silent() const { return silent_; }
   bool OutOfUse() const {
     return health_ == HealthState::kEjected || health_ == HealthState::kProbing;
   }
@@ -110,6 +112,7 @@
   Endpoint endpoint_;
   Duration ramp_;
   bool present_ = true;
+  bool silent_ = false;
   HealthState health_;
 
   std::uint32_t busy_ = 0;
--- a/src/placement/slot_scheduler.cc
+++ b/src/placement/slot_scheduler.cc
@@ -65,6 +65,12 @@
     StartWaiting(now, verdicts);
   }
 
+  void SetSilent(EndpointId endpoint, bool silent) override {
+    if (EndpointTrack* it = pool_.Find(endpoint)) {
+      it->SetSilent(silent);
+    }
+  }
+
   TimePoint NextWake() const override;
   bool TakeRetry(TimePoint now) override;
   pb::ServiceReport Report(TimePoint now) const override;
