--- a/include/vanillalatch/packetflow/flow_dispatcher.h
+++ b/include/vanillalatch/packetflow/flow_dispatcher.h
@@ -50,6 +50,11 @@
   FlowId id;
   ErrorKind kind = ErrorKind::kOverloaded;
   std::string packet;
+  // What decided it.
+  Duration expected_wait{};
+  std::uint32_t queued = 0;
+  std::uint32_t usable_slots = 0;
+  std::uint32_t free_slots = 0;
 };
 
 struct FlowActions {
--- a/include/vanillalatch/placement/slot_scheduler.h
+++ b/include/vanillalatch/placement/slot_scheduler.h
@@ -59,6 +59,11 @@
   EndpointId endpoint;                             // kStart
   ErrorKind error = ErrorKind::kOverloaded;        // kRefuse
   Duration retry_after = std::chrono::seconds(1);  // kRefuse
+  // kRefuse: what decided it.
+  Duration expected_wait{};
+  std::uint32_t queued = 0;
+  std::uint32_t usable_slots = 0;
+  std::uint32_t free_slots = 0;
 };
 
 struct SlotSchedulerOptions {
--- a/include/vanillalatch/runtime/flow_shell.h
+++ b/include/vanillalatch/runtime/flow_shell.h
@@ -19,6 +19,7 @@
 #include "vanillalatch/runtime/reactor.h"
 #include "vanillalatch/runtime/udp_socket.h"
 #include "vanillalatch/settings/settings.h"
+#include "vanillalatch/telemetry/log_budget.h"
 
 namespace vanillalatch {
 
@@ -70,6 +71,7 @@
   virtual void SendPlaced(const FlowNodeActions::Place& place) = 0;
   virtual void SendRefused(const FlowRefusal& refusal) = 0;
 
+  void LogRefusal(const FlowPacket& packet, const FlowRefusal& refusal);
   // Where a caller takes packets.
   SocketAddress CallerAddress(const FlowPacket& packet) const {
     return {packet.caller.ip, packet_port_};
@@ -79,6 +81,9 @@
 
  private:
   class Link;
+  // Refused flows logged a second: enough to see every cause, and less than a
+  // hundredth of a small VM's processor.
+  static constexpr std::uint32_t kRefusalLines = 20;
 
   void ServePackets(FdWaiter& waiter);
   void ServePeers(FdWaiter& waiter);
@@ -97,6 +102,7 @@
   Outbox out_;
   std::atomic<bool> ready_ = false;
   bool stopping_ = false;
+  LogBudget refusal_lines_{kRefusalLines};
 };
 
 template <PacketCodec Codec>
@@ -159,6 +165,7 @@
         reinterpret_cast<const std::uint8_t*>(refusal.packet.data());
     if (const auto packet = Codec::Decode({data, refusal.packet.size()})) {
       SendReset(*packet);
+      LogRefusal(*packet, refusal);
     }
   }
 
--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -353,7 +353,8 @@
     Place(now, *std::move(opening));
   } else {
     actions_.refusals.push_back(
-        {FlowId(message.id()), ErrorKind::kNotFound, message.packet()});
+        {FlowId(message.id()), ErrorKind::kNotFound, message.packet(), {}, 0,
+         0, 0});
   }
 }
 
--- a/src/runtime/flow_shell.cc
+++ b/src/runtime/flow_shell.cc
@@ -145,6 +145,27 @@
   }
 }
 
+void FlowShellCore::LogRefusal(const FlowPacket& packet,
+                               const FlowRefusal& refusal) {
+  if (!refusal_lines_.Take(Now())) {
+    return;
+  }
+  LogEvent(LogLevel::kWarn, "flow_refused",
+           {{"caller", packet.caller.ToString()},
+            {"route", packet.route.ToString()},
+            {"sequence", packet.sequence},
+            {"kind", AnswerFor(refusal.kind).name},
+            {"expected_wait_ms",
+             std::chrono::duration_cast<std::chrono::milliseconds>(
+                 refusal.expected_wait)
+                 .count()},
+            {"queued", refusal.queued},
+            {"usable_slots", refusal.usable_slots},
+            {"free_slots", refusal.free_slots},
+            {"revision", node_->revision()},
+            {"left_out", refusal_lines_.TakeLeftOut()}});
+}
+
 void FlowShellCore::Flush() {
   const TimePoint now = Now();
   const FlowNodeActions actions = node_->TakeActions();
