Keep endpoints whose heartbeats reach only a control VM that is cut off

Changes: a control VM that hears no other VM answers heartbeats with 503; a lease lasts ten heartbeats, as crashed endpoints are found by their silence.

--- a/include/vanillalatch/packetflow/peer_node.h
+++ b/include/vanillalatch/packetflow/peer_node.h
@@ -42,6 +42,8 @@
   Registry& registry() { return *registry_; }
   const Registry& registry() const { return *registry_; }
   const MemberList& members() const { return *members_; }
+  // When a peer was heard last.
+  TimePoint last_heard() const { return last_heard_; }
   std::uint64_t malformed() const { return malformed_; }
 
  private:
@@ -57,6 +59,7 @@
   pb::PeerDatagram incoming_;
   std::uint64_t malformed_ = 0;
   TimePoint registry_due_{};
+  TimePoint last_heard_{};
 };
 
 }  // namespace vanillalatch
--- a/include/vanillalatch/settings/settings.h
+++ b/include/vanillalatch/settings/settings.h
@@ -70,8 +70,9 @@
 struct DoorSettings {
   std::optional<SocketAddress> readiness;
   std::optional<SocketAddress> control;
-  // How long an endpoint counts without a heartbeat: three are missed.
-  Duration lease = std::chrono::seconds(3);
+  // How long an endpoint counts without a heartbeat: ten are missed.
+  Duration lease = std::chrono::seconds(12);
+  Duration heartbeat = std::chrono::milliseconds(1200);
 };
 
 // {"vm": "NAME", "data_center": "NAME", "entry": {...}, "control": {...},
--- a/src/packetflow/peer_node.cc
+++ b/src/packetflow/peer_node.cc
@@ -37,6 +37,7 @@
     ++malformed_;
     return nullptr;
   }
+  last_heard_ = now;
   if (incoming_.has_membership()) {
     members_->OnMessage(now, from, sender(), incoming_.membership(), *registry_,
                         out);
--- a/src/runtime/fleet_shell.cc
+++ b/src/runtime/fleet_shell.cc
@@ -14,6 +14,13 @@
 // Endpoints that changed are stored this often at most: some syncs a second
 // would be a good part of what a small disk does.
 constexpr Duration kKeepInterval = std::chrono::seconds(1);
+// In this many heartbeats each endpoint has reported somewhere, and its report
+// has spread.
+constexpr int kHeartbeatsToHearAll = 3;
+// Without a word from any other VM for this long, this one can tell nobody
+// what endpoints report: they had better report to another one. Five probe
+// intervals of membership.
+constexpr Duration kAloneAfter = std::chrono::seconds(1);
 // Endpoints that were stored longer ago have likely changed meanwhile.
 constexpr std::int64_t kKeptForMs = 30'000;
 // All VMs of a fleet are one group, whatever their data centre.
@@ -58,16 +65,17 @@
   }
   return std::unique_ptr<FleetShell>(
       new FleetShell(std::move(*socket), std::move(*peers), control,
-                     settings.doors.lease));
+                     settings.doors.heartbeat));
 }
 
 FleetShell::FleetShell(UdpSocket socket, std::unique_ptr<PeerNode> peers,
-                       ControlShell& control, Duration lease)
+                       ControlShell& control, Duration heartbeat)
     : socket_(std::move(socket)),
       peers_(std::move(peers)),
       control_(control),
       jobs_(kJobs),
-      whole_at_(Now() + lease) {}
+      started_(Now()),
+      whole_at_(Now() + kHeartbeatsToHearAll * heartbeat) {}
 
 void FleetShell::Start(Reactor& reactor) {
   control_.SetAddEndpoints(
@@ -194,6 +202,10 @@
 Result<EndpointId> FleetShell::RegisterNow(const Registration& registration,
                                            bool leaving) {
   const TimePoint now = Now();
+  if (now - peers_->last_heard() > kAloneAfter &&
+      now - started_ > kAloneAfter) {
+    return Error(ErrorKind::kNoQuorum, "this control VM hears no other VM");
+  }
   Registry& registry = peers_->registry();
   registry.OnTick(now);
   Result<EndpointId> id = registry.Register(now, registration);
--- a/src/runtime/fleet_shell.h
+++ b/src/runtime/fleet_shell.h
@@ -41,7 +41,7 @@
   using Job = std::function<void()>;
 
   FleetShell(UdpSocket socket, std::unique_ptr<PeerNode> peers,
-             ControlShell& control, Duration lease);
+             ControlShell& control, Duration heartbeat);
 
   void ServeSocket(FdWaiter& waiter);
   void RunTimer();
@@ -64,6 +64,7 @@
   boost::fibers::buffered_channel<Job> jobs_;
   Outbox out_;
   Wakeup wakeup_;
+  TimePoint started_;
   // Every endpoint has had the time to be heard, here or at a peer.
   TimePoint whole_at_;
   TimePoint keep_due_{};
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -10,7 +10,9 @@
 namespace {
 
 constexpr std::int64_t kMaxPort = 65535;
-constexpr int kHeartbeatsPerLease = 3;
+// Endpoints that crash are found by their silence; a lease only ends what
+// nobody opens flows to. A cut between VMs lasts for some heartbeats.
+constexpr int kHeartbeatsPerLease = 10;
 constexpr Duration kMinHeartbeat = std::chrono::milliseconds(350);
 constexpr Duration kMaxHeartbeat = std::chrono::minutes(10);
 constexpr Duration kMinDrainLimit = std::chrono::milliseconds(100);
@@ -176,8 +178,8 @@
     doors.control = sockets.Take(*it, Transport::kTcp);
   }
   if (const JsonValue* it = value.Find("heartbeat")) {
-    doors.lease =
-        kHeartbeatsPerLease * it->Time(kMinHeartbeat, kMaxHeartbeat);
+    doors.heartbeat = it->Time(kMinHeartbeat, kMaxHeartbeat);
+    doors.lease = kHeartbeatsPerLease * doors.heartbeat;
   }
   return doors;
 }
