--- a/include/vanillalatch/packetflow/flow_dispatcher.h
+++ b/include/vanillalatch/packetflow/flow_dispatcher.h
@@ -36,7 +36,7 @@
   // Whoever sees the flow's next packets tells this VM: their absence says that
   // the endpoint is silent.
   bool watched = false;
-  std::string packet;       // As it came from the caller.
+  std::string packet;  // As it came from the caller.
 };
 
 // The opening packet goes to this endpoint.
--- a/include/vanillalatch/runtime/flow_shell.h
+++ b/include/vanillalatch/runtime/flow_shell.h
@@ -25,19 +25,18 @@
 
 // How packets look on the wire.
 template <typename C>
-concept PacketCodec =
-    requires(ByteSpan bytes, std::span<std::uint8_t> packet, FlowCookie cookie,
-             InstanceId instance, std::uint8_t* headroom,
-             const FlowPacket& head) {
-      // nullopt for what is no packet of a flow.
-      { C::Decode(bytes) } -> std::same_as<std::optional<FlowPacket>>;
-      // Writes C::kPrefixBytes in front of a packet for this endpoint.
-      { C::kPrefixBytes } -> std::convertible_to<std::size_t>;
-      { C::WritePrefix(instance, headroom) };
-      { C::WriteCookie(cookie, packet) };
-      // A packet that tells the caller that its flow is not there.
-      { C::Reset(head) } -> std::convertible_to<std::vector<std::uint8_t>>;
-    };
+concept PacketCodec = requires(ByteSpan bytes, std::span<std::uint8_t> packet,
+                               FlowCookie cookie, InstanceId instance,
+                               std::uint8_t* headroom, const FlowPacket& head) {
+  // nullopt for what is no packet of a flow.
+  { C::Decode(bytes) } -> std::same_as<std::optional<FlowPacket>>;
+  // Writes C::kPrefixBytes in front of a packet for this endpoint.
+  { C::kPrefixBytes } -> std::convertible_to<std::size_t>;
+  {C::WritePrefix(instance, headroom)};
+  {C::WriteCookie(cookie, packet)};
+  // A packet that tells the caller that its flow is not there.
+  { C::Reset(head) } -> std::convertible_to<std::vector<std::uint8_t>>;
+};
 
 // The part of the shell that does not depend on the codec.
 class FlowShellCore {
--- a/include/vanillalatch/runtime/udp_socket.h
+++ b/include/vanillalatch/runtime/udp_socket.h
@@ -35,15 +35,16 @@
 
   int fd() const { return fd_; }
 
-  // Receives up to a batch and calls handle(SocketAddress, std::span<std::uint8_t>)
-  // for each datagram. Returns how many came.
+  // Receives up to a batch and calls handle(SocketAddress,
+  // std::span<std::uint8_t>) for each datagram. Returns how many came.
   template <typename Handler>
   std::size_t Receive(Handler&& handle) {
     const std::size_t n = ReceiveBatch();
     for (std::size_t i = 0; i < n; ++i) {
-      handle(AddressOf(receive_.names[i]),
-             std::span(receive_.bytes.data() + i * kBufferBytes + kHeadroomBytes,
-                       receive_.messages[i].msg_len));
+      handle(
+          AddressOf(receive_.names[i]),
+          std::span(receive_.bytes.data() + i * kBufferBytes + kHeadroomBytes,
+                    receive_.messages[i].msg_len));
     }
     return n;
   }
--- a/include/vanillalatch/telemetry/log_budget.h
+++ b/include/vanillalatch/telemetry/log_budget.h
@@ -24,8 +24,8 @@
   bool Take(TimePoint now) {
     const std::chrono::duration<double> elapsed = now - filled_;
     filled_ = now;
-    lines_ = std::min<double>(per_second_,
-                              lines_ + elapsed.count() * per_second_);
+    lines_ =
+        std::min<double>(per_second_, lines_ + elapsed.count() * per_second_);
     if (lines_ < 1) {
       ++left_out_;
       return false;
--- a/src/bench/load_entry.cc
+++ b/src/bench/load_entry.cc
@@ -20,8 +20,8 @@
 #include <vector>
 
 #include "src/bench/echo_backend.h"
-#include "vanillalatch/runtime/udp_socket.h"
 #include "vanillalatch/runtime/reactor.h"
+#include "vanillalatch/runtime/udp_socket.h"
 #include "vanillalatch/wire/coap.h"
 
 namespace vanillalatch {
--- a/src/consensus/group_change.cc
+++ b/src/consensus/group_change.cc
@@ -43,8 +43,8 @@
   if (now < introduce_due_) {
     return;
   }
-  if (IsVoter() && (!options_.open || IsLeader() ||
-                    now < leader_contact_ + kAloneAge)) {
+  if (IsVoter() &&
+      (!options_.open || IsLeader() || now < leader_contact_ + kAloneAge)) {
     return;
   }
   introduce_due_ = now + kIntroduceInterval;
--- a/src/consensus/replica_impl.h
+++ b/src/consensus/replica_impl.h
@@ -135,7 +135,7 @@
   ReplicatedLog log_;
   std::optional<pb::Snapshot> snapshot_;
   std::uint64_t commit_ = 0;
-  std::uint64_t handed_out_ = 0;  // Committed entries given to the owner.
+  std::uint64_t handed_out_ = 0;   // Committed entries given to the owner.
   std::uint64_t commit_told_ = 0;  // Given to the owner to be stored.
   pb::Configuration configuration_;
   std::uint64_t configuration_index_ = 0;
--- a/src/control/entry_calls.cc
+++ b/src/control/entry_calls.cc
@@ -28,8 +28,8 @@
       request.wants_endpoints()
           ? std::min<Duration>(options_.sync_hold, kEndpointsHold)
           : options_.sync_hold;
-  syncs_.push_back({ticket, request.revision(), replica_->FromQuorum(now),
-                    now + hold});
+  syncs_.push_back(
+      {ticket, request.revision(), replica_->FromQuorum(now), now + hold});
   Pump(now);
 }
 
--- a/src/control/operator_calls.cc
+++ b/src/control/operator_calls.cc
@@ -15,9 +15,9 @@
 
 // True if `change` needs no entry of its own once `logged` is committed.
 bool Settles(const pb::Change& logged, const pb::Change& change) {
-  return change.has_flows() ? logged.flows().version() >=
-                                  change.flows().version()
-                            : logged.change_id() == change.change_id();
+  return change.has_flows()
+             ? logged.flows().version() >= change.flows().version()
+             : logged.change_id() == change.change_id();
 }
 
 std::string KindName(ErrorKind kind) {
--- a/src/membership/member_list.cc
+++ b/src/membership/member_list.cc
@@ -39,8 +39,12 @@
       table_(options_.suspicion_timeout),
       budget_(options_.bytes_per_second),
       sequence_(rng_() >> 40) {
-  self_ = {NodeId{StableHash(options_.name)}, options_.name, options_.peer,
-           MemberState::kAlive, options_.incarnation, options_.dispatches};
+  self_ = {NodeId{StableHash(options_.name)},
+           options_.name,
+           options_.peer,
+           MemberState::kAlive,
+           options_.incarnation,
+           options_.dispatches};
   joined_ = options_.seeds.empty();
   Changed();
 }
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -72,9 +72,11 @@
     return Outcome::kUnknown;
   }
   MemberRecord& record = records_[NodeId{update.id()}];
-  record.member = {NodeId{update.id()}, update.name(),
+  record.member = {NodeId{update.id()},
+                   update.name(),
                    SocketAddress::FromPacked(update.address()),
-                   MemberState::kAlive, update.incarnation(),
+                   MemberState::kAlive,
+                   update.incarnation(),
                    !update.observes()};
   record.penalty_at = now;
   Enter(now, record, static_cast<MemberState>(update.state()));
--- a/src/packetflow/flow_dispatcher.cc
+++ b/src/packetflow/flow_dispatcher.cc
@@ -43,10 +43,9 @@
     scheduler.SetEndpoints(now, endpoints);
     std::erase_if(answering_, [&](const auto& known) {
       return known.second.service == service &&
-             std::none_of(endpoints.begin(), endpoints.end(),
-                          [&](const Endpoint& it) {
-                            return it.id == known.first;
-                          });
+             std::none_of(
+                 endpoints.begin(), endpoints.end(),
+                 [&](const Endpoint& it) { return it.id == known.first; });
     });
     scheduler.OnTick(now, verdicts_);
     CarryOut(now, actions);
@@ -269,10 +268,9 @@
   for (auto& [endpoint, ids] : unanswered) {
     Answering& answering = answering_[endpoint];
     const Flow& first = flows_.at(ids.front());
-    const bool copied =
-        std::any_of(ids.begin(), ids.end(), [&](const FlowId& it) {
-          return flows_.at(it).opening.copy > 0;
-        });
+    const bool copied = std::any_of(
+        ids.begin(), ids.end(),
+        [&](const FlowId& it) { return flows_.at(it).opening.copy > 0; });
     if (!answering.silent && ids.size() < kUnansweredFlows && !copied) {
       continue;
     }
@@ -371,16 +369,15 @@
             [](const Flow& a, const Flow& b) { return a.work < b.work; });
   for (const Flow& it : expired) {
     ++counters_.expired;
-    Release(now, it,
-            it.opening.copy > 0 ? WorkOutcome::kTimedOut
-                                : WorkOutcome::kCancelled);
+    Release(
+        now, it,
+        it.opening.copy > 0 ? WorkOutcome::kTimedOut : WorkOutcome::kCancelled);
   }
   CarryOut(now, actions);
 }
 
 TimePoint FlowDispatcherImpl::NextWake() const {
-  TimePoint wake =
-      flows_.empty() ? kNever : std::min(expire_due_, review_due_);
+  TimePoint wake = flows_.empty() ? kNever : std::min(expire_due_, review_due_);
   for (const auto& [id, it] : schedulers_) {
     wake = std::min(wake, it->NextWake());
   }
--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -239,9 +239,9 @@
       break;
     }
     const auto declined = declined_until_.find(*it);
-    const bool able = !silent_.contains(*it) &&
-                      (declined == declined_until_.end() ||
-                       now >= declined->second);
+    const bool able =
+        !silent_.contains(*it) &&
+        (declined == declined_until_.end() || now >= declined->second);
     if (*it == self() || able) {
       return *it;
     }
@@ -277,8 +277,7 @@
   auto it = seen_.find(id);
   if (it == seen_.end()) {
     const auto before = seen_before_.find(id);
-    const std::uint8_t told =
-        before == seen_before_.end() ? 0 : before->second;
+    const std::uint8_t told = before == seen_before_.end() ? 0 : before->second;
     it = seen_.emplace(id, told).first;
   }
   if (it->second >= kSeenTold) {
@@ -352,9 +351,13 @@
   if (opening) {
     Place(now, *std::move(opening));
   } else {
-    actions_.refusals.push_back(
-        {FlowId(message.id()), ErrorKind::kNotFound, message.packet(), {}, 0,
-         0, 0});
+    actions_.refusals.push_back({FlowId(message.id()),
+                                 ErrorKind::kNotFound,
+                                 message.packet(),
+                                 {},
+                                 0,
+                                 0,
+                                 0});
   }
 }
 
--- a/src/placement/endpoint_pool.cc
+++ b/src/placement/endpoint_pool.cc
@@ -20,7 +20,8 @@
     it.SetMissing();
   }
   for (Endpoint it : endpoints) {
-    it.slots = (it.slots * overlap_percent_ + kWholePercent - 1) / kWholePercent;
+    it.slots =
+        (it.slots * overlap_percent_ + kWholePercent - 1) / kWholePercent;
     const auto [track, added] =
         tracks_.try_emplace(it.id, EndpointTrack(now, it, ramp_));
     if (!added) {
@@ -126,8 +127,8 @@
 
 EndpointPool::Rank EndpointPool::RankOf(TimePoint now, const Work& work,
                                         const EndpointTrack& track) const {
-  const int trouble = track.silent()      ? kSilent
-                      : track.LooksSick()    ? kSick
+  const int trouble = track.silent()       ? kSilent
+                      : track.LooksSick()  ? kSick
                       : IsSlow(now, track) ? kSlow
                                            : kNone;
   const double share =
--- a/src/registry/registry.cc
+++ b/src/registry/registry.cc
@@ -65,9 +65,9 @@
   const Lease* holder = store_.FindByAddress(registration.address);
   if (options_.epochs_are_start_times && holder != nullptr &&
       registration.epoch < holder->endpoint.epoch) {
-    return Error(ErrorKind::kConflict,
-                 holder->endpoint.name + " started later at " +
-                     registration.address.ToString());
+    return Error(ErrorKind::kConflict, holder->endpoint.name +
+                                           " started later at " +
+                                           registration.address.ToString());
   }
   return std::nullopt;
 }
--- a/src/runtime/control_shell.cc
+++ b/src/runtime/control_shell.cc
@@ -171,8 +171,7 @@
            {{"revision", node_->Status().revision()},
             {"term", node_->Status().term()}});
   if (on_note_) {
-    std::exchange(on_note_, {})(
-        disk_->Read(kNoteFile).value_or(std::string()));
+    std::exchange(on_note_, {})(disk_->Read(kNoteFile).value_or(std::string()));
   }
 }
 
@@ -228,9 +227,8 @@
 
 void ControlShell::Accept(const ApplyCall& call) {
   const Ticket ticket = Open<pb::ApplyReply>(applies_, Replying(call));
-  WithNode([&](ControlNode& node) {
-    node.OnApply(Now(), ticket, *call.request);
-  });
+  WithNode(
+      [&](ControlNode& node) { node.OnApply(Now(), ticket, *call.request); });
 }
 
 void ControlShell::Accept(const GetCall& call) {
@@ -240,9 +238,8 @@
 
 void ControlShell::Accept(const HistoryCall& call) {
   const Ticket ticket = Open<pb::HistoryReply>(histories_, Replying(call));
-  WithNode([&](ControlNode& node) {
-    node.OnHistory(Now(), ticket, *call.request);
-  });
+  WithNode(
+      [&](ControlNode& node) { node.OnHistory(Now(), ticket, *call.request); });
 }
 
 void ControlShell::Accept(const StatusCall& call) {
@@ -258,9 +255,8 @@
     };
   }
   const Ticket ticket = Open<pb::SyncReply>(syncs_, std::move(then));
-  WithNode([&](ControlNode& node) {
-    node.OnSync(Now(), ticket, *call.request);
-  });
+  WithNode(
+      [&](ControlNode& node) { node.OnSync(Now(), ticket, *call.request); });
 }
 
 void ControlShell::Accept(const StepCall& call) {
@@ -282,8 +278,7 @@
 void ControlShell::Apply(pb::ApplyRequest request, Then<pb::ApplyReply> then) {
   Post([this, request = std::move(request), then = std::move(then)] {
     const Ticket ticket = Open<pb::ApplyReply>(applies_, then);
-    WithNode(
-        [&](ControlNode& node) { node.OnApply(Now(), ticket, request); });
+    WithNode([&](ControlNode& node) { node.OnApply(Now(), ticket, request); });
   });
 }
 
--- a/src/runtime/entry_shell.h
+++ b/src/runtime/entry_shell.h
@@ -7,13 +7,13 @@
 #include <memory>
 #include <vector>
 
-#include "src/runtime/publisher.h"
-#include "vanillalatch/runtime/udp_socket.h"
 #include "src/runtime/catalog_follower.h"
-#include "vanillalatch/runtime/wakeup.h"
+#include "src/runtime/publisher.h"
 #include "vanillalatch/entry/entry_node.h"
 #include "vanillalatch/rpc/control_service.h"
 #include "vanillalatch/runtime/reactor.h"
+#include "vanillalatch/runtime/udp_socket.h"
+#include "vanillalatch/runtime/wakeup.h"
 #include "vanillalatch/settings/settings.h"
 
 namespace vanillalatch {
--- a/src/runtime/fleet_shell.cc
+++ b/src/runtime/fleet_shell.cc
@@ -63,9 +63,9 @@
   if (!peers.ok()) {
     return peers.error();
   }
-  return std::unique_ptr<FleetShell>(
-      new FleetShell(std::move(*socket), std::move(*peers), control,
-                     settings.doors.heartbeat));
+  return std::unique_ptr<FleetShell>(new FleetShell(std::move(*socket),
+                                                    std::move(*peers), control,
+                                                    settings.doors.heartbeat));
 }
 
 FleetShell::FleetShell(UdpSocket socket, std::unique_ptr<PeerNode> peers,
@@ -253,9 +253,7 @@
   control_.Apply(std::move(request), std::move(then));
 }
 
-void FleetShell::Get(Then<pb::GetReply> then) {
-  control_.Get(std::move(then));
-}
+void FleetShell::Get(Then<pb::GetReply> then) { control_.Get(std::move(then)); }
 
 void FleetShell::Flush() {
   for (const Outbox::Item& it : out_.items()) {
--- a/src/runtime/fleet_shell.h
+++ b/src/runtime/fleet_shell.h
@@ -50,7 +50,8 @@
   Result<EndpointId> RegisterNow(const Registration& registration,
                                  bool leaving);
   // Endpoints as they are now, for an entry VM that has just started.
-  void AddEndpoints(pb::SyncReply reply, ControlShell::Then<pb::SyncReply> then);
+  void AddEndpoints(pb::SyncReply reply,
+                    ControlShell::Then<pb::SyncReply> then);
   // Stores the endpoints when they have changed, so that a start of the whole
   // fleet need not wait for every heartbeat.
   void KeepEndpoints();
--- a/src/runtime/flow_shell.cc
+++ b/src/runtime/flow_shell.cc
@@ -91,9 +91,9 @@
               {"routes", reply.catalog().flows().routes_size()}});
   }
   if (!node_->Ready()) {
-    node_->OnEndpoints(
-        now, {reply.endpoints().begin(), reply.endpoints().end()},
-        reply.endpoints_whole());
+    node_->OnEndpoints(now,
+                       {reply.endpoints().begin(), reply.endpoints().end()},
+                       reply.endpoints_whole());
     LogEvent(LogLevel::kInfo, "endpoints_taken",
              {{"endpoints", reply.endpoints_size()},
               {"whole", reply.endpoints_whole()}});
--- a/src/runtime/runtime_test.cc
+++ b/src/runtime/runtime_test.cc
@@ -3,8 +3,8 @@
 #include <thread>
 #include <vector>
 
-#include "vanillalatch/runtime/udp_socket.h"
 #include "vanillalatch/runtime/reactor.h"
+#include "vanillalatch/runtime/udp_socket.h"
 
 namespace vanillalatch {
 namespace {
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -149,8 +149,8 @@
   value.CheckKeys({"listen", "seeds", "control_port"});
   FleetSettings fleet;
   fleet.listen = sockets.Take(value.At("listen"), Transport::kUdp);
-  const auto control_port = static_cast<std::uint16_t>(
-      value.At("control_port").Integer(1, kMaxPort));
+  const auto control_port =
+      static_cast<std::uint16_t>(value.At("control_port").Integer(1, kMaxPort));
   for (const SocketAddress& it : ReadAddresses(value.At("seeds"))) {
     fleet.seeds.push_back({it.ip, fleet.listen.port});
     fleet.control.push_back({it.ip, control_port});
@@ -226,8 +226,7 @@
   if (settings.flows && !settings.fleet) {
     root.Fail("\"fleet\" beside \"flows\"");
   }
-  if (settings.control && settings.control->voters.empty() &&
-      !settings.fleet) {
+  if (settings.control && settings.control->voters.empty() && !settings.fleet) {
     root.Fail("\"fleet\" beside \"control\" without \"voters\"");
   }
   if (const JsonValue* it = root.Find("log")) {
