Decline at once when a dispatcher's catalog is older than the ingress'

Cause: entry VMs cut off from the control VMs kept an older catalog; openings that others handed to them stayed unanswered, and each was placed 100 ms late.

--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -336,15 +336,13 @@
 
 void FlowNodeImpl::OnOpening(TimePoint now, NodeId from,
                              const pb::FlowOpening& message) {
-  if (message.revision() > revision_) {
-    // Placing it by an older catalog than its ingress has could undo what
-    // callers have seen already: the ingress places it itself.
-    ++counters_.stale_openings;
-    return;
-  }
+  // Placing it by an older catalog than its ingress has could undo what callers
+  // have seen already.
+  const bool stale = message.revision() > revision_;
+  counters_.stale_openings += stale ? 1 : 0;
   pb::FlowTaken& taken = *MessageTo(from).add_taken();
   taken.set_id(message.id());
-  if (!settled_) {
+  if (stale || !settled_) {
     taken.set_declined(true);
     return;
   }
