Let a control VM in that knows only followers, and find silent connections

A VM at a new address was made a fourth voter while the one it replaces was down, so that the group bore no further loss. After a cut, connections waited for TCP's own retransmissions: 2.5 s without a leader. Changes: followers pass an introduction on; a learner waits until every voter has answered the leader, or takes the place of one silent for 3 s; gRPC connections are tried each second and count as lost after another.

--- a/include/vanillalatch/rpc/control_client.h
+++ b/include/vanillalatch/rpc/control_client.h
@@ -19,6 +19,11 @@
 
 namespace vanillalatch {
 
+// How often a connection between VMs is tried, and how long it may be silent
+// then before it counts as lost, milliseconds: one that went silent is found
+// within two elections.
+inline constexpr int kKeepaliveMs = 1000;
+
 // A channel that reconnects within 0.2 s after its peer is back.
 std::shared_ptr<grpc::Channel> OpenChannel(const std::string& address);
 
--- a/src/consensus/group_change.cc
+++ b/src/consensus/group_change.cc
@@ -76,6 +76,11 @@
       body.replica().vm() == options_.self.vm()) {
     return;
   }
+  // Only the leader lets anybody in; who asks may not know it. `to` is set in
+  // what was passed on already.
+  if (options_.open && !IsLeader() && message.to() == 0 && leader_id_ != 0) {
+    SendTo(leader_id_, message);
+  }
   introductions_[body.replica().vm()] =
       Introduction{body.replica(), body.empty_log(), message.term(), now};
   last_heard_[body.replica().vm()] = now;
@@ -179,6 +184,11 @@
     const pb::Replica* former = FormerVoter(configuration_, it);
     if (former == nullptr && options_.open) {
       former = SilentVoter(now);
+      if (former == nullptr && !AllVotersActive(now)) {
+        // One more voter beside one that may be gone for good would let the
+        // group bear no loss: wait until it answers, or is known to be silent.
+        continue;
+      }
     }
     if (former != nullptr) {
       const std::uint64_t lost = former->id();
@@ -213,6 +223,17 @@
   return nullptr;
 }
 
+bool ReplicaImpl::AllVotersActive(TimePoint now) const {
+  return std::all_of(
+      configuration_.replicas().begin(), configuration_.replicas().end(),
+      [&](const pb::Replica& it) {
+        const auto peer = peers_.find(it.id());
+        return it.learner() || it.id() == self() ||
+               (peer != peers_.end() && peer->second.answered &&
+                IsActive(it.id(), now));
+      });
+}
+
 void ReplicaImpl::ProposeConfiguration(TimePoint now,
                                        pb::Configuration configuration) {
   pb::LogEntry entry;
--- a/src/consensus/replica_impl.h
+++ b/src/consensus/replica_impl.h
@@ -20,7 +20,9 @@
   std::uint64_t next = 1;   // The next entry to send.
   std::uint64_t match = 0;  // Held on its synced disk, as far as known.
   std::uint64_t acked_round = 0;
+  // For this long at least, taken as now when leading begins.
   TimePoint last_ack = TimePoint::min();
+  bool answered = false;  // Since leading began.
   TimePoint snapshot_sent = TimePoint::min();
 };
 
@@ -125,6 +127,7 @@
   bool AdvanceLearner(TimePoint now);
   void ProposeConfiguration(TimePoint now, pb::Configuration configuration);
   bool NamedInSettings(std::string_view vm) const;
+  bool AllVotersActive(TimePoint now) const;
   const pb::Replica* SilentVoter(TimePoint now) const;
   void HandOver(TimePoint now);
 
--- a/src/consensus/replication.cc
+++ b/src/consensus/replication.cc
@@ -238,6 +238,7 @@
   Peer& peer = it->second;
   const pb::AppendReply& reply = message.append_reply();
   peer.last_ack = now;
+  peer.answered = true;
   peer.acked_round = std::max(peer.acked_round, reply.round());
   if (!reply.success()) {
     const std::uint64_t next = std::max(reply.match_index(), peer.match) + 1;
--- a/src/control/control_checks_test.cc
+++ b/src/control/control_checks_test.cc
@@ -1,7 +1,10 @@
 // What ControlWorld checks: after every event, and where a step asks.
 #include <algorithm>
+#include <set>
 #include <utility>
 
+#include "absl/strings/str_join.h"
+
 #include "src/control/control_world.h"
 
 namespace vanillalatch {
@@ -102,6 +105,32 @@
   }
 }
 
+// The leader's committed group has just these voters, with their present
+// identities.
+void ControlWorld::ExpectVoters(Arguments step) {
+  std::string voters;
+  const auto hold = [&] {
+    const std::string leader = Leader();
+    if (leader.empty()) {
+      return false;
+    }
+    const Replica& replica = ReplicaOf(controls_.at(leader));
+    const pb::Configuration group =
+        replica.ConfigurationAt(replica.commit_index());
+    std::set<std::string> names;
+    for (const pb::Replica& it : group.replicas()) {
+      if (!it.learner() && controls_.at(it.vm()).identity == it.id()) {
+        names.insert(it.vm());
+      }
+    }
+    voters = absl::StrJoin(names, ",");
+    return voters == step.Word(1);
+  };
+  if (!RunUntil(step.NamedTime("within", Duration::zero()), hold)) {
+    throw Failure("the voters are " + voters);
+  }
+}
+
 void ControlWorld::Expect(Arguments step) {
   const std::string& what = step.Word(0);
   if (what == "outcome") {
@@ -130,6 +159,12 @@
                   [&] { return Repaired(); })) {
       throw Failure("some VM is no voter with its present identity");
     }
+  } else if (what == "voters") {
+    ExpectVoters(step);
+  } else if (what == "no-leader") {
+    if (!Leader().empty()) {
+      throw Failure(Leader() + " leads");
+    }
   } else if (what == "one-wins") {
     ExpectOneWins(step);
   } else {
--- a/src/control/control_scenario_test.cc
+++ b/src/control/control_scenario_test.cc
@@ -32,6 +32,11 @@
 bool ControlWorld::DoControlStep(Arguments step) {
   if (step.verb == "control") {
     AddControls(step.Number(0), step.NamedNumber("snapshot", 256));
+  } else if (step.verb == "fleet") {
+    seeds_ = SplitList(step.Named("seeds", "c1,c2,c3"));
+    AddControls(step.Number(0), step.NamedNumber("snapshot", 256));
+  } else if (step.verb == "seeds") {
+    seeds_ = SplitList(step.Word(0));
   } else if (step.verb == "add-control") {
     AddControl(step.Word(0));
   } else if (step.verb == "start") {
--- a/src/control/control_world.h
+++ b/src/control/control_world.h
@@ -27,6 +27,7 @@
   std::uint64_t starts = 0;
   std::uint64_t identity = 0;
   std::uint64_t first_identity = 0;
+  bool founds = false;  // In a fleet: the whole of it starts first.
   bool frozen = false;
   bool stopping = false;
   std::vector<std::function<void()>> held;  // Arrived while frozen.
@@ -128,6 +129,7 @@
   void ExpectReplica(Arguments step);
   void ExpectInForce(Arguments step);
   void ExpectLeader(Arguments step);
+  void ExpectVoters(Arguments step);
   void ExpectStatus(Arguments step);
 
   // Steps.
@@ -137,6 +139,7 @@
 
   FakeNetwork network_;
   std::uint64_t snapshot_every_ = 256;
+  std::vector<std::string> seeds_;  // Of a fleet, for whoever starts next.
   std::map<std::string, ControlVm> controls_;
   std::map<std::string, EntryVm> entries_;
   std::map<std::string, OperatorCall> calls_;  // By change id.
--- a/src/control/control_world_test.cc
+++ b/src/control/control_world_test.cc
@@ -36,6 +36,7 @@
   for (std::size_t n = 1; n <= count; ++n) {
     const std::string name = "c" + std::to_string(n);
     controls_[name].name = name;
+    controls_[name].founds = true;
   }
   for (const std::string& it : ControlNames()) {
     Start(it);
@@ -59,6 +60,15 @@
   ControlOptions options;
   options.vm = name;
   options.snapshot_every = snapshot_every_;
+  if (!seeds_.empty()) {
+    options.open = true;
+    options.may_found = controls_.at(name).founds;
+    options.address = name + std::string(kPort);
+    for (const std::string& it : seeds_) {
+      options.initial.push_back({it, it + std::string(kPort), ""});
+    }
+    return options;
+  }
   for (const auto& [vm, unused] : controls_) {
     options.initial.push_back(
         {vm, vm + std::string(kPort), "d" + vm.substr(1)});
@@ -81,6 +91,7 @@
 void ControlWorld::Start(const std::string& name) {
   ControlVm& vm = Control(name);
   const std::uint64_t seed = StableHash(network_.random()(), ++vm.starts);
+  vm.founds = vm.founds && vm.starts == 1;
   vm.checked = 0;
   vm.wake = kNever;
   vm.frozen = false;
--- a/src/rpc/control_client.cc
+++ b/src/rpc/control_client.cc
@@ -14,6 +14,8 @@
 // connection costs two small packets.
 constexpr int kReconnectMinMs = 50;
 constexpr int kReconnectMaxMs = 200;
+// One try to connect: some round trips, and a VM that gets its processor late.
+constexpr int kConnectTimeoutMs = 500;
 constexpr int kMaxOpenSends = 32;
 constexpr std::chrono::milliseconds kSendTimeout{1000};
 
@@ -22,8 +24,13 @@
 std::shared_ptr<grpc::Channel> OpenChannel(const std::string& address) {
   grpc::ChannelArguments arguments;
   arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, kReconnectMinMs);
-  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kReconnectMinMs);
+  // gRPC takes this for the timeout of one try as well.
+  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kConnectTimeoutMs);
   arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kReconnectMaxMs);
+  arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, kKeepaliveMs);
+  arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, kKeepaliveMs);
+  arguments.SetInt(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
+  arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
   arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
   return grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(),
                                    arguments);
--- a/src/rpc/control_service.cc
+++ b/src/rpc/control_service.cc
@@ -3,6 +3,8 @@
 #include <chrono>
 #include <utility>
 
+#include "vanillalatch/rpc/control_client.h"
+
 namespace vanillalatch {
 namespace {
 
@@ -85,6 +87,14 @@
   bool Start(SocketAddress listen) {
     grpc::ServerBuilder builder;
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    // Clients send keepalive pings with no call open.
+    builder.AddChannelArgument(
+        GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS,
+        kKeepaliveMs / 2);
+    builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PING_STRIKES, 0);
+    builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIME_MS, kKeepaliveMs);
+    builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, kKeepaliveMs);
+    builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
     int port = 0;
     builder.AddListeningPort(listen.ToString(),
                              grpc::InsecureServerCredentials(), &port);
