--- /dev/null
+++ b/src/packetflow/flow_world_test.cc
@@ -0,0 +1,339 @@
+// The machinery of FlowWorld.
+#include "src/packetflow/flow_world.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "vanillalatch/placement/rendezvous.h"
+
+namespace vanillalatch {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr int kControl = -1;
+constexpr Duration kTick = milliseconds(1);
+constexpr Duration kBeat = milliseconds(1200);
+constexpr Duration kToEndpoint = microseconds(300);
+constexpr Duration kToCaller = milliseconds(3);
+constexpr Duration kBetweenVms = microseconds(400);
+constexpr Duration kCopies[] = {milliseconds(0), milliseconds(200),
+                                milliseconds(600)};
+constexpr Duration kGiveUp = milliseconds(1400);
+constexpr std::uint32_t kTimeoutMs = 1500;
+
+}  // namespace
+
+FlowWorld::FlowWorld(std::uint64_t seed) : random_(seed) {}
+
+SocketAddress FlowWorld::PeerOf(int vm) {
+  return {0x0A000000U + static_cast<std::uint32_t>(vm + 1), 7000};
+}
+
+SocketAddress FlowWorld::RouteOf(const std::string& service) {
+  return {0xC6120001U, static_cast<std::uint16_t>(FlowServiceId(service).value() | 1)};
+}
+
+void FlowWorld::AddVms(std::size_t count) {
+  vms_.resize(count);
+  MemberListOptions members;
+  members.name = "control";
+  members.data_center = "fleet";
+  members.dispatches = false;
+  members.peer = PeerOf(kControl);
+  RegistryOptions registry;
+  registry.epochs_are_start_times = true;
+  control_ = PeerNode::Create(members, registry, random_()).value();
+  for (std::size_t n = 0; n < count; ++n) {
+    StartVm(n);
+  }
+  After(kTick, [this] { Tick(); });
+  After(kBeat, [this] { Beat(); });
+}
+
+void FlowWorld::StartVm(std::size_t n) {
+  FlowNodeOptions options;
+  options.members.name = "vm-" + std::to_string(n);
+  options.members.data_center = "fleet";
+  options.members.peer = PeerOf(static_cast<int>(n));
+  options.members.seeds = {PeerOf(kControl)};
+  options.members.incarnation = ++starts_ * 1000;
+  options.data_center = n % 2 == 0 ? "north" : "south";
+  vms_[n] = FlowNode::Create(options, random_()).value();
+  if (catalog_.revision() > 0) {
+    Publish(n);
+  }
+}
+
+void FlowWorld::StopVm(std::size_t n) {
+  Outbox out;
+  vms_[n]->BeginStop(now_, out);
+  Deliver(static_cast<int>(n), out);
+  CarryOut(n);
+}
+
+void FlowWorld::SetRoutes(std::uint64_t version,
+                          std::vector<std::string> services,
+                          std::uint32_t latency_ms) {
+  pb::FlowTable& table = *catalog_.mutable_flows();
+  table.Clear();
+  table.set_version(version);
+  for (const std::string& it : services) {
+    pb::FlowRoute& route = *table.add_routes();
+    route.set_name(it);
+    route.set_ip(RouteOf(it).ip);
+    route.set_port(RouteOf(it).port);
+    route.set_timeout_ms(kTimeoutMs);
+    route.set_latency_ms(latency_ms);
+    route.set_urgency(it == "urgent" ? 0 : 1);
+    pb::FlowShare& share = *route.add_shares();
+    share.set_service(it == "urgent" ? "records" : it);
+    share.set_weight(1);
+  }
+  catalog_.set_revision(version);
+}
+
+void FlowWorld::Publish(std::optional<std::size_t> vm) {
+  for (std::size_t n = 0; n < vms_.size(); ++n) {
+    if (vms_[n] != nullptr && (!vm || *vm == n)) {
+      vms_[n]->OnCatalog(now_, catalog_);
+      CarryOut(n);
+    }
+  }
+}
+
+FlowWorld::FakeEndpoint& FlowWorld::AddEndpoint(
+    const std::string& name, const std::string& service,
+    const std::string& data_center) {
+  FakeEndpoint& endpoint = endpoints_[name];
+  endpoint.name = name;
+  endpoint.service = service;
+  endpoint.data_center = data_center;
+  endpoint.address = {
+      0x0B000000U + static_cast<std::uint32_t>(endpoints_.size()), 80};
+  return endpoint;
+}
+
+void FlowWorld::Leave(const std::string& name) {
+  At(name).leaving = true;
+  Beat();
+}
+
+void FlowWorld::Beat() {
+  for (const auto& [name, it] : endpoints_) {
+    if (it.silent) {
+      continue;
+    }
+    Registration registration;
+    registration.name = it.name;
+    registration.service = FlowServiceId(it.service);
+    registration.data_center = it.data_center;
+    registration.address = it.address;
+    registration.slots = it.slots;
+    registration.lifetime = 10 * kBeat;
+    registration.epoch = it.epoch;
+    const Result<EndpointId> id =
+        control_->registry().Register(now_, registration);
+    if (id.ok() && it.leaving) {
+      control_->registry().BeginLeave(now_, *id).value();
+    }
+  }
+  After(kBeat, [this] { Beat(); });
+}
+
+void FlowWorld::After(Duration delay, Work run) {
+  events_.push({now_ + delay, ++order_, std::move(run)});
+}
+
+void FlowWorld::Run(Duration time) {
+  const TimePoint end = now_ + time;
+  while (!events_.empty() && events_.top().at <= end) {
+    now_ = events_.top().at;
+    const Work run = events_.top().run;
+    events_.pop();
+    run();
+  }
+  now_ = end;
+}
+
+void FlowWorld::Tick() {
+  Outbox out;
+  control_->OnTick(now_, out);
+  Deliver(kControl, out);
+  for (std::size_t n = 0; n < vms_.size(); ++n) {
+    if (vms_[n] != nullptr && now_ >= vms_[n]->NextWake()) {
+      out.Clear();
+      vms_[n]->OnTick(now_, out);
+      Deliver(static_cast<int>(n), out);
+      CarryOut(n);
+    }
+  }
+  After(kTick, [this] { Tick(); });
+}
+
+void FlowWorld::Deliver(int from, Outbox& out) {
+  for (const Outbox::Item& it : out.items()) {
+    const int to = static_cast<int>(it.to.ip - 0x0A000000U) - 1;
+    if (cuts_.contains({from, to})) {
+      continue;
+    }
+    const ByteSpan span = out.Bytes(it);
+    std::vector<std::uint8_t> bytes(span.begin(), span.end());
+    After(kBetweenVms, [this, from, to, bytes = std::move(bytes)] {
+      Outbox answers;
+      if (to == kControl) {
+        control_->OnDatagram(now_, PeerOf(from), bytes, answers);
+      } else if (vms_[static_cast<std::size_t>(to)] != nullptr) {
+        vms_[static_cast<std::size_t>(to)]->OnPeer(now_, PeerOf(from), bytes,
+                                                   answers);
+        CarryOut(static_cast<std::size_t>(to));
+      }
+      Deliver(to, answers);
+    });
+  }
+}
+
+void FlowWorld::CarryOut(std::size_t vm) {
+  FlowNodeActions actions = vms_[vm]->TakeActions();
+  for (const FlowNodeActions::Place& it : actions.places) {
+    const int flow = FlowIn(it.packet);
+    FlowPacket packet = flows_.at(flow).packet;
+    packet.opens = true;
+    const std::string name = NameOfInstance(it.target.instance);
+    After(kToEndpoint, [this, name, packet, flow] {
+      ArriveAtEndpoint(name, packet, flow);
+    });
+  }
+  for (const FlowRefusal& it : actions.refusals) {
+    Reset(FlowIn(it.packet));
+  }
+  Outbox out;
+  vms_[vm]->Finish(now_, out);
+  Deliver(static_cast<int>(vm), out);
+}
+
+int FlowWorld::Open(const std::string& service, std::size_t vm) {
+  const int id = ++next_flow_;
+  Flow& flow = flows_[id];
+  flow.vm = vm;
+  flow.opened = now_;
+  flow.packet.caller = {0x64400000U + static_cast<std::uint32_t>(id >> 15),
+                        static_cast<std::uint16_t>(20000 + (id & 0x7fff))};
+  flow.packet.route = RouteOf(service);
+  flow.packet.sequence = static_cast<std::uint32_t>(random_());
+  for (std::uint32_t copy = 0; copy < std::size(kCopies); ++copy) {
+    After(kCopies[copy], [this, id, copy] { SendOpening(id, copy); });
+  }
+  After(kGiveUp, [this, id] {
+    Flow& it = flows_[id];
+    it.failed = it.endpoint.empty() && !it.reset;
+  });
+  return id;
+}
+
+void FlowWorld::SendOpening(int id, std::uint32_t copy) {
+  const Flow& flow = flows_[id];
+  if (!flow.endpoint.empty() || flow.reset || vms_[flow.vm] == nullptr) {
+    return;
+  }
+  FlowPacket packet = flow.packet;
+  packet.opens = true;
+  packet.copy = copy;
+  const std::string bytes = std::to_string(id);
+  const FlowVerdict verdict = vms_[flow.vm]->OnPacket(
+      now_, packet,
+      {reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size()});
+  const std::size_t vm = flow.vm;
+  if (verdict.kind == FlowVerdict::Kind::kReset) {
+    Reset(id);
+  }
+  CarryOut(vm);
+}
+
+void FlowWorld::Reset(int id) {
+  After(kToCaller, [this, id] { flows_[id].reset |= flows_[id].endpoint.empty(); });
+}
+
+void FlowWorld::ArriveAtEndpoint(const std::string& name, FlowPacket packet,
+                                 int id) {
+  const auto it = endpoints_.find(name);
+  if (it == endpoints_.end() || it->second.silent) {
+    return;
+  }
+  FakeEndpoint& endpoint = it->second;
+  if (packet.opens) {
+    ++endpoint.openings;
+    After(kToCaller, [this, name, id] {
+      Flow& flow = flows_[id];
+      flow.accepted_by.insert(name);
+      if (flow.endpoint.empty() && !flow.reset) {
+        flow.endpoint = name;
+        flow.packet.cookie = CookieOf(*InstanceOfName(name));
+        After(kToCaller, [this, id] { SendPacket(id, false); });
+      }
+    });
+    return;
+  }
+  if (packet.ends || !endpoint.flows.insert(id).second) {
+    return;
+  }
+  endpoint.waiting.push(id);
+  Serve(endpoint);
+}
+
+void FlowWorld::Serve(FakeEndpoint& endpoint) {
+  while (endpoint.running < endpoint.slots && !endpoint.waiting.empty()) {
+    const int id = endpoint.waiting.front();
+    endpoint.waiting.pop();
+    ++endpoint.running;
+    std::exponential_distribution<double> spread(1.0);
+    const double factor = 0.5 + spread(random_) / 2;
+    const auto work = Duration(static_cast<Duration::rep>(
+        static_cast<double>(endpoint.work.count()) * factor));
+    After(work, [this, &endpoint, id] {
+      --endpoint.running;
+      ++endpoint.served;
+      if (!hold_answers_) {
+        After(kToCaller, [this, id] {
+          flows_[id].answered = now_;
+          After(kToCaller, [this, id] { SendPacket(id, true); });
+        });
+      }
+      Serve(endpoint);
+    });
+  }
+}
+
+void FlowWorld::SendPacket(int id, bool ends) {
+  const Flow& flow = flows_[id];
+  if (vms_[flow.vm] == nullptr) {
+    return;
+  }
+  FlowPacket packet = flow.packet;
+  packet.ends = ends;
+  const FlowVerdict verdict = vms_[flow.vm]->OnPacket(now_, packet, {});
+  if (verdict.kind == FlowVerdict::Kind::kForward) {
+    const std::string name = NameOfInstance(verdict.target->instance);
+    After(kToEndpoint, [this, name, packet, id] {
+      ArriveAtEndpoint(name, packet, id);
+    });
+  }
+  CarryOut(flow.vm);
+}
+
+std::size_t FlowWorld::DispatcherIndex(const std::string& service) const {
+  const auto alive = std::find_if(vms_.begin(), vms_.end(),
+                                  [](const auto& it) { return it != nullptr; });
+  const NodeId id = DispatcherOf(FlowServiceId(service),
+                                 (*alive)->peers().members().members(), 0)
+                        .value();
+  for (std::size_t n = 0; n < vms_.size(); ++n) {
+    if (vms_[n] != nullptr && vms_[n]->peers().members().self() == id) {
+      return n;
+    }
+  }
+  return 0;
+}
+
+}  // namespace vanillalatch
