Judge an endpoint's silence by the flows sent after the last answered one

Cause: a flow opened just before the endpoint fell silent was seen after the next one had been placed, which then counted as overtaken for good and waited for the caller's second copy, 620 ms. Test: 'a silent endpoint is left within 300 ms and returns', which failed.

--- a/src/packetflow/flow_dispatcher.cc
+++ b/src/packetflow/flow_dispatcher.cc
@@ -69,14 +69,13 @@
     RequestId work;  // Differs each time the flow is submitted.
     bool placed = false;
     EndpointId endpoint;
-    TimePoint placed_at;
     TimePoint sent_at;  // The last copy of its opening packet.
     bool seen = false;
     TimePoint expires;  // Its slot is free then, whatever was heard.
   };
   struct Answering {
     ServiceId service;
-    TimePoint last_seen;  // A flow's next packet.
+    TimePoint answered_up_to;  // When the latest flow it answered was sent.
     bool silent = false;
     TimePoint probe_due;
   };
@@ -89,7 +88,7 @@
   // Frees the slot of a flow that was placed, or takes it out of the queue.
   void Release(TimePoint now, const Flow& flow, WorkOutcome outcome);
   void CarryOut(TimePoint now, FlowActions& actions);
-  void NoteAnswer(TimePoint now, const Flow& flow);
+  void NoteAnswer(const Flow& flow);
   // Finds endpoints that answer nobody and moves their flows elsewhere.
   void ReviewSilence(TimePoint now, FlowActions& actions);
   Duration SilenceLimit(TimePoint now) const;
@@ -211,10 +210,10 @@
   }
 }
 
-void FlowDispatcherImpl::NoteAnswer(TimePoint now, const Flow& flow) {
+void FlowDispatcherImpl::NoteAnswer(const Flow& flow) {
   Answering& answering = answering_[flow.endpoint];
   answering.service = flow.opening.service;
-  answering.last_seen = now;
+  answering.answered_up_to = std::max(answering.answered_up_to, flow.sent_at);
   if (std::exchange(answering.silent, false)) {
     SchedulerOf(flow.opening.service).SetSilent(flow.endpoint, false);
   }
@@ -227,7 +226,7 @@
   }
   it->second.seen = true;
   handshake_.Add(now, now - it->second.sent_at);
-  NoteAnswer(now, it->second);
+  NoteAnswer(it->second);
 }
 
 void FlowDispatcherImpl::Unwatch(ServiceId service) {
@@ -252,9 +251,10 @@
   }
   const TimePoint from = std::max(flow.sent_at, heard_since_);
   const auto it = answering_.find(flow.endpoint);
-  const bool others =
-      it != answering_.end() && it->second.last_seen >= flow.placed_at;
-  return !others && now >= from + SilenceLimit(now);
+  // A flow sent later was answered: only this one's packet was lost.
+  const bool overtaken =
+      it != answering_.end() && it->second.answered_up_to >= flow.sent_at;
+  return !overtaken && now >= from + SilenceLimit(now);
 }
 
 void FlowDispatcherImpl::ReviewSilence(TimePoint now, FlowActions& actions) {
@@ -308,7 +308,7 @@
   const Flow flow = std::move(it->second);
   flows_.erase(it);
   if (flow.placed && !given_up) {
-    NoteAnswer(now, flow);
+    NoteAnswer(flow);
   }
   Release(now, flow,
           given_up ? WorkOutcome::kCancelled : WorkOutcome::kAnswered);
@@ -396,7 +396,6 @@
       ++counters_.placed;
       flow.placed = true;
       flow.endpoint = it.endpoint;
-      flow.placed_at = now;
       flow.sent_at = now;
       flow.expires = now + flow.opening.timeout;
       actions.placements.push_back({it.endpoint, flow.opening.packet});
