--- /dev/null
+++ b/src/packetflow/tables_test.cc
@@ -0,0 +1,142 @@
+// Routes and endpoints by packet: shares, classes, cookies that clash.
+#include <catch2/catch.hpp>
+#include <map>
+
+#include "vanillalatch/packetflow/endpoint_table.h"
+#include "vanillalatch/packetflow/route_table.h"
+
+namespace vanillalatch {
+namespace {
+
+const TimePoint kNow{std::chrono::seconds(100)};
+const ServiceId kService = FlowServiceId("records");
+
+Endpoint Named(const std::string& name, std::uint64_t epoch,
+               std::uint32_t ip = 1) {
+  Endpoint endpoint;
+  endpoint.name = name;
+  endpoint.id = EndpointId(StableHash(name) + epoch);
+  endpoint.service = kService;
+  endpoint.epoch = epoch;
+  endpoint.address = {ip, 80};
+  return endpoint;
+}
+
+TEST_CASE("names of instances") {
+  struct Row {
+    const char* name;
+    std::optional<std::uint64_t> instance;
+  };
+  const Row row = GENERATE(Row{"7f3a91c2", 0x7f3a91c2},
+                           Row{"c32598d9e3", 0xc32598d9e3}, Row{"", {}},
+                           Row{"xyz", {}}, Row{"12z", {}},
+                           Row{"1ffffffffffffffff", {}});
+  const std::optional<InstanceId> instance = InstanceOfName(row.name);
+  CHECK(instance.has_value() == row.instance.has_value());
+  if (instance) {
+    CHECK(instance->value() == *row.instance);
+    CHECK(NameOfInstance(*instance) == row.name);
+  }
+}
+
+TEST_CASE("a cookie is never zero") {
+  CHECK(CookieOf(InstanceId(0x500000000)) == FlowCookie(1));
+  CHECK(CookieOf(InstanceId(0x5000000ff)) == FlowCookie(0xff));
+}
+
+TEST_CASE("of two endpoints with one cookie the older keeps it") {
+  const bool older_first = GENERATE(true, false);
+  const Endpoint older = Named("1000000aa", 5, 1);
+  const Endpoint younger = Named("2000000aa", 9, 2);
+  EndpointTable table;
+  const std::vector<Endpoint> both =
+      older_first ? std::vector{older, younger} : std::vector{younger, older};
+  table.Set(kNow, kService, both);
+  REQUIRE(table.Find(FlowCookie(0xaa)) != nullptr);
+  CHECK(table.Find(FlowCookie(0xaa))->endpoint == older.id);
+  CHECK(table.Find(older.id) != nullptr);
+  CHECK(table.Find(younger.id) == nullptr);  // No new flow may go there.
+}
+
+TEST_CASE("an endpoint that starts again under its name is found anew") {
+  EndpointTable table;
+  table.Set(kNow, kService, std::vector{Named("aa", 5, 1)});
+  table.Set(kNow, kService, std::vector{Named("aa", 6, 2)});
+  CHECK(table.Find(FlowCookie(0xaa))->address.ip == 2);
+  CHECK(table.Find(Named("aa", 5).id) == nullptr);
+}
+
+TEST_CASE("packets reach an endpoint for a while after its lease was lost") {
+  EndpointTable table;
+  table.Set(kNow, kService, std::vector{Named("aa", 5)});
+  table.Set(kNow, kService, {});
+  table.Forget(kNow + EndpointTable::kKeepLost / 2);
+  CHECK(table.Find(FlowCookie(0xaa)) != nullptr);
+  table.Forget(kNow + EndpointTable::kKeepLost);
+  CHECK(table.Find(FlowCookie(0xaa)) == nullptr);
+}
+
+TEST_CASE("endpoints of one service leave those of another alone") {
+  EndpointTable table;
+  table.Set(kNow, kService, std::vector{Named("aa", 5)});
+  table.Set(kNow, FlowServiceId("plans"), {});
+  table.Forget(kNow + 2 * EndpointTable::kKeepLost);
+  CHECK(table.Find(FlowCookie(0xaa)) != nullptr);
+}
+
+pb::FlowTable Shared(std::uint32_t first, std::uint32_t second) {
+  pb::FlowTable table;
+  pb::FlowRoute& route = *table.add_routes();
+  route.set_ip(1);
+  route.set_port(2);
+  route.set_timeout_ms(500);
+  route.set_latency_ms(100);
+  for (const auto& [name, weight] :
+       {std::pair("a", first), std::pair("b", second)}) {
+    pb::FlowShare& share = *route.add_shares();
+    share.set_service(name);
+    share.set_weight(weight);
+  }
+  return table;
+}
+
+TEST_CASE("new flows are shared by weight, each flow always alike") {
+  struct Row {
+    std::uint32_t first;
+    std::uint32_t second;
+    double expected;  // Part of the first.
+  };
+  const Row row = GENERATE(Row{90, 10, 0.9}, Row{1, 1, 0.5}, Row{1, 0, 1},
+                           Row{0, 7, 0});
+  const RouteTable table = RouteTable::From(Shared(row.first, row.second));
+  const FlowRoute* route = table.Find({1, 2});
+  REQUIRE(route != nullptr);
+  int first = 0;
+  constexpr int kFlows = 20'000;
+  for (std::uint64_t n = 0; n < kFlows; ++n) {
+    const FlowId id(StableHash(n, 1));
+    const ServiceId service = route->ServiceFor(id);
+    CHECK(service == route->ServiceFor(id));
+    first += service == FlowServiceId("a") ? 1 : 0;
+  }
+  CHECK(first / static_cast<double>(kFlows) ==
+        Approx(row.expected).margin(0.015));
+}
+
+TEST_CASE("routes with one target share a class, the urgent one goes first") {
+  pb::FlowTable table = Shared(1, 1);
+  *table.add_routes() = table.routes(0);
+  table.mutable_routes(1)->set_port(3);
+  *table.add_routes() = table.routes(0);
+  table.mutable_routes(2)->set_port(4);
+  table.mutable_routes(2)->set_urgency(1);
+  const RouteTable routes = RouteTable::From(table);
+  CHECK(routes.classes().size() == 2);
+  CHECK(routes.Find({1, 2})->work_class == routes.Find({1, 3})->work_class);
+  CHECK(routes.Find({1, 2})->work_class != routes.Find({1, 4})->work_class);
+  CHECK(routes.Find({1, 5}) == nullptr);
+  CHECK(routes.services().size() == 2);
+}
+
+}  // namespace
+}  // namespace vanillalatch
