--- a/src/consensus/group_change.cc
+++ b/src/consensus/group_change.cc
@@ -146,8 +146,27 @@
       configuration_index_ > commit_) {
     return;
   }
-  if (!AdmitLearner(now)) {
-    AdvanceLearner(now);
+  if (!AdmitLearner(now) && !AdvanceLearner(now)) {
+    DropSilentVoter(now);
+  }
+}
+
+// Of an even number of voters, a silent one makes the majority larger and
+// bears no loss. If it returns, it asks to be let in again.
+void ReplicaImpl::DropSilentVoter(TimePoint now) {
+  if (!options_.open || VoterCount(configuration_) % 2 != 0) {
+    return;
+  }
+  const pb::Replica* silent = SilentVoter(now);
+  if (silent == nullptr) {
+    return;
+  }
+  const std::uint64_t id = silent->id();
+  pb::Configuration next = configuration_;
+  RemoveIf(next, [&](const pb::Replica& it) { return it.id() == id; });
+  if (QuorumHolds(next,
+                  [&](std::uint64_t other) { return IsActive(other, now); })) {
+    ProposeConfiguration(now, std::move(next));
   }
 }
 
--- a/src/consensus/replica_impl.h
+++ b/src/consensus/replica_impl.h
@@ -127,6 +127,7 @@
   bool AdvanceLearner(TimePoint now);
   void ProposeConfiguration(TimePoint now, pb::Configuration configuration);
   bool NamedInSettings(std::string_view vm) const;
+  void DropSilentVoter(TimePoint now);
   bool AllVotersActive(TimePoint now) const;
   const pb::Replica* SilentVoter(TimePoint now) const;
   void HandOver(TimePoint now);
