--- a/src/catalog/state_machine_test.cc
+++ b/src/catalog/state_machine_test.cc
@@ -115,5 +115,48 @@
   CHECK(state.catalog().revision() == 0);
 }
 
+pb::Change FlowChange(std::uint64_t version, const std::string& document) {
+  pb::Change change;
+  change.mutable_flows()->set_version(version);
+  change.mutable_flows()->set_document(document);
+  return change;
+}
+
+TEST_CASE("of flow tables with versions from outside the highest counts",
+          "[state_machine]") {
+  struct Row {
+    std::uint64_t version;
+    const char* document;
+    std::uint64_t revision;  // In force afterwards.
+    const char* in_force;
+  };
+  CatalogState state;
+  state.Apply(MakeChange("a", 0, {"records"}));
+  // In this order: a gap, an older one, the same number with other content,
+  // a resend, the next.
+  for (const Row& row : {Row{4, "four", 2, "four"}, Row{3, "three", 2, "four"},
+                         Row{4, "other", 2, "four"}, Row{4, "four", 2, "four"},
+                         Row{9, "nine", 3, "nine"}}) {
+    const pb::ChangeOutcome outcome =
+        state.Apply(FlowChange(row.version, row.document));
+    CAPTURE(row.version, row.document);
+    CHECK(outcome.accepted());
+    CHECK(outcome.revision() == row.revision);
+    CHECK(state.catalog().flows().document() == row.in_force);
+  }
+  CHECK(state.outcomes().size() == 1);  // Only what can conflict is kept.
+}
+
+TEST_CASE("a change of services keeps the flow table", "[state_machine]") {
+  CatalogState state;
+  state.Apply(FlowChange(4, "four"));
+  state.Apply(MakeChange("a", 1, {"records"}));
+  CHECK(state.catalog().revision() == 2);
+  CHECK(state.catalog().flows().document() == "four");
+  CatalogState restored;
+  restored.Restore(state.catalog(), state.outcomes());
+  CHECK(restored.catalog().flows().version() == 4);
+}
+
 }  // namespace
 }  // namespace vanillalatch
--- a/src/consensus/group_change.cc
+++ b/src/consensus/group_change.cc
@@ -243,14 +243,14 @@
 }
 
 bool ReplicaImpl::AllVotersActive(TimePoint now) const {
-  return std::all_of(
-      configuration_.replicas().begin(), configuration_.replicas().end(),
-      [&](const pb::Replica& it) {
-        const auto peer = peers_.find(it.id());
-        return it.learner() || it.id() == self() ||
-               (peer != peers_.end() && peer->second.answered &&
-                IsActive(it.id(), now));
-      });
+  return std::all_of(configuration_.replicas().begin(),
+                     configuration_.replicas().end(),
+                     [&](const pb::Replica& it) {
+                       const auto peer = peers_.find(it.id());
+                       return it.learner() || it.id() == self() ||
+                              (peer != peers_.end() && peer->second.answered &&
+                               IsActive(it.id(), now));
+                     });
 }
 
 void ReplicaImpl::ProposeConfiguration(TimePoint now,
--- a/src/control/control_checks_test.cc
+++ b/src/control/control_checks_test.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "absl/strings/str_join.h"
-
 #include "src/control/control_world.h"
 
 namespace vanillalatch {
--- a/src/control/control_node_test.cc
+++ b/src/control/control_node_test.cc
@@ -55,6 +55,49 @@
   CHECK(actions.sends.empty());
 }
 
+pb::ApplyRequest FlowRequest(std::uint64_t version) {
+  pb::ApplyRequest request;
+  request.mutable_change()->set_change_id("flows");
+  request.mutable_change()->mutable_flows()->set_version(version);
+  request.mutable_change()->mutable_flows()->set_document(
+      std::to_string(version));
+  return request;
+}
+
+TEST_CASE("a flow table that was taken before is acknowledged without a leader",
+          "[control]") {
+  FakeDisk disk;
+  ControlOptions options;
+  options.vm = "c1";
+  options.initial = {{"c1", "c1:1", "north"}};
+  TimePoint now(std::chrono::seconds(1));
+  {
+    auto node = ControlNode::Create(options, disk, now, 1).value();
+    node->OnTick(now += std::chrono::seconds(2));
+    for (const std::uint64_t version : {5, 7}) {
+      node->OnApply(now, Ticket{version}, FlowRequest(version));
+      CHECK(node->TakeActions().applies.at(0).second.outcome().accepted());
+    }
+  }
+  // After a start it knows what is committed, before it leads: an entry VM
+  // gets the catalog at once, without the operator's document.
+  auto node = ControlNode::Create(options, disk, now, 2).value();
+  node->OnSync(now, Ticket{1}, pb::SyncRequest());
+  ControlActions actions = node->TakeActions();
+  REQUIRE(actions.syncs.size() == 1);
+  CHECK(actions.syncs[0].second.catalog().flows().version() == 7);
+  CHECK(actions.syncs[0].second.catalog().flows().document().empty());
+  REQUIRE(node->Status().role() != "leader");
+  const std::uint64_t version = GENERATE(1, 5, 7);
+  node->OnApply(now, Ticket{2}, FlowRequest(version));
+  actions = node->TakeActions();
+  REQUIRE(actions.applies.size() == 1);
+  CHECK(actions.applies[0].second.outcome().accepted());
+  // Another one has to wait for a majority.
+  node->OnApply(now, Ticket{3}, FlowRequest(8));
+  CHECK(node->TakeActions().applies.empty());
+}
+
 TEST_CASE("options that can't work are refused", "[control]") {
   FakeDisk disk;
   ControlOptions options;
--- a/src/packetflow/flow_node_test.cc
+++ b/src/packetflow/flow_node_test.cc
@@ -82,7 +82,8 @@
     const int flow = fleet.world().Open("records", n);
     fleet.world().Run(milliseconds(200));
     const std::string& name = fleet.world().FlowOf(flow).endpoint;
-    CHECK(fleet.world().At(name).data_center == (n % 2 == 0 ? "north" : "south"));
+    CHECK(fleet.world().At(name).data_center ==
+          (n % 2 == 0 ? "north" : "south"));
   }
 }
 
@@ -319,9 +320,9 @@
 // What callers get under load, beside what one ideal queue with the same slots
 // could give: 18 slots of 20 ms (mean) of work.
 struct Load {
-  double share;           // Of the slots at work if all were served.
-  double least_in_time;   // Of what an ideal queue could serve.
-  double least_urgent;    // Of the urgent flows, in time.
+  double share;          // Of the slots at work if all were served.
+  double least_in_time;  // Of what an ideal queue could serve.
+  double least_urgent;   // Of the urgent flows, in time.
 };
 
 TEST_CASE("flows in time under load, beside an ideal queue") {
@@ -350,8 +351,7 @@
   const auto in_time = [&](const std::vector<int>& flows) {
     return std::count_if(flows.begin(), flows.end(), [&](int it) {
       const FlowWorld::Flow& flow = fleet.world().FlowOf(it);
-      return flow.answered &&
-             *flow.answered - flow.opened <= kTarget;
+      return flow.answered && *flow.answered - flow.opened <= kTarget;
     });
   };
   const auto all = static_cast<double>(routine.size() + urgent.size());
--- a/src/packetflow/flow_world_test.cc
+++ b/src/packetflow/flow_world_test.cc
@@ -32,7 +32,8 @@
 }
 
 SocketAddress FlowWorld::RouteOf(const std::string& service) {
-  return {0xC6120001U, static_cast<std::uint16_t>(FlowServiceId(service).value() | 1)};
+  return {0xC6120001U,
+          static_cast<std::uint16_t>(FlowServiceId(service).value() | 1)};
 }
 
 void FlowWorld::AddVms(std::size_t count) {
@@ -201,9 +202,8 @@
     FlowPacket packet = flows_.at(flow).packet;
     packet.opens = true;
     const std::string name = NameOfInstance(it.target.instance);
-    After(kToEndpoint, [this, name, packet, flow] {
-      ArriveAtEndpoint(name, packet, flow);
-    });
+    After(kToEndpoint,
+          [this, name, packet, flow] { ArriveAtEndpoint(name, packet, flow); });
   }
   for (const FlowRefusal& it : actions.refusals) {
     Reset(FlowIn(it.packet));
@@ -252,7 +252,8 @@
 }
 
 void FlowWorld::Reset(int id) {
-  After(kToCaller, [this, id] { flows_[id].reset |= flows_[id].endpoint.empty(); });
+  After(kToCaller,
+        [this, id] { flows_[id].reset |= flows_[id].endpoint.empty(); });
 }
 
 void FlowWorld::ArriveAtEndpoint(const std::string& name, FlowPacket packet,
@@ -315,9 +316,8 @@
   const FlowVerdict verdict = vms_[flow.vm]->OnPacket(now_, packet, {});
   if (verdict.kind == FlowVerdict::Kind::kForward) {
     const std::string name = NameOfInstance(verdict.target->instance);
-    After(kToEndpoint, [this, name, packet, id] {
-      ArriveAtEndpoint(name, packet, id);
-    });
+    After(kToEndpoint,
+          [this, name, packet, id] { ArriveAtEndpoint(name, packet, id); });
   }
   CarryOut(flow.vm);
 }
--- a/src/packetflow/tables_test.cc
+++ b/src/packetflow/tables_test.cc
@@ -27,10 +27,9 @@
     const char* name;
     std::optional<std::uint64_t> instance;
   };
-  const Row row = GENERATE(Row{"7f3a91c2", 0x7f3a91c2},
-                           Row{"c32598d9e3", 0xc32598d9e3}, Row{"", {}},
-                           Row{"xyz", {}}, Row{"12z", {}},
-                           Row{"1ffffffffffffffff", {}});
+  const Row row = GENERATE(
+      Row{"7f3a91c2", 0x7f3a91c2}, Row{"c32598d9e3", 0xc32598d9e3}, Row{"", {}},
+      Row{"xyz", {}}, Row{"12z", {}}, Row{"1ffffffffffffffff", {}});
   const std::optional<InstanceId> instance = InstanceOfName(row.name);
   CHECK(instance.has_value() == row.instance.has_value());
   if (instance) {
@@ -106,8 +105,8 @@
     std::uint32_t second;
     double expected;  // Part of the first.
   };
-  const Row row = GENERATE(Row{90, 10, 0.9}, Row{1, 1, 0.5}, Row{1, 0, 1},
-                           Row{0, 7, 0});
+  const Row row =
+      GENERATE(Row{90, 10, 0.9}, Row{1, 1, 0.5}, Row{1, 0, 1}, Row{0, 7, 0});
   const RouteTable table = RouteTable::From(Shared(row.first, row.second));
   const FlowRoute* route = table.Find({1, 2});
   REQUIRE(route != nullptr);
--- a/src/runtime/control_shell.cc
+++ b/src/runtime/control_shell.cc
@@ -90,7 +90,6 @@
   boost::fibers::fiber calls([this] { ServeCalls(); });
   boost::fibers::fiber jobs([this] { RunJobs(); });
   boost::fibers::fiber timer([this] { RunTimer(); });
-  // The process ends while these still run.
   calls.join();
   jobs.join();
   timer.join();
@@ -103,7 +102,14 @@
     boost::this_fiber::sleep_for(kStopPoll);
   }
   server_->Stop();
-  thread_.detach();
+  if (stopped_) {
+    thread_.join();
+  } else {
+    // The disk holds the thread up; the process ends without it.
+    LogEvent(LogLevel::kWarn, "control_not_stopped",
+             {{"reason", "the disk does not answer"}});
+    thread_.detach();
+  }
 }
 
 void ControlShell::HandOver() {
@@ -114,7 +120,10 @@
     WithNode([&](ControlNode& node) { done = node.BeginStop(Now()); });
     boost::this_fiber::sleep_for(kStopPoll);
   }
+  mailbox_.close();
+  jobs_.close();
   stopped_ = true;
+  wakeup_.Interrupt();
 }
 
 void ControlShell::ServeCalls() {
@@ -142,7 +151,7 @@
 }
 
 void ControlShell::RunTimer() {
-  for (;;) {
+  while (!stopped_) {
     wakeup_.SleepUntil(node_ == nullptr ? reopen_at_ : node_->NextWake());
     if (node_ == nullptr && Now() >= reopen_at_) {
       OpenNode();
--- a/src/runtime/runtime_test.cc
+++ b/src/runtime/runtime_test.cc
@@ -1,10 +1,15 @@
 #include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <future>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "src/runtime/control_shell.h"
 #include "vanillalatch/runtime/reactor.h"
 #include "vanillalatch/runtime/udp_socket.h"
+#include "vanillalatch/telemetry/log_budget.h"
 
 namespace vanillalatch {
 namespace {
@@ -70,5 +75,67 @@
         ErrorKind::kInvalidArgument);
 }
 
+// Asks for the catalog and waits for the answer.
+std::string ReadKind(ControlShell& shell) {
+  std::promise<std::string> answer;
+  shell.Get([&](const pb::GetReply& reply) {
+    answer.set_value(reply.error_kind().empty() ? "read" : reply.error_kind());
+  });
+  return answer.get_future().get();
+}
+
+TEST_CASE("a control VM goes on when its disk takes writes again",
+          "[runtime]") {
+  const std::filesystem::path folder = "build/test-data/control-shell";
+  std::filesystem::remove_all(folder);
+  std::filesystem::create_directories(folder.parent_path());
+  // A file in the place of the folder: the disk refuses everything.
+  std::ofstream(folder) << "in the way";
+  OnReactorThread([&](Reactor&) {
+    Settings settings;
+    settings.vm = "c1";
+    settings.data_center = "north";
+    settings.control.emplace();
+    const SocketAddress listen =
+        BoundAddress(UdpSocket::Bind(kAnyLoopbackPort).value());
+    settings.control->listen = listen;
+    settings.control->data_folder = folder;
+    settings.control->voters = {{"c1", listen, "north"}};
+    const auto shell = ControlShell::Create(settings).value();
+    shell->Start();
+    CHECK(ReadKind(*shell) == "storage");
+    std::filesystem::remove(folder);
+    std::string kind;
+    for (int n = 0; n < 50 && kind != "read"; ++n) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+      kind = ReadKind(*shell);
+    }
+    CHECK(kind == "read");
+    pb::ApplyRequest request;
+    request.mutable_change()->set_change_id("a");
+    std::promise<bool> accepted;
+    shell->Apply(request, [&](const pb::ApplyReply& reply) {
+      accepted.set_value(reply.outcome().accepted());
+    });
+    CHECK(accepted.get_future().get());
+    CHECK(shell->Status().role() == "leader");
+    shell->Stop();
+  });
+}
+
+TEST_CASE("a budget bounds how often an event is logged", "[runtime]") {
+  LogBudget budget(10);
+  TimePoint now(std::chrono::seconds(1));
+  int lines = 0;
+  for (int n = 0; n < 2000; ++n) {
+    now += std::chrono::milliseconds(1);
+    lines += budget.Take(now) ? 1 : 0;
+  }
+  CHECK(lines >= 28);  // Ten at once, then ten a second for two seconds.
+  CHECK(lines <= 31);
+  CHECK(budget.TakeLeftOut() == static_cast<std::uint64_t>(2000 - lines));
+  CHECK(budget.TakeLeftOut() == 0);
+}
+
 }  // namespace
 }  // namespace vanillalatch
