--- a/include/vanillalatch/packetflow/flow_dispatcher.h
+++ b/include/vanillalatch/packetflow/flow_dispatcher.h
@@ -57,9 +57,18 @@
   std::uint32_t free_slots = 0;
 };
 
+// An endpoint was found to answer nobody, or answers again.
+struct EndpointSilence {
+  EndpointId endpoint;
+  bool silent = false;
+  std::size_t unanswered = 0;  // Flows that showed it.
+  Duration limit{};            // For which they had waited.
+};
+
 struct FlowActions {
   std::vector<FlowPlacement> placements;
   std::vector<FlowRefusal> refusals;
+  std::vector<EndpointSilence> silences;
 };
 
 struct FlowDispatcherOptions {
@@ -108,7 +117,7 @@
   virtual void Open(TimePoint now, FlowOpening opening,
                     FlowActions& actions) = 0;
   // A packet behind the opening one has come from the caller.
-  virtual void Seen(TimePoint now, FlowId id) = 0;
+  virtual void Seen(TimePoint now, FlowId id, FlowActions& actions) = 0;
   // Another VM dispatches the service now and hears of its flows.
   virtual void Unwatch(ServiceId service) = 0;
   // The caller ended the flow, or gave it up.
--- a/include/vanillalatch/packetflow/flow_node.h
+++ b/include/vanillalatch/packetflow/flow_node.h
@@ -49,6 +49,7 @@
   };
   std::vector<Place> places;
   std::vector<FlowRefusal> refusals;
+  std::vector<EndpointSilence> silences;
 };
 
 struct FlowNodeCounters {
@@ -58,7 +59,8 @@
   std::uint64_t unknown_endpoint = 0;  // Dropped: no such cookie.
   std::uint64_t handed_over = 0;       // Opening packets, to a dispatcher.
   std::uint64_t placed_alone = 0;      // No dispatcher answered.
-  std::uint64_t stale_openings = 0;    // Of a catalog newer than ours.
+  std::uint64_t malformed = 0;         // No packets of a flow.
+  std::uint64_t declined = 0;          // Openings that are for others to place.
   std::uint64_t parked = 0;            // Came before the endpoints were known.
 };
 
@@ -79,6 +81,8 @@
 
   virtual FlowVerdict OnPacket(TimePoint now, const FlowPacket& packet,
                                ByteSpan bytes) = 0;
+  // A datagram came that is no packet of a flow.
+  virtual void OnMalformed() = 0;
   virtual void OnPeer(TimePoint now, SocketAddress from, ByteSpan bytes,
                       Outbox& out) = 0;
   virtual void OnTick(TimePoint now, Outbox& out) = 0;
--- a/include/vanillalatch/runtime/flow_shell.h
+++ b/include/vanillalatch/runtime/flow_shell.h
@@ -70,6 +70,8 @@
   virtual void SendPlaced(const FlowNodeActions::Place& place) = 0;
   virtual void SendRefused(const FlowRefusal& refusal) = 0;
 
+  void LogMalformed(SocketAddress from, std::size_t bytes);
+  void LogSilence(const EndpointSilence& silence);
   void LogRefusal(const FlowPacket& packet, const FlowRefusal& refusal);
   // Where a caller takes packets.
   SocketAddress CallerAddress(const FlowPacket& packet) const {
@@ -83,6 +85,10 @@
   // Refused flows logged a second: enough to see every cause, and less than a
   // hundredth of a small VM's processor.
   static constexpr std::uint32_t kRefusalLines = 20;
+  // Whoever sends noise is to be seen, not to fill the log.
+  static constexpr std::uint32_t kMalformedLines = 1;
+  // A whole data centre of endpoints may fall silent at once.
+  static constexpr std::uint32_t kSilenceLines = 20;
 
   void ServePackets(FdWaiter& waiter);
   void ServePeers(FdWaiter& waiter);
@@ -102,6 +108,8 @@
   std::atomic<bool> ready_ = false;
   bool stopping_ = false;
   LogBudget refusal_lines_{kRefusalLines};
+  LogBudget malformed_lines_{kMalformedLines};
+  LogBudget silence_lines_{kSilenceLines};
 };
 
 template <PacketCodec Codec>
@@ -129,14 +137,17 @@
   std::size_t ReceivePackets(TimePoint now) override {
     sent_.clear();
     return packet_socket().Receive(
-        [&](SocketAddress, std::span<std::uint8_t> bytes) {
-          OnPacket(now, bytes);
+        [&](SocketAddress from, std::span<std::uint8_t> bytes) {
+          OnPacket(now, from, bytes);
         });
   }
 
-  void OnPacket(TimePoint now, std::span<std::uint8_t> bytes) {
+  void OnPacket(TimePoint now, SocketAddress from,
+                std::span<std::uint8_t> bytes) {
     const std::optional<FlowPacket> packet = Codec::Decode(bytes);
     if (!packet) {
+      mutable_node().OnMalformed();
+      LogMalformed(from, bytes.size());
       return;
     }
     const FlowVerdict verdict = mutable_node().OnPacket(now, *packet, bytes);
--- a/include/vanillalatch/runtime/serve.h
+++ b/include/vanillalatch/runtime/serve.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "vanillalatch/base/result.h"
+#include "vanillalatch/packetflow/flow_node.h"
 #include "vanillalatch/runtime/control_gate.h"
 #include "vanillalatch/runtime/reactor.h"
 #include "vanillalatch/settings/settings.h"
@@ -23,6 +24,8 @@
   virtual void Start(Reactor& reactor) = 0;
   // Planned stop; suspends the calling fiber.
   virtual void Stop() = 0;
+  // The flows that this VM carries, for its metrics; nullptr: none.
+  virtual const FlowNode* flows() const = 0;
 };
 
 // `control`: nullptr unless this VM is a control VM of a fleet.
--- a/include/vanillalatch/settings/settings.h
+++ b/include/vanillalatch/settings/settings.h
@@ -89,7 +89,7 @@
   std::optional<FlowSettings> flows;
   DoorSettings doors;
   std::string log_level = "info";  // trace, debug, info, warn or error.
-  std::string log_file;            // Empty: standard error.
+  std::string log_file;            // Empty: standard output.
   std::string trace_file;          // Empty: no traces.
   std::optional<SocketAddress> metrics;
 };
--- a/include/vanillalatch/telemetry/log.h
+++ b/include/vanillalatch/telemetry/log.h
@@ -63,7 +63,7 @@
 
 // Opens the log, or opens it again with other settings. `level` is "trace",
 // "debug", "info", "warn" or "error"; events below it are dropped. An empty
-// `file` means standard error; a file is appended to. Throws Error with
+// `file` means standard output; a file is appended to. Throws Error with
 // kInvalidArgument for an unknown level and kStorage for a file that can't be
 // written.
 void StartLogging(std::string_view level, const std::string& file,
--- a/include/vanillalatch/telemetry/metrics.h
+++ b/include/vanillalatch/telemetry/metrics.h
@@ -49,6 +49,7 @@
   kControlTerm,       // Gauge.
   kControlCommitted,  // Gauge, log index.
   kControlLeader,     // Gauge, 1 on the leader.
+  kFlowEvents,        // Counter; event.
 };
 
 struct MetricRow {
--- a/src/packetflow/flow_dispatcher.cc
+++ b/src/packetflow/flow_dispatcher.cc
@@ -52,7 +52,7 @@
   }
 
   void Open(TimePoint now, FlowOpening opening, FlowActions& actions) override;
-  void Seen(TimePoint now, FlowId id) override;
+  void Seen(TimePoint now, FlowId id, FlowActions& actions) override;
   void Unwatch(ServiceId service) override;
   void End(TimePoint now, FlowId id, bool given_up,
            FlowActions& actions) override;
@@ -88,7 +88,7 @@
   // Frees the slot of a flow that was placed, or takes it out of the queue.
   void Release(TimePoint now, const Flow& flow, WorkOutcome outcome);
   void CarryOut(TimePoint now, FlowActions& actions);
-  void NoteAnswer(const Flow& flow);
+  void NoteAnswer(const Flow& flow, FlowActions& actions);
   // Finds endpoints that answer nobody and moves their flows elsewhere.
   void ReviewSilence(TimePoint now, FlowActions& actions);
   Duration SilenceLimit(TimePoint now) const;
@@ -210,23 +210,24 @@
   }
 }
 
-void FlowDispatcherImpl::NoteAnswer(const Flow& flow) {
+void FlowDispatcherImpl::NoteAnswer(const Flow& flow, FlowActions& actions) {
   Answering& answering = answering_[flow.endpoint];
   answering.service = flow.opening.service;
   answering.answered_up_to = std::max(answering.answered_up_to, flow.sent_at);
   if (std::exchange(answering.silent, false)) {
     SchedulerOf(flow.opening.service).SetSilent(flow.endpoint, false);
+    actions.silences.push_back({flow.endpoint, false, 0, Duration::zero()});
   }
 }
 
-void FlowDispatcherImpl::Seen(TimePoint now, FlowId id) {
+void FlowDispatcherImpl::Seen(TimePoint now, FlowId id, FlowActions& actions) {
   const auto it = flows_.find(id);
   if (it == flows_.end() || !it->second.placed || it->second.seen) {
     return;
   }
   it->second.seen = true;
   handshake_.Add(now, now - it->second.sent_at);
-  NoteAnswer(it->second);
+  NoteAnswer(it->second, actions);
 }
 
 void FlowDispatcherImpl::Unwatch(ServiceId service) {
@@ -280,6 +281,8 @@
       answering.service = first.opening.service;
       answering.probe_due = now + kSilentProbe;
       SchedulerOf(answering.service).SetSilent(endpoint, true);
+      actions.silences.push_back(
+          {endpoint, true, ids.size(), SilenceLimit(now)});
     }
     moving.insert(moving.end(), ids.begin(), ids.end());
   }
@@ -308,7 +311,7 @@
   const Flow flow = std::move(it->second);
   flows_.erase(it);
   if (flow.placed && !given_up) {
-    NoteAnswer(flow);
+    NoteAnswer(flow, actions);
   }
   Release(now, flow,
           given_up ? WorkOutcome::kCancelled : WorkOutcome::kAnswered);
--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -50,6 +50,7 @@
                    bool whole) override;
   FlowVerdict OnPacket(TimePoint now, const FlowPacket& packet,
                        ByteSpan bytes) override;
+  void OnMalformed() override { ++counters_.malformed; }
   void OnPeer(TimePoint now, SocketAddress from, ByteSpan bytes,
               Outbox& out) override;
   void OnTick(TimePoint now, Outbox& out) override;
@@ -286,7 +287,7 @@
   }
   ++it->second;
   if (dispatcher_->Knows(id)) {
-    dispatcher_->Seen(now, id);
+    dispatcher_->Seen(now, id, actions_);
     return;
   }
   const NodeId to = DispatcherFor(now, service);
@@ -326,7 +327,7 @@
       OnTaken(now, sender, it);
     }
     for (const pb::FlowSeen& it : message->seen()) {
-      dispatcher_->Seen(now, FlowId(it.id()));
+      dispatcher_->Seen(now, FlowId(it.id()), actions_);
     }
     for (const pb::FlowEnd& it : message->ends()) {
       dispatcher_->End(now, FlowId(it.id()), it.given_up(), actions_);
@@ -339,10 +340,10 @@
   // Placing it by an older catalog than its ingress has could undo what callers
   // have seen already.
   const bool stale = message.revision() > revision_;
-  counters_.stale_openings += stale ? 1 : 0;
   pb::FlowTaken& taken = *MessageTo(from).add_taken();
   taken.set_id(message.id());
   if (stale || !settled_) {
+    ++counters_.declined;
     taken.set_declined(true);
     return;
   }
@@ -543,6 +544,7 @@
     }
   }
   actions.refusals = std::move(actions_.refusals);
+  actions.silences = std::move(actions_.silences);
   actions_ = {};
   return actions;
 }
--- a/src/runtime/flow_shell.cc
+++ b/src/runtime/flow_shell.cc
@@ -166,6 +166,32 @@
             {"left_out", refusal_lines_.TakeLeftOut()}});
 }
 
+void FlowShellCore::LogMalformed(SocketAddress from, std::size_t bytes) {
+  if (malformed_lines_.Take(Now())) {
+    LogEvent(LogLevel::kWarn, "packet_malformed",
+             {{"from", from.ToString()},
+              {"bytes", bytes},
+              {"left_out", malformed_lines_.TakeLeftOut()}});
+  }
+}
+
+void FlowShellCore::LogSilence(const EndpointSilence& silence) {
+  const Endpoint* endpoint = node_->peers().registry().Find(silence.endpoint);
+  if (endpoint == nullptr || !silence_lines_.Take(Now())) {
+    return;
+  }
+  LogEvent(
+      LogLevel::kWarn, silence.silent ? "endpoint_silent" : "endpoint_answers",
+      {{"endpoint", endpoint->name},
+       {"address", endpoint->address.ToString()},
+       {"data_center", endpoint->data_center},
+       {"unanswered_flows", silence.unanswered},
+       {"limit_ms",
+        std::chrono::duration_cast<std::chrono::milliseconds>(silence.limit)
+            .count()},
+       {"left_out", silence_lines_.TakeLeftOut()}});
+}
+
 void FlowShellCore::Flush() {
   const TimePoint now = Now();
   const FlowNodeActions actions = node_->TakeActions();
@@ -175,6 +201,9 @@
   for (const FlowRefusal& it : actions.refusals) {
     SendRefused(it);
   }
+  for (const EndpointSilence& it : actions.silences) {
+    LogSilence(it);
+  }
   sockets_.packets.Flush();
   node_->Finish(now, out_);
   for (const Outbox::Item& it : out_.items()) {
--- a/src/runtime/publisher.cc
+++ b/src/runtime/publisher.cc
@@ -26,6 +26,12 @@
           space == std::string::npos ? "" : text.substr(space + 1)};
 }
 
+std::string_view MemberStateName(MemberState state) {
+  static constexpr std::string_view kNames[] = {"alive", "suspect", "leaving",
+                                                "dead"};
+  return kNames[static_cast<std::size_t>(state)];
+}
+
 std::map<std::string, std::string> MemberStates(const pb::SyncRequest& report) {
   std::map<std::string, std::string> states;
   for (const std::string& it : report.members()) {
@@ -95,6 +101,44 @@
   }
 }
 
+void Publisher::Publish(const FlowNode& node) {
+  const FlowNodeCounters& flows = node.counters();
+  const FlowDispatcherCounters& placed = node.dispatcher_counters();
+  const std::pair<const char*, std::uint64_t> totals[] = {
+      {"packet", flows.packets},
+      {"malformed", flows.malformed},
+      {"forwarded", flows.forwarded},
+      {"unknown_route", flows.unknown_route},
+      {"unknown_endpoint", flows.unknown_endpoint},
+      {"handed_over", flows.handed_over},
+      {"placed_alone", flows.placed_alone},
+      {"declined", flows.declined},
+      {"parked", flows.parked},
+      {"opened", placed.opened},
+      {"placed", placed.placed},
+      {"repeated", placed.repeated},
+      {"moved", placed.moved},
+      {"refused", placed.refused},
+      {"ended", placed.ended},
+      {"expired", placed.expired},
+      {"endpoint_silent", placed.silenced},
+  };
+  for (const auto& [event, total] : totals) {
+    metrics_->SetTotal(Metric::kFlowEvents, {event},
+                       static_cast<double>(total));
+  }
+  metrics_->Set(Metric::kCatalogRevision, {},
+                static_cast<double>(node.revision()));
+  metrics_->Clear(Metric::kMembers);
+  std::map<MemberState, int> members;
+  for (const Member& it : node.peers().members().members()) {
+    ++members[it.state];
+  }
+  for (const auto& [state, count] : members) {
+    metrics_->Set(Metric::kMembers, {MemberStateName(state)}, count);
+  }
+}
+
 void Publisher::PublishCounters(const EntryCounters& counters) {
   const std::pair<Metric, std::uint64_t> totals[] = {
       {Metric::kDatagrams, counters.datagrams},
--- a/src/runtime/publisher.h
+++ b/src/runtime/publisher.h
@@ -14,6 +14,7 @@
 
 #include "control.pb.h"
 #include "vanillalatch/entry/entry_node.h"
+#include "vanillalatch/packetflow/flow_node.h"
 #include "vanillalatch/settings/settings.h"
 #include "vanillalatch/telemetry/metrics.h"
 #include "vanillalatch/telemetry/trace.h"
@@ -37,6 +38,7 @@
 
   void Publish(const EntryView& view);
   void Publish(const pb::ControlStatus& status);
+  void Publish(const FlowNode& node);
 
  private:
   Publisher(std::unique_ptr<Metrics> metrics,
--- a/src/runtime/serve.cc
+++ b/src/runtime/serve.cc
@@ -67,13 +67,17 @@
   }
 }
 
-void Publish(Publisher& publisher, EntryShell* entry, ControlShell* control) {
+void Publish(Publisher& publisher, EntryShell* entry, ControlShell* control,
+             const Doors& doors) {
   if (entry != nullptr) {
     publisher.Publish(entry->View());
   }
   if (control != nullptr) {
     publisher.Publish(control->Status());
   }
+  if (doors.flows() != nullptr) {
+    publisher.Publish(*doors.flows());
+  }
 }
 
 // Takes over the log settings; a file that is not valid changes nothing.
@@ -121,7 +125,7 @@
             {"flows", settings.flows.has_value()}});
   boost::fibers::fiber([&] {
     for (;;) {
-      Publish(publisher, entry.get(), control.get());
+      Publish(publisher, entry.get(), control.get(), *doors);
       boost::this_fiber::sleep_for(kPublishEvery);
     }
   }).detach();
@@ -138,7 +142,7 @@
   if (control != nullptr) {
     control->Stop();
   }
-  Publish(publisher, entry.get(), control.get());
+  Publish(publisher, entry.get(), control.get(), *doors);
   LogEvent(LogLevel::kInfo, "stopped");
   // Sockets and open calls end with the process; fibers that still wait for
   // them are not resumed.
--- a/src/telemetry/log.cc
+++ b/src/telemetry/log.cc
@@ -99,7 +99,7 @@
 log4cplus::SharedAppenderPtr OpenAppender(const std::string& file) {
   if (file.empty()) {
     return log4cplus::SharedAppenderPtr(
-        new log4cplus::ConsoleAppender(/*logToStdErr=*/true,
+        new log4cplus::ConsoleAppender(/*logToStdErr=*/false,
                                        /*immediateFlush=*/true));
   }
   if (!std::ofstream(file, std::ios::app)) {
--- a/src/telemetry/metric_rows.cc
+++ b/src/telemetry/metric_rows.cc
@@ -8,6 +8,7 @@
 constexpr std::array<std::string_view, 1> kByVersion = {"version"};
 constexpr std::array<std::string_view, 1> kByKind = {"kind"};
 constexpr std::array<std::string_view, 1> kByState = {"state"};
+constexpr std::array<std::string_view, 1> kByEvent = {"event"};
 constexpr std::array<std::string_view, 3> kByClassAndOutcome = {
     "service", "class", "outcome"};
 constexpr std::array<std::string_view, 2> kByClass = {"service", "class"};
@@ -116,6 +117,8 @@
      kGauge,
      "1 if this control VM leads, else 0.",
      {}},
+    {Metric::kFlowEvents, "vanillalatch_flow_events_total", kCounter,
+     "What happened to packets and opening packets of flows.", kByEvent},
 });
 
 }  // namespace
