Give an open flow a slot only while a request is at work

The ingress now tells the dispatcher when a request begins on a flow and when its answer begins to come, from the caller's data and acknowledgement numbers; a flow without a request for 0.1 s has no slot.

--- a/include/vanillalatch/packetflow/flow_dispatcher.h
+++ b/include/vanillalatch/packetflow/flow_dispatcher.h
@@ -19,6 +19,7 @@
 #include <string>
 #include <vector>
 
+#include "vanillalatch/packetflow/flow_watch.h"
 #include "vanillalatch/packetflow/packet.h"
 #include "vanillalatch/placement/slot_scheduler.h"
 
@@ -39,6 +40,14 @@
   std::string packet;  // As it came from the caller.
 };
 
+// An open flow, for a dispatcher that may not have placed it.
+struct EstablishedFlow {
+  ServiceId service;
+  ClassId work_class;
+  Duration timeout{};
+  EndpointId endpoint;
+};
+
 // The opening packet goes to this endpoint.
 struct FlowPlacement {
   EndpointId endpoint;
@@ -103,6 +112,11 @@
   static constexpr Duration kMostSilence = std::chrono::milliseconds(250);
   // A silent endpoint gets one flow to answer this often.
   static constexpr Duration kSilentProbe = std::chrono::milliseconds(500);
+  // A flow without a request for this long after it was opened has no slot:
+  // callers that open a flow for one request send it with the handshake.
+  static constexpr Duration kUnusedFlow = std::chrono::milliseconds(100);
+  // A flow without requests is remembered this long; it may be that old.
+  static constexpr Duration kKeepIdle = std::chrono::seconds(60);
 
   // Error: kInvalidArgument for an overlap below 100 percent.
   static Result<std::unique_ptr<FlowDispatcher>> Create(
@@ -116,8 +130,10 @@
 
   virtual void Open(TimePoint now, FlowOpening opening,
                     FlowActions& actions) = 0;
-  // A packet behind the opening one has come from the caller.
-  virtual void Seen(TimePoint now, FlowId id, FlowActions& actions) = 0;
+  // A packet behind the opening one has come from the caller. A flow has a slot
+  // from its opening, or from a later request, until the answer begins to come.
+  virtual void Seen(TimePoint now, const FlowNews& news,
+                    const EstablishedFlow& flow, FlowActions& actions) = 0;
   // Another VM dispatches the service now and hears of its flows.
   virtual void Unwatch(ServiceId service) = 0;
   // The caller ended the flow, or gave it up.
--- a/include/vanillalatch/packetflow/packet.h
+++ b/include/vanillalatch/packetflow/packet.h
@@ -29,6 +29,7 @@
   bool opens = false;
   bool ends = false;    // The caller sends nothing more.
   bool aborts = false;  // The caller gave the flow up.
+  bool carries_data = false;
   FlowCookie cookie;
   std::uint32_t sequence = 0;
   std::uint32_t acknowledged = 0;
--- a/src/packetflow/flow_dispatcher.cc
+++ b/src/packetflow/flow_dispatcher.cc
@@ -52,7 +52,8 @@
   }
 
   void Open(TimePoint now, FlowOpening opening, FlowActions& actions) override;
-  void Seen(TimePoint now, FlowId id, FlowActions& actions) override;
+  void Seen(TimePoint now, const FlowNews& news, const EstablishedFlow& flow,
+            FlowActions& actions) override;
   void Unwatch(ServiceId service) override;
   void End(TimePoint now, FlowId id, bool given_up,
            FlowActions& actions) override;
@@ -71,7 +72,10 @@
     EndpointId endpoint;
     TimePoint sent_at;  // The last copy of its opening packet.
     bool seen = false;
-    TimePoint expires;  // Its slot is free then, whatever was heard.
+    TimePoint seen_at;
+    bool requested = false;
+    bool idle = false;  // Open, without a slot.
+    TimePoint expires;  // It is forgotten then, whatever was heard.
   };
   struct Answering {
     ServiceId service;
@@ -88,6 +92,10 @@
   // Frees the slot of a flow that was placed, or takes it out of the queue.
   void Release(TimePoint now, const Flow& flow, WorkOutcome outcome);
   void CarryOut(TimePoint now, FlowActions& actions);
+  // Gives up the flow's slot; it stays open.
+  void MakeIdle(TimePoint now, Flow& flow, WorkOutcome outcome);
+  // The flow's caller sends another request.
+  void TakeSlot(TimePoint now, Flow& flow);
   void NoteAnswer(const Flow& flow, FlowActions& actions);
   // Finds endpoints that answer nobody and moves their flows elsewhere.
   void ReviewSilence(TimePoint now, FlowActions& actions);
@@ -163,6 +171,7 @@
                                 std::optional<EndpointId> avoid,
                                 FlowActions& actions) {
   flow.seen = false;
+  flow.requested = false;
   flow.work = RequestId(++last_work_);
   flow.placed = false;
   flow.expires = now + flow.opening.timeout;
@@ -183,8 +192,8 @@
 void FlowDispatcherImpl::OnCopy(TimePoint now, Flow& flow,
                                 const FlowOpening& opening,
                                 FlowActions& actions) {
-  if (!flow.placed || opening.copy <= flow.opening.copy) {
-    return;  // It waits, or the same copy came twice.
+  if (!flow.placed || flow.idle || opening.copy <= flow.opening.copy) {
+    return;  // It waits, is open, or the same copy came twice.
   }
   flow.opening.copy = opening.copy;
   flow.sent_at = now;
@@ -201,6 +210,9 @@
 
 void FlowDispatcherImpl::Release(TimePoint now, const Flow& flow,
                                  WorkOutcome outcome) {
+  if (flow.idle) {
+    return;
+  }
   by_work_.erase(flow.work);
   SlotScheduler& scheduler = SchedulerOf(flow.opening.service);
   if (flow.placed) {
@@ -220,14 +232,61 @@
   }
 }
 
-void FlowDispatcherImpl::Seen(TimePoint now, FlowId id, FlowActions& actions) {
-  const auto it = flows_.find(id);
-  if (it == flows_.end() || !it->second.placed || it->second.seen) {
+void FlowDispatcherImpl::Seen(TimePoint now, const FlowNews& news,
+                              const EstablishedFlow& open,
+                              FlowActions& actions) {
+  auto it = flows_.find(news.id);
+  if (it == flows_.end()) {
+    if (!news.requests) {
+      return;
+    }
+    // Another VM placed it, or it was idle for long.
+    it = flows_.try_emplace(news.id).first;
+    Flow& flow = it->second;
+    flow.opening.id = news.id;
+    flow.opening.service = open.service;
+    flow.opening.work_class = open.work_class;
+    flow.opening.timeout = open.timeout;
+    flow.endpoint = open.endpoint;
+    flow.placed = true;
+    flow.seen = true;
+    flow.idle = true;
+  }
+  Flow& flow = it->second;
+  if (!flow.placed) {
     return;
   }
-  it->second.seen = true;
-  handshake_.Add(now, now - it->second.sent_at);
-  NoteAnswer(it->second, actions);
+  if (!std::exchange(flow.seen, true)) {
+    flow.seen_at = now;
+    handshake_.Add(now, now - flow.sent_at);
+    NoteAnswer(flow, actions);
+  }
+  flow.requested |= news.requests;
+  if (news.answered && !flow.idle) {
+    MakeIdle(now, flow, WorkOutcome::kAnswered);
+    CarryOut(now, actions);
+  } else if (news.requests && flow.idle) {
+    TakeSlot(now, flow);
+  }
+}
+
+void FlowDispatcherImpl::MakeIdle(TimePoint now, Flow& flow,
+                                  WorkOutcome outcome) {
+  Release(now, flow, outcome);
+  flow.idle = true;
+  flow.opening.packet.clear();
+  flow.expires = now + kKeepIdle;
+}
+
+void FlowDispatcherImpl::TakeSlot(TimePoint now, Flow& flow) {
+  flow.idle = false;
+  flow.work = RequestId(++last_work_);
+  flow.expires = now + flow.opening.timeout;
+  by_work_[flow.work] = flow.opening.id;
+  Work work;
+  work.request = flow.work;
+  work.work_class = flow.opening.work_class;
+  SchedulerOf(flow.opening.service).Adopt(now, work, flow.endpoint);
 }
 
 void FlowDispatcherImpl::Unwatch(ServiceId service) {
@@ -360,22 +419,32 @@
 // them may have ended where no VM heard of it.
 void FlowDispatcherImpl::ExpireFlows(TimePoint now, FlowActions& actions) {
   std::vector<Flow> expired;
+  std::vector<FlowId> unused;
   absl::erase_if(flows_, [&](auto& it) {
-    if (!it.second.placed || now < it.second.expires) {
-      return false;
+    Flow& flow = it.second;
+    if (flow.placed && now >= flow.expires) {
+      expired.push_back(std::move(flow));
+      return true;
     }
-    expired.push_back(std::move(it.second));
-    return true;
+    if (flow.seen && !flow.requested && !flow.idle &&
+        now >= flow.seen_at + kUnusedFlow) {
+      unused.push_back(it.first);
+    }
+    return false;
   });
   // The order in a hash map differs from run to run.
   std::sort(expired.begin(), expired.end(),
             [](const Flow& a, const Flow& b) { return a.work < b.work; });
+  std::sort(unused.begin(), unused.end());
   for (const Flow& it : expired) {
-    ++counters_.expired;
+    counters_.expired += it.idle ? 0 : 1;
     Release(
         now, it,
         it.opening.copy > 0 ? WorkOutcome::kTimedOut : WorkOutcome::kCancelled);
   }
+  for (const FlowId& it : unused) {
+    MakeIdle(now, flows_.at(it), WorkOutcome::kCancelled);
+  }
   CarryOut(now, actions);
 }
 
--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -26,8 +26,6 @@
 constexpr Duration kParkTime = std::chrono::milliseconds(800);
 // Below the size that a network carries in one piece.
 constexpr std::size_t kMaxMessageBytes = 1100;
-// A flow that goes on is told of twice: one message may be lost.
-constexpr std::uint8_t kSeenTold = 2;
 // Flows that went on are remembered for one to two times this; longer than
 // most of them last.
 constexpr Duration kSeenGeneration = std::chrono::seconds(30);
@@ -36,6 +34,11 @@
 // Ranks of dispatchers that are tried before this VM places alone.
 constexpr std::size_t kDispatcherRanks = 3;
 
+std::uint32_t Milliseconds(Duration duration) {
+  return static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 class FlowNodeImpl final : public FlowNode {
  public:
   FlowNodeImpl(std::string data_center, std::unique_ptr<PeerNode> peers,
@@ -87,8 +90,10 @@
   void HandOver(TimePoint now, FlowOpening opening, NodeId to);
   void ReleaseParked(TimePoint now);
   void Place(TimePoint now, FlowOpening opening);
-  // Tells the dispatcher that the flow's caller goes on.
-  void NoteSeen(TimePoint now, FlowId id, ServiceId service);
+  // Tells the dispatcher what the caller of an open flow does.
+  void TellProgress(TimePoint now, const FlowPacket& packet,
+                    const FlowRoute& route, const FlowTarget& target);
+  void OnSeen(TimePoint now, const pb::FlowSeen& message);
   void EndFlow(TimePoint now, const FlowPacket& packet, ServiceId service);
   void OnOpening(TimePoint now, NodeId from, const pb::FlowOpening& message);
   // The opening as this VM's catalog has it; nullopt if the route is gone.
@@ -120,10 +125,7 @@
   std::optional<TimePoint> complete_since_;
   bool settled_ = false;
   std::map<NodeId, pb::FlowMessage> messages_;
-  // Flows whose packets have come here, and how often that was told. Two
-  // generations, so that flows without an end are forgotten.
-  absl::flat_hash_map<FlowId, std::uint8_t> seen_;
-  absl::flat_hash_map<FlowId, std::uint8_t> seen_before_;
+  FlowWatch watch_;
   TimePoint generation_due_{};
   TimePoint forget_due_{};
   FlowActions actions_;
@@ -178,7 +180,7 @@
   if (packet.ends || packet.aborts) {
     EndFlow(now, packet, target->service);
   } else {
-    NoteSeen(now, packet.id(), target->service);
+    TellProgress(now, packet, *route, *target);
   }
   ++counters_.forwarded;
   return {FlowVerdict::Kind::kForward, target};
@@ -258,9 +260,7 @@
   message.set_service(opening.service.value());
   message.set_revision(revision_);
   message.set_work_class(opening.work_class.value());
-  message.set_timeout_ms(static_cast<std::uint32_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(opening.timeout)
-          .count()));
+  message.set_timeout_ms(Milliseconds(opening.timeout));
   message.set_route(opening.route.Packed());
   message.set_sequence(opening.sequence);
   message.set_copy(opening.copy);
@@ -275,32 +275,51 @@
   dispatcher_->Open(now, std::move(opening), actions_);
 }
 
-void FlowNodeImpl::NoteSeen(TimePoint now, FlowId id, ServiceId service) {
-  auto it = seen_.find(id);
-  if (it == seen_.end()) {
-    const auto before = seen_before_.find(id);
-    const std::uint8_t told = before == seen_before_.end() ? 0 : before->second;
-    it = seen_.emplace(id, told).first;
+void FlowNodeImpl::TellProgress(TimePoint now, const FlowPacket& packet,
+                                const FlowRoute& route,
+                                const FlowTarget& target) {
+  const std::optional<FlowNews> news = watch_.OnPacket(packet);
+  if (!news) {
+    return;
   }
-  if (it->second >= kSeenTold) {
+  const EstablishedFlow open{target.service, route.work_class, route.timeout,
+                             target.endpoint};
+  const NodeId to = DispatcherFor(now, target.service);
+  if (dispatcher_->Knows(news->id) || to == self()) {
+    dispatcher_->Seen(now, *news, open, actions_);
     return;
   }
-  ++it->second;
-  if (dispatcher_->Knows(id)) {
-    dispatcher_->Seen(now, id, actions_);
+  pb::FlowSeen& message = *MessageTo(to).add_seen();
+  message.set_id(news->id.value());
+  message.set_requests(news->requests);
+  message.set_answered(news->answered);
+  if (news->requests) {
+    message.set_service(target.service.value());
+    message.set_cookie(target.cookie.value());
+    message.set_work_class(route.work_class.value());
+    message.set_timeout_ms(Milliseconds(route.timeout));
+  }
+}
+
+void FlowNodeImpl::OnSeen(TimePoint now, const pb::FlowSeen& message) {
+  const FlowNews news{FlowId(message.id()), message.requests(),
+                      message.answered()};
+  const FlowTarget* target = endpoints_.Find(FlowCookie(message.cookie()));
+  if (target == nullptr && !dispatcher_->Knows(news.id)) {
     return;
   }
-  const NodeId to = DispatcherFor(now, service);
-  if (to != self()) {
-    MessageTo(to).add_seen()->set_id(id.value());
+  EstablishedFlow open;
+  if (target != nullptr) {
+    open = {ServiceId(message.service()), ClassId(message.work_class()),
+            std::chrono::milliseconds(message.timeout_ms()), target->endpoint};
   }
+  dispatcher_->Seen(now, news, open, actions_);
 }
 
 void FlowNodeImpl::EndFlow(TimePoint now, const FlowPacket& packet,
                            ServiceId service) {
   const FlowId id = packet.id();
-  seen_.erase(id);
-  seen_before_.erase(id);
+  watch_.Forget(id);
   if (dispatcher_->Knows(id)) {
     dispatcher_->End(now, id, packet.aborts, actions_);
     return;
@@ -327,7 +346,7 @@
       OnTaken(now, sender, it);
     }
     for (const pb::FlowSeen& it : message->seen()) {
-      dispatcher_->Seen(now, FlowId(it.id()), actions_);
+      OnSeen(now, it);
     }
     for (const pb::FlowEnd& it : message->ends()) {
       dispatcher_->End(now, FlowId(it.id()), it.given_up(), actions_);
@@ -434,7 +453,7 @@
   }
   if (now >= generation_due_) {
     generation_due_ = now + kSeenGeneration;
-    seen_before_ = std::exchange(seen_, {});
+    watch_.NextGeneration();
   }
 }
 
--- a/src/packetflow/flow_world.h
+++ b/src/packetflow/flow_world.h
@@ -60,7 +60,8 @@
   void StartVm(std::size_t n);
   void KillVm(std::size_t n) { vms_[n] = nullptr; }
   void StopVm(std::size_t n);
-  void SetRoutes(std::uint64_t version, std::vector<std::string> services,
+  void SetRoutes(std::uint64_t version,
+                 const std::vector<std::string>& services,
                  std::uint32_t latency_ms);
   // Gives the catalog in force to one VM, or to all.
   void Publish(std::optional<std::size_t> vm = std::nullopt);
--- a/src/packetflow/flow_world_test.cc
+++ b/src/packetflow/flow_world_test.cc
@@ -75,7 +75,7 @@
 }
 
 void FlowWorld::SetRoutes(std::uint64_t version,
-                          std::vector<std::string> services,
+                          const std::vector<std::string>& services,
                           std::uint32_t latency_ms) {
   pb::FlowTable& table = *catalog_.mutable_flows();
   table.Clear();
@@ -313,6 +313,7 @@
   }
   FlowPacket packet = flow.packet;
   packet.ends = ends;
+  packet.carries_data = !ends;
   const FlowVerdict verdict = vms_[flow.vm]->OnPacket(now_, packet, {});
   if (verdict.kind == FlowVerdict::Kind::kForward) {
     const std::string name = NameOfInstance(verdict.target->instance);
