--- /dev/null
+++ b/src/packetflow/flow_dispatcher_test.cc
@@ -0,0 +1,193 @@
+// The slots of flows: when they are taken, kept and given back.
+#include "vanillalatch/packetflow/flow_dispatcher.h"
+
+#include <catch2/catch.hpp>
+
+namespace vanillalatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr ServiceId kService{1};
+constexpr ClassId kClass{1};
+constexpr std::uint32_t kSlots = 2;
+
+// One endpoint of two slots that takes one flow a slot.
+class OneEndpoint {
+ public:
+  OneEndpoint() {
+    FlowDispatcherOptions options;
+    options.overlap_percent = 100;
+    dispatcher_ = FlowDispatcher::Create(options, 1).value();
+    ClassTarget target;
+    target.id = kClass;
+    target.latency = milliseconds(400);
+    dispatcher_->SetClasses(std::vector{target});
+    Endpoint endpoint;
+    endpoint.id = EndpointId(7);
+    endpoint.service = kService;
+    endpoint.name = "aa";
+    endpoint.slots = kSlots;
+    dispatcher_->SetEndpoints(now_, kService, std::vector{endpoint}, actions_);
+  }
+
+  // True if it was placed at once.
+  bool Open(std::uint64_t id, std::uint32_t sequence = 1,
+            std::uint32_t copy = 0) {
+    actions_ = {};
+    FlowOpening opening;
+    opening.id = FlowId(id);
+    opening.service = kService;
+    opening.work_class = kClass;
+    opening.timeout = seconds(1);
+    opening.sequence = sequence;
+    opening.copy = copy;
+    opening.packet = std::to_string(id);
+    opening.watched = true;
+    dispatcher_->Open(now_, opening, actions_);
+    return Placed(id);
+  }
+
+  bool Placed(std::uint64_t id) const {
+    for (const FlowPlacement& it : actions_.placements) {
+      if (it.packet == std::to_string(id)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  void Tell(std::uint64_t id, bool requests, bool answered) {
+    actions_ = {};
+    const EstablishedFlow flow{kService, kClass, seconds(1), EndpointId(7)};
+    dispatcher_->Seen(now_, {FlowId(id), requests, answered}, flow, actions_);
+  }
+
+  void End(std::uint64_t id) {
+    actions_ = {};
+    dispatcher_->End(now_, FlowId(id), false, actions_);
+  }
+
+  // Ticks each millisecond, as a VM would.
+  void Run(Duration time) {
+    actions_ = {};
+    const TimePoint end = now_ + time;
+    while (now_ < end) {
+      now_ += milliseconds(1);
+      dispatcher_->OnTick(now_, actions_);
+    }
+  }
+
+  const FlowActions& actions() const { return actions_; }
+  FlowDispatcher& dispatcher() { return *dispatcher_; }
+
+ private:
+  std::unique_ptr<FlowDispatcher> dispatcher_;
+  TimePoint now_{seconds(100)};
+  FlowActions actions_;
+};
+
+TEST_CASE("a flow waits for a slot and gets it when another one ends") {
+  OneEndpoint one;
+  CHECK(one.Open(1));
+  CHECK(one.Open(2));
+  CHECK(!one.Open(3));
+  CHECK(one.actions().refusals.empty());
+  one.End(1);
+  CHECK(one.Placed(3));
+}
+
+TEST_CASE("a flow gives its slot back when its answer begins to come") {
+  OneEndpoint one;
+  one.Open(1);
+  one.Open(2);
+  one.Tell(1, true, false);
+  CHECK(!one.Open(3));
+  one.Tell(1, false, true);
+  CHECK(one.Placed(3));
+  // The next request on it takes a slot again.
+  one.Tell(2, true, false);
+  one.Tell(2, false, true);
+  one.Tell(1, true, false);
+  CHECK(!one.Open(4));
+  one.Tell(1, false, true);
+  CHECK(one.Placed(4));
+}
+
+TEST_CASE("a flow without a request gives its slot back soon") {
+  OneEndpoint one;
+  one.Open(1);
+  one.Open(2);
+  one.Tell(1, false, false);
+  one.Tell(2, false, false);
+  one.Run(FlowDispatcher::kUnusedFlow + milliseconds(60));
+  CHECK(one.Open(3));
+  CHECK(one.Open(4));
+}
+
+TEST_CASE("a request on a flow that another VM placed takes a slot") {
+  OneEndpoint one;
+  one.Tell(1, true, false);
+  one.Tell(2, true, false);
+  CHECK(!one.Open(3));
+  one.Tell(2, false, true);
+  CHECK(one.Placed(3));
+  // An answer on an unknown flow says nothing.
+  one.Tell(9, false, true);
+  CHECK(!one.Open(4));
+}
+
+TEST_CASE("copies of an opening packet") {
+  OneEndpoint one;
+  CHECK(one.Open(1));
+  CHECK(!one.Open(1));       // The same packet once more.
+  CHECK(one.Open(1, 1, 1));  // Its first copy: the same endpoint again.
+  CHECK(!one.Open(1, 1, 1));
+  CHECK(one.dispatcher().counters().repeated == 1);
+  CHECK(one.Open(1, 2, 0));  // Another flow from the same port.
+  CHECK(one.dispatcher().counters().opened == 2);
+}
+
+TEST_CASE("a flow that nobody ends gives its slot back after its timeout") {
+  OneEndpoint one;
+  one.Open(1);
+  one.Open(2);
+  one.Tell(1, true, false);
+  one.Tell(2, true, false);
+  one.Run(milliseconds(1100));
+  CHECK(one.Open(3));
+  CHECK(one.dispatcher().counters().expired == 2);
+}
+
+TEST_CASE("flows that wait are taken out to be handed over") {
+  OneEndpoint one;
+  for (std::uint64_t n = 1; n <= 4; ++n) {
+    one.Open(n);
+  }
+  const std::vector<FlowOpening> waiting =
+      one.dispatcher().TakeWaiting(TimePoint(seconds(101)), kService);
+  REQUIRE(waiting.size() == 2);
+  CHECK(waiting[0].packet == "3");
+  one.End(1);
+  CHECK(one.actions().placements.empty());
+}
+
+TEST_CASE("without an endpoint a flow is refused at once") {
+  OneEndpoint one;
+  FlowActions actions;
+  one.dispatcher().SetEndpoints(TimePoint(seconds(100)), kService, {}, actions);
+  CHECK(!one.Open(1));
+  REQUIRE(one.actions().refusals.size() == 1);
+  CHECK(one.actions().refusals[0].kind == ErrorKind::kNoEndpoint);
+}
+
+TEST_CASE("an endpoint takes at least one flow a slot") {
+  FlowDispatcherOptions options;
+  options.overlap_percent = 99;
+  CHECK(FlowDispatcher::Create(options, 1).error().kind() ==
+        ErrorKind::kInvalidArgument);
+}
+
+}  // namespace
+}  // namespace vanillalatch
--- /dev/null
+++ b/src/packetflow/flow_watch_test.cc
@@ -0,0 +1,83 @@
+// What an ingress tells of a flow, packet by packet.
+#include "vanillalatch/packetflow/flow_watch.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+namespace vanillalatch {
+namespace {
+
+struct Step {
+  bool data;
+  std::uint32_t acknowledged;
+  const char* told;  // "", "on", "request" or "answer".
+};
+
+std::string Text(const std::optional<FlowNews>& news) {
+  if (!news) {
+    return "";
+  }
+  return news->answered ? "answer" : news->requests ? "request" : "on";
+}
+
+FlowPacket PacketOf(std::uint16_t port, const Step& step) {
+  FlowPacket packet;
+  packet.caller = {1, port};
+  packet.route = {2, 443};
+  packet.carries_data = step.data;
+  packet.acknowledged = step.acknowledged;
+  return packet;
+}
+
+TEST_CASE("news of a flow") {
+  const std::vector<Step> steps = GENERATE(
+      // One request: handshake, request, two acknowledgements of the answer.
+      std::vector<Step>{{false, 100, "on"},
+                        {true, 100, "request"},
+                        {false, 102, "answer"},
+                        {false, 104, ""}},
+      // A request of several packets, and one sent again.
+      std::vector<Step>{{true, 100, "request"},
+                        {true, 100, "request"},
+                        {true, 100, ""},
+                        {false, 100, ""},
+                        {false, 101, "answer"}},
+      // Kept open: each later request and answer is told.
+      std::vector<Step>{{false, 100, "on"},
+                        {true, 100, "request"},
+                        {false, 110, "answer"},
+                        {true, 110, "request"},
+                        {false, 110, ""},
+                        {false, 120, "answer"},
+                        {true, 120, "request"},
+                        {false, 121, "answer"}},
+      // Numbers that start again at zero.
+      std::vector<Step>{{true, 0xfffffff0U, "request"},
+                        {false, 0xfffffff0U, "on"},
+                        {false, 5, "answer"}},
+      // Seen here first while the answer comes.
+      std::vector<Step>{
+          {false, 500, "on"}, {false, 510, "on"}, {false, 520, ""}});
+  FlowWatch watch;
+  for (std::size_t n = 0; n < steps.size(); ++n) {
+    CAPTURE(n);
+    CHECK(Text(watch.OnPacket(PacketOf(1, steps[n]))) == steps[n].told);
+  }
+}
+
+TEST_CASE("flows are forgotten two generations after their last packet") {
+  FlowWatch watch;
+  watch.OnPacket(PacketOf(1, {true, 1, ""}));
+  watch.OnPacket(PacketOf(2, {true, 1, ""}));
+  watch.NextGeneration();
+  watch.OnPacket(PacketOf(1, {true, 1, ""}));
+  CHECK(watch.size() == 2);
+  watch.NextGeneration();
+  CHECK(watch.size() == 1);
+  watch.Forget(PacketOf(1, {true, 1, ""}).id());
+  CHECK(watch.size() == 0);
+}
+
+}  // namespace
+}  // namespace vanillalatch
