--- a/include/vanillalatch/packetflow/flow_node.h
+++ b/include/vanillalatch/packetflow/flow_node.h
@@ -96,6 +96,8 @@
   // Hands what waits here to other VMs; packets are still carried.
   virtual void BeginStop(TimePoint now, Outbox& out) = 0;
 
+  // Endpoints that packets can be sent to.
+  virtual std::size_t endpoints() const = 0;
   virtual const PeerNode& peers() const = 0;
   virtual const FlowNodeCounters& counters() const = 0;
   virtual const FlowDispatcherCounters& dispatcher_counters() const = 0;
--- a/include/vanillalatch/runtime/flow_shell.h
+++ b/include/vanillalatch/runtime/flow_shell.h
@@ -70,6 +70,7 @@
   virtual void SendPlaced(const FlowNodeActions::Place& place) = 0;
   virtual void SendRefused(const FlowRefusal& refusal) = 0;
 
+  void LogSummary();
   void LogMalformed(SocketAddress from, std::size_t bytes);
   void LogSilence(const EndpointSilence& silence);
   void LogRefusal(const FlowPacket& packet, const FlowRefusal& refusal);
@@ -87,6 +88,8 @@
   static constexpr std::uint32_t kRefusalLines = 20;
   // Whoever sends noise is to be seen, not to fill the log.
   static constexpr std::uint32_t kMalformedLines = 1;
+  // Often enough to see in a log when something began.
+  static constexpr Duration kSummaryInterval = std::chrono::seconds(5);
   // A whole data centre of endpoints may fall silent at once.
   static constexpr std::uint32_t kSilenceLines = 20;
 
@@ -107,6 +110,7 @@
   Outbox out_;
   std::atomic<bool> ready_ = false;
   bool stopping_ = false;
+  TimePoint summary_due_{};
   LogBudget refusal_lines_{kRefusalLines};
   LogBudget malformed_lines_{kMalformedLines};
   LogBudget silence_lines_{kSilenceLines};
--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -62,6 +62,7 @@
   FlowNodeActions TakeActions() override;
   bool Ready() const override { return settled_; }
   void BeginStop(TimePoint now, Outbox& out) override;
+  std::size_t endpoints() const override { return endpoints_.size(); }
   const PeerNode& peers() const override { return *peers_; }
   const FlowNodeCounters& counters() const override { return counters_; }
   const FlowDispatcherCounters& dispatcher_counters() const override {
--- a/src/runtime/flow_shell.cc
+++ b/src/runtime/flow_shell.cc
@@ -1,5 +1,6 @@
 #include "vanillalatch/runtime/flow_shell.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -142,6 +143,7 @@
     link_->wakeup.SleepUntil(node_->NextWake());
     node_->OnTick(Now(), out_);
     Flush();
+    LogSummary();
   }
 }
 
@@ -166,6 +168,33 @@
             {"left_out", refusal_lines_.TakeLeftOut()}});
 }
 
+void FlowShellCore::LogSummary() {
+  const TimePoint now = Now();
+  if (now < summary_due_) {
+    return;
+  }
+  summary_due_ = now + kSummaryInterval;
+  const FlowNodeCounters& flows = node_->counters();
+  const FlowDispatcherCounters& placed = node_->dispatcher_counters();
+  const std::span<const Member> members = node_->peers().members().members();
+  const auto alive = std::count_if(
+      members.begin(), members.end(),
+      [](const Member& it) { return it.state == MemberState::kAlive; });
+  LogEvent(LogLevel::kInfo, "flows_summary",
+           {{"ready", ready_.load()},
+            {"revision", node_->revision()},
+            {"endpoints", node_->endpoints()},
+            {"members_alive", alive},
+            {"packets", flows.packets},
+            {"unknown_endpoint", flows.unknown_endpoint},
+            {"placed_alone", flows.placed_alone},
+            {"declined", flows.declined},
+            {"placed", placed.placed},
+            {"moved", placed.moved},
+            {"refused", placed.refused},
+            {"expired", placed.expired}});
+}
+
 void FlowShellCore::LogMalformed(SocketAddress from, std::size_t bytes) {
   if (malformed_lines_.Take(Now())) {
     LogEvent(LogLevel::kWarn, "packet_malformed",
