Ask another control VM sooner while the endpoints are not known

Cause: with connections that may take 0.5 s to fail, an entry VM that had just started waited for control VMs that were starting as well.

--- a/src/rpc/control_client.cc
+++ b/src/rpc/control_client.cc
@@ -15,7 +15,7 @@
 constexpr int kReconnectMinMs = 50;
 constexpr int kReconnectMaxMs = 200;
 // One try to connect: some round trips, and a VM that gets its processor late.
-constexpr int kConnectTimeoutMs = 500;
+constexpr int kConnectTimeoutMs = 250;
 constexpr int kMaxOpenSends = 32;
 constexpr std::chrono::milliseconds kSendTimeout{1000};
 
--- a/src/runtime/catalog_follower.cc
+++ b/src/runtime/catalog_follower.cc
@@ -13,6 +13,9 @@
 
 // Longer than a control VM holds a call that has nothing newer, one second.
 constexpr Duration kSyncTimeout = std::chrono::milliseconds(1700);
+// A VM that has just started is answered within 0.1 s, by a control VM that may
+// be starting as well.
+constexpr Duration kFirstSyncTimeout = std::chrono::milliseconds(600);
 // Between control VMs that fail: a start of the whole fleet waits for it.
 constexpr Duration kSyncPause = std::chrono::milliseconds(50);
 
@@ -36,8 +39,9 @@
 bool CatalogFollower::SyncOnce(const Report& report, const Take& take) {
   const std::string address = addresses_[at_ % addresses_.size()];
   const pb::SyncRequest request = report();
-  const std::optional<pb::SyncReply> reply =
-      client_.Sync(address, request, kSyncTimeout);
+  const std::optional<pb::SyncReply> reply = client_.Sync(
+      address, request,
+      request.wants_endpoints() ? kFirstSyncTimeout : kSyncTimeout);
   if (reply && (reply->has_catalog() || reply->endpoints_size() > 0)) {
     take(*reply);
   }
