--- a/src/runtime/fleet_shell.cc
+++ b/src/runtime/fleet_shell.cc
@@ -23,8 +23,8 @@
 constexpr Duration kAloneAfter = std::chrono::seconds(1);
 // Endpoints that were stored longer ago have likely changed meanwhile.
 constexpr std::int64_t kKeptForMs = 30'000;
-// Of membership and leases, each VM: a tenth of a 2 Mbit/s link, used only while
-// there is news.
+// Of membership and leases, each VM: a tenth of a 2 Mbit/s link, used only
+// while there is news.
 constexpr std::size_t kGossipBytesPerSecond = 24'000;
 // All VMs of a fleet are one group, whatever their data centre.
 constexpr std::string_view kFleetGroup = "fleet";
