--- a/src/packetflow/flow_node_test.cc
+++ b/src/packetflow/flow_node_test.cc
@@ -267,6 +267,7 @@
   }
   const std::size_t n = fleet.dispatcher();
   std::vector<int> flows;
+  flows.reserve(40);
   for (int it = 0; it < 40; ++it) {
     flows.push_back(fleet.world().Open("records", fleet.other()));
   }
