Let no caller wait for a silent endpoint that is to be tried again

Cause, found by reading: the flow that tries a silent endpoint again was bound to it, and waited or was refused if requests on older flows had its slots, with other endpoints free. Ruled out: the queue (the same flow starts at once when it is not bound). Change: work may name an endpoint to try first; without a free slot there it is placed as any other. Before: the new test 'no caller waits for a silent endpoint...' fails. After: it passes, and so do all of packetflow and placement.

--- a/include/vanillalatch/placement/slot_scheduler.h
+++ b/include/vanillalatch/placement/slot_scheduler.h
@@ -38,6 +38,8 @@
   std::optional<EndpointId> pinned;
   // Endpoints that already failed this request; tried last.
   std::optional<EndpointId> avoid;
+  // Taken if it has a free slot, whatever it looks like: to try it again.
+  std::optional<EndpointId> try_first{};
   // A free slot of this data centre is taken before one elsewhere.
   std::string data_center{};
 };
--- a/src/packetflow/flow_dispatcher.cc
+++ b/src/packetflow/flow_dispatcher.cc
@@ -182,7 +182,7 @@
   work.deadline = now + flow.opening.timeout;
   work.avoid = avoid;
   if (!avoid && flow.opening.watched) {
-    work.pinned = TakeProbe(now, flow.opening.service);
+    work.try_first = TakeProbe(now, flow.opening.service);
   }
   work.data_center = flow.opening.data_center;
   SchedulerOf(flow.opening.service).Submit(now, work, verdicts_);
--- a/src/packetflow/flow_dispatcher_test.cc
+++ b/src/packetflow/flow_dispatcher_test.cc
@@ -79,6 +79,7 @@
     }
   }
 
+  TimePoint now() const { return now_; }
   const FlowActions& actions() const { return actions_; }
   FlowDispatcher& dispatcher() { return *dispatcher_; }
 
@@ -182,6 +183,32 @@
   CHECK(one.actions().refusals[0].kind == ErrorKind::kNoEndpoint);
 }
 
+TEST_CASE("no caller waits for a silent endpoint that is to be tried again") {
+  OneEndpoint one;
+  Endpoint silent;
+  silent.id = EndpointId(7);
+  silent.service = kService;
+  silent.name = "aa";
+  silent.slots = kSlots;
+  Endpoint other = silent;
+  other.id = EndpointId(8);
+  other.name = "bb";
+  FlowActions actions;
+  // Flow 1 is at endpoint 7 alone; then 8 comes, and 7 answers no copy.
+  REQUIRE(one.Open(1));
+  one.dispatcher().SetEndpoints(one.now(), kService, std::vector{silent, other},
+                                actions);
+  REQUIRE(one.Open(1, 1, 1));
+  one.Run(FlowDispatcher::kMostSilence + milliseconds(50));
+  REQUIRE(one.dispatcher().counters().silenced == 1);
+  // Two flows that were open before have requests at work there.
+  one.Tell(11, true, false);
+  one.Tell(12, true, false);
+  one.Run(FlowDispatcher::kSilentProbe);
+  REQUIRE(one.Open(2));
+  CHECK(one.actions().placements.front().endpoint == EndpointId(8));
+}
+
 TEST_CASE("an endpoint takes at least one flow a slot") {
   FlowDispatcherOptions options;
   options.overlap_percent = 99;
--- a/src/placement/endpoint_pool.cc
+++ b/src/placement/endpoint_pool.cc
@@ -77,6 +77,12 @@
 
 EndpointTrack* EndpointPool::Choose(TimePoint now, const Work& work,
                                     TimePoint latest_finish, bool probes) {
+  if (work.try_first) {
+    EndpointTrack* it = Find(*work.try_first);
+    if (it != nullptr && it->HasFreeSlot(now)) {
+      return it;
+    }
+  }
   if (probes) {
     if (EndpointTrack* it = ChooseProbe(now, work)) {
       return it;
