Keep one copy of what flows and shells had twice

Cause, found by reading the change as a newcomer: the four figures that decide a refusal stood in two structs; addresses as texts, Unix time now and whole milliseconds were computed in two files each; an entry shell kept a member that nothing used; FlowEnd carried a service that no receiver read. Ruled out: a change of behaviour (no test had to change). After: RefusalCause, ToMilliseconds(), UnixNowMs(), and CatalogFollower takes addresses; all tests of the touched libraries pass.

--- a/include/vanillalatch/base/time.h
+++ b/include/vanillalatch/base/time.h
@@ -6,6 +6,7 @@
 #define VANILLALATCH_BASE_TIME_H_
 
 #include <chrono>
+#include <cstdint>
 
 namespace vanillalatch {
 
@@ -24,6 +25,12 @@
 // Later than every time that occurs; "no deadline".
 inline constexpr TimePoint kNever = TimePoint::max();
 
+// Whole milliseconds, towards zero.
+constexpr std::int64_t ToMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
 }  // namespace vanillalatch
 
 #endif  // VANILLALATCH_BASE_TIME_H_
--- a/include/vanillalatch/packetflow/flow_dispatcher.h
+++ b/include/vanillalatch/packetflow/flow_dispatcher.h
@@ -59,11 +59,7 @@
   FlowId id;
   ErrorKind kind = ErrorKind::kOverloaded;
   std::string packet;
-  // What decided it.
-  Duration expected_wait{};
-  std::uint32_t queued = 0;
-  std::uint32_t usable_slots = 0;
-  std::uint32_t free_slots = 0;
+  RefusalCause cause{};
 };
 
 // An endpoint was found to answer nobody, or answers again.
--- a/include/vanillalatch/placement/slot_scheduler.h
+++ b/include/vanillalatch/placement/slot_scheduler.h
@@ -53,6 +53,14 @@
   kCancelled,  // By the caller; says nothing about the endpoint.
 };
 
+// What a refusal was decided by.
+struct RefusalCause {
+  Duration expected_wait{};
+  std::uint32_t queued = 0;
+  std::uint32_t usable_slots = 0;
+  std::uint32_t free_slots = 0;
+};
+
 // What to do with one request.
 struct Verdict {
   enum class Kind : std::uint8_t { kStart, kRefuse };
@@ -61,11 +69,7 @@
   EndpointId endpoint;                             // kStart
   ErrorKind error = ErrorKind::kOverloaded;        // kRefuse
   Duration retry_after = std::chrono::seconds(1);  // kRefuse
-  // kRefuse: what decided it.
-  Duration expected_wait{};
-  std::uint32_t queued = 0;
-  std::uint32_t usable_slots = 0;
-  std::uint32_t free_slots = 0;
+  RefusalCause cause{};                            // kRefuse
 };
 
 struct SlotSchedulerOptions {
--- a/include/vanillalatch/runtime/flow_shell.h
+++ b/include/vanillalatch/runtime/flow_shell.h
@@ -82,7 +82,7 @@
   UdpSocket& packet_socket() { return sockets_.packets; }
 
  private:
-  class Link;
+  struct Link;
   // Refused flows logged a second: enough to see every cause, and less than a
   // hundredth of a small VM's processor.
   static constexpr std::uint32_t kRefusalLines = 20;
--- a/include/vanillalatch/runtime/reactor.h
+++ b/include/vanillalatch/runtime/reactor.h
@@ -55,8 +55,9 @@
 // The time now, for the shells alone.
 TimePoint Now();
 
-// Milliseconds of Unix time at TimePoint zero.
+// Milliseconds of Unix time at TimePoint zero, and now.
 std::int64_t UnixEpochMs();
+std::int64_t UnixNowMs();
 
 }  // namespace vanillalatch
 
--- a/src/packetflow/flow_dispatcher.cc
+++ b/src/packetflow/flow_dispatcher.cc
@@ -475,8 +475,7 @@
     }
     ++counters_.refused;
     actions.refusals.push_back(
-        {flow.opening.id, it.error, std::move(flow.opening.packet),
-         it.expected_wait, it.queued, it.usable_slots, it.free_slots});
+        {flow.opening.id, it.error, std::move(flow.opening.packet), it.cause});
     by_work_.erase(known);
     flows_.erase(found);
   }
--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -34,11 +34,6 @@
 // Ranks of dispatchers that are tried before this VM places alone.
 constexpr std::size_t kDispatcherRanks = 3;
 
-std::uint32_t Milliseconds(Duration duration) {
-  return static_cast<std::uint32_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 class FlowNodeImpl final : public FlowNode {
  public:
   FlowNodeImpl(std::string data_center, std::unique_ptr<PeerNode> peers,
@@ -261,7 +256,8 @@
   message.set_service(opening.service.value());
   message.set_revision(revision_);
   message.set_work_class(opening.work_class.value());
-  message.set_timeout_ms(Milliseconds(opening.timeout));
+  message.set_timeout_ms(
+      static_cast<std::uint32_t>(ToMilliseconds(opening.timeout)));
   message.set_route(opening.route.Packed());
   message.set_sequence(opening.sequence);
   message.set_copy(opening.copy);
@@ -298,7 +294,8 @@
     message.set_service(target.service.value());
     message.set_cookie(target.cookie.value());
     message.set_work_class(route.work_class.value());
-    message.set_timeout_ms(Milliseconds(route.timeout));
+    message.set_timeout_ms(
+        static_cast<std::uint32_t>(ToMilliseconds(route.timeout)));
   }
 }
 
@@ -329,7 +326,6 @@
   if (to != self()) {
     pb::FlowEnd& message = *MessageTo(to).add_ends();
     message.set_id(id.value());
-    message.set_service(service.value());
     message.set_given_up(packet.aborts);
   }
 }
@@ -371,13 +367,8 @@
   if (opening) {
     Place(now, *std::move(opening));
   } else {
-    actions_.refusals.push_back({FlowId(message.id()),
-                                 ErrorKind::kNotFound,
-                                 message.packet(),
-                                 {},
-                                 0,
-                                 0,
-                                 0});
+    actions_.refusals.push_back(
+        {FlowId(message.id()), ErrorKind::kNotFound, message.packet(), {}});
   }
 }
 
--- a/src/placement/slot_scheduler.cc
+++ b/src/placement/slot_scheduler.cc
@@ -229,10 +229,10 @@
        .endpoint = {},
        .error = error,
        .retry_after = state.returns.Next(now, backlog, forecast.spacing),
-       .expected_wait = forecast.wait,
-       .queued = static_cast<std::uint32_t>(queue_.size()),
-       .usable_slots = pool_.UsableSlots(now),
-       .free_slots = pool_.FreeSlots(now)});
+       .cause = {.expected_wait = forecast.wait,
+                 .queued = static_cast<std::uint32_t>(queue_.size()),
+                 .usable_slots = pool_.UsableSlots(now),
+                 .free_slots = pool_.FreeSlots(now)}});
 }
 
 void CentralScheduler::RefuseWaiting(TimePoint now, RequestId request,
--- a/src/registry/lease.cc
+++ b/src/registry/lease.cc
@@ -10,7 +10,6 @@
 namespace vanillalatch::internal {
 namespace {
 
-using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
 using LeaseChart = Chart<LeaseState, LeaseEvent>;
@@ -30,7 +29,7 @@
 
 std::uint32_t Milliseconds(Duration d) {
   return static_cast<std::uint32_t>(
-      std::max<std::int64_t>(0, duration_cast<milliseconds>(d).count()));
+      std::max<std::int64_t>(0, ToMilliseconds(d)));
 }
 
 }  // namespace
--- a/src/runtime/catalog_follower.cc
+++ b/src/runtime/catalog_follower.cc
@@ -21,11 +21,14 @@
 
 }  // namespace
 
-CatalogFollower::CatalogFollower(std::vector<std::string> addresses)
-    : seeds_(addresses),
-      addresses_(std::move(addresses)),
-      at_(std::random_device()()),
-      last_quorum_(Now()) {}
+CatalogFollower::CatalogFollower(const std::vector<SocketAddress>& addresses)
+    : at_(std::random_device()()), last_quorum_(Now()) {
+  seeds_.reserve(addresses.size());
+  for (const SocketAddress& it : addresses) {
+    seeds_.push_back(it.ToString());
+  }
+  addresses_ = seeds_;
+}
 
 void CatalogFollower::Run(const Report& report, const Take& take) {
   while (!stopped_) {
--- a/src/runtime/catalog_follower.h
+++ b/src/runtime/catalog_follower.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "vanillalatch/base/address.h"
 #include "vanillalatch/base/time.h"
 #include "vanillalatch/rpc/control_client.h"
 
@@ -23,7 +24,7 @@
   using Take = std::function<void(const pb::SyncReply&)>;
 
   // gRPC addresses of control VMs to begin with; others are learned.
-  explicit CatalogFollower(std::vector<std::string> addresses);
+  explicit CatalogFollower(const std::vector<SocketAddress>& addresses);
 
   // Suspends the calling fiber between calls; returns after Stop().
   void Run(const Report& report, const Take& take);
--- a/src/runtime/entry_shell.cc
+++ b/src/runtime/entry_shell.cc
@@ -20,26 +20,13 @@
   options.membership.data_center = settings.data_center;
   options.membership.peer = settings.entry->peer;
   options.membership.seeds = settings.entry->seeds;
-  options.membership.incarnation = static_cast<std::uint64_t>(
-      unix_epoch_ms + std::chrono::duration_cast<std::chrono::milliseconds>(
-                          Now().time_since_epoch())
-                          .count());
+  options.membership.incarnation = static_cast<std::uint64_t>(UnixNowMs());
   options.unix_epoch_ms = unix_epoch_ms;
   options.backend_timeout = settings.entry->backend_timeout;
   options.drain_limit = settings.entry->drain_limit;
   return options;
 }
 
-std::vector<std::string> AddressTexts(
-    const std::vector<SocketAddress>& addresses) {
-  std::vector<std::string> texts;
-  texts.reserve(addresses.size());
-  for (const SocketAddress& it : addresses) {
-    texts.push_back(it.ToString());
-  }
-  return texts;
-}
-
 }  // namespace
 
 Result<std::unique_ptr<EntryShell>> EntryShell::Create(
@@ -78,7 +65,7 @@
       admin_address_(settings.entry->admin.ToString()),
       unix_epoch_ms_(UnixEpochMs()),
       vm_(settings.vm),
-      follower_(AddressTexts(settings.entry->control)),
+      follower_(settings.entry->control),
       mailbox_(kMailboxCalls) {}
 
 void EntryShell::Start(Reactor& reactor) {
--- a/src/runtime/entry_shell.h
+++ b/src/runtime/entry_shell.h
@@ -57,7 +57,6 @@
   AdminMailbox mailbox_;
   std::unique_ptr<RpcServer> server_;
   std::vector<boost::fibers::fiber> fibers_;
-  TimePoint last_quorum_{};
   bool stopped_ = false;
 };
 
--- a/src/runtime/fleet_shell.cc
+++ b/src/runtime/fleet_shell.cc
@@ -29,12 +29,6 @@
 // All VMs of a fleet are one group, whatever their data centre.
 constexpr std::string_view kFleetGroup = "fleet";
 
-std::int64_t UnixNowMs() {
-  return UnixEpochMs() + std::chrono::duration_cast<std::chrono::milliseconds>(
-                             Now().time_since_epoch())
-                             .count();
-}
-
 }  // namespace
 
 MemberListOptions FleetMember(const Settings& settings, bool dispatches) {
--- a/src/runtime/flow_shell.cc
+++ b/src/runtime/flow_shell.cc
@@ -12,21 +12,11 @@
 namespace vanillalatch {
 
 // What only the sources of this library know.
-class FlowShellCore::Link {
- public:
-  explicit Link(const Settings& settings) : follower(Addresses(settings)) {}
+struct FlowShellCore::Link {
+  explicit Link(const Settings& settings) : follower(settings.fleet->control) {}
 
   CatalogFollower follower;
   Wakeup wakeup;
-
- private:
-  static std::vector<std::string> Addresses(const Settings& settings) {
-    std::vector<std::string> texts;
-    for (const SocketAddress& it : settings.fleet->control) {
-      texts.push_back(it.ToString());
-    }
-    return texts;
-  }
 };
 
 Result<FlowShellCore::Sockets> FlowShellCore::Bind(const Settings& settings) {
@@ -157,13 +147,10 @@
             {"route", packet.route.ToString()},
             {"sequence", packet.sequence},
             {"kind", AnswerFor(refusal.kind).name},
-            {"expected_wait_ms",
-             std::chrono::duration_cast<std::chrono::milliseconds>(
-                 refusal.expected_wait)
-                 .count()},
-            {"queued", refusal.queued},
-            {"usable_slots", refusal.usable_slots},
-            {"free_slots", refusal.free_slots},
+            {"expected_wait_ms", ToMilliseconds(refusal.cause.expected_wait)},
+            {"queued", refusal.cause.queued},
+            {"usable_slots", refusal.cause.usable_slots},
+            {"free_slots", refusal.cause.free_slots},
             {"revision", node_->revision()},
             {"left_out", refusal_lines_.TakeLeftOut()}});
 }
--- a/src/runtime/reactor.cc
+++ b/src/runtime/reactor.cc
@@ -153,4 +153,8 @@
       .count();
 }
 
+std::int64_t UnixNowMs() {
+  return UnixEpochMs() + ToMilliseconds(Now().time_since_epoch());
+}
+
 }  // namespace vanillalatch
