--- a/src/packetflow/flow_dispatcher.cc
+++ b/src/packetflow/flow_dispatcher.cc
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "absl/container/flat_hash_map.h"
-#include "vanillalatch/admission/answer_time.h"
+#include "src/packetflow/silence_watch.h"
 
 namespace vanillalatch {
 namespace internal {
@@ -16,14 +16,6 @@
 constexpr Duration kExpireInterval = std::chrono::milliseconds(50);
 // How often silent endpoints are looked for: a part of kLeastSilence.
 constexpr Duration kReviewInterval = std::chrono::milliseconds(10);
-// After a longer pause of this VM, what it has not heard yet says nothing.
-constexpr Duration kLongestGap = std::chrono::milliseconds(30);
-// Flows without an answer that make an endpoint silent; of one alone, the
-// packet may have been lost.
-constexpr std::size_t kUnansweredFlows = 2;
-// Handshakes that the usual time is taken from.
-constexpr std::uint64_t kHandshakeSmoothing = 64;
-
 class FlowDispatcherImpl final : public FlowDispatcher {
  public:
   FlowDispatcherImpl(FlowDispatcherOptions options, std::uint64_t seed)
@@ -41,12 +33,7 @@
                     FlowActions& actions) override {
     SlotScheduler& scheduler = SchedulerOf(service);
     scheduler.SetEndpoints(now, endpoints);
-    std::erase_if(answering_, [&](const auto& known) {
-      return known.second.service == service &&
-             std::none_of(
-                 endpoints.begin(), endpoints.end(),
-                 [&](const Endpoint& it) { return it.id == known.first; });
-    });
+    silence_.Keep(service, endpoints);
     scheduler.OnTick(now, verdicts_);
     CarryOut(now, actions);
   }
@@ -77,13 +64,6 @@
     bool idle = false;  // Open, without a slot.
     TimePoint expires;  // It is forgotten then, whatever was heard.
   };
-  struct Answering {
-    ServiceId service;
-    TimePoint answered_up_to;  // When the latest flow it answered was sent.
-    bool silent = false;
-    TimePoint probe_due;
-  };
-
   SlotScheduler& SchedulerOf(ServiceId service);
   void Submit(TimePoint now, Flow& flow, std::optional<EndpointId> avoid,
               FlowActions& actions);
@@ -99,11 +79,6 @@
   void NoteAnswer(const Flow& flow, FlowActions& actions);
   // Finds endpoints that answer nobody and moves their flows elsewhere.
   void ReviewSilence(TimePoint now, FlowActions& actions);
-  Duration SilenceLimit(TimePoint now) const;
-  // True if the flow has waited for its endpoint for too long.
-  bool Unanswered(TimePoint now, const Flow& flow) const;
-  // A silent endpoint of the service that is to be tried again.
-  std::optional<EndpointId> TakeProbe(TimePoint now, ServiceId service);
   void ExpireFlows(TimePoint now, FlowActions& actions);
 
   FlowDispatcherOptions options_;
@@ -114,11 +89,8 @@
   absl::flat_hash_map<RequestId, FlowId> by_work_;
   std::uint64_t last_work_ = 0;
   TimePoint expire_due_{};
-  std::map<EndpointId, Answering> answering_;
-  AnswerTime handshake_{kHandshakeSmoothing};
+  SilenceWatch silence_;
   TimePoint review_due_{};
-  TimePoint last_tick_{};
-  TimePoint heard_since_{};  // Without a pause of this VM.
   std::vector<Verdict> verdicts_;
   FlowDispatcherCounters counters_;
 };
@@ -156,17 +128,6 @@
   Submit(now, flow, std::nullopt, actions);
 }
 
-std::optional<EndpointId> FlowDispatcherImpl::TakeProbe(TimePoint now,
-                                                        ServiceId service) {
-  for (auto& [id, it] : answering_) {
-    if (it.silent && it.service == service && now >= it.probe_due) {
-      it.probe_due = now + kSilentProbe;
-      return id;
-    }
-  }
-  return std::nullopt;
-}
-
 void FlowDispatcherImpl::Submit(TimePoint now, Flow& flow,
                                 std::optional<EndpointId> avoid,
                                 FlowActions& actions) {
@@ -182,7 +143,7 @@
   work.deadline = now + flow.opening.timeout;
   work.avoid = avoid;
   if (!avoid && flow.opening.watched) {
-    work.try_first = TakeProbe(now, flow.opening.service);
+    work.try_first = silence_.TakeProbe(now, flow.opening.service);
   }
   work.data_center = flow.opening.data_center;
   SchedulerOf(flow.opening.service).Submit(now, work, verdicts_);
@@ -223,11 +184,9 @@
 }
 
 void FlowDispatcherImpl::NoteAnswer(const Flow& flow, FlowActions& actions) {
-  Answering& answering = answering_[flow.endpoint];
-  answering.service = flow.opening.service;
-  answering.answered_up_to = std::max(answering.answered_up_to, flow.sent_at);
-  if (std::exchange(answering.silent, false)) {
-    SchedulerOf(flow.opening.service).SetSilent(flow.endpoint, false);
+  const ServiceId service = flow.opening.service;
+  if (silence_.OnAnswer(flow.endpoint, service, flow.sent_at)) {
+    SchedulerOf(service).SetSilent(flow.endpoint, false);
     actions.silences.push_back({flow.endpoint, false, 0, Duration::zero()});
   }
 }
@@ -258,7 +217,7 @@
   }
   if (!std::exchange(flow.seen, true)) {
     flow.seen_at = now;
-    handshake_.Add(now, now - flow.sent_at);
+    silence_.OnHandshake(now, now - flow.sent_at);
     NoteAnswer(flow, actions);
   }
   flow.requested |= news.requests;
@@ -297,51 +256,31 @@
   }
 }
 
-Duration FlowDispatcherImpl::SilenceLimit(TimePoint now) const {
-  if (!handshake_.KnownAt(now)) {
-    return kMostSilence;
-  }
-  return std::clamp<Duration>(handshake_.mean() * kHandshakesOfSilence,
-                              kLeastSilence, kMostSilence);
-}
-
-bool FlowDispatcherImpl::Unanswered(TimePoint now, const Flow& flow) const {
-  if (!flow.placed || flow.seen || !flow.opening.watched) {
-    return false;
-  }
-  const TimePoint from = std::max(flow.sent_at, heard_since_);
-  const auto it = answering_.find(flow.endpoint);
-  // A flow sent later was answered: only this one's packet was lost.
-  const bool overtaken =
-      it != answering_.end() && it->second.answered_up_to >= flow.sent_at;
-  return !overtaken && now >= from + SilenceLimit(now);
-}
-
 void FlowDispatcherImpl::ReviewSilence(TimePoint now, FlowActions& actions) {
   std::map<EndpointId, std::vector<FlowId>> unanswered;
   for (const auto& [id, it] : flows_) {
-    if (Unanswered(now, it)) {
+    if (it.placed && !it.seen && it.opening.watched &&
+        silence_.Unanswered(now, it.endpoint, it.sent_at)) {
       unanswered[it.endpoint].push_back(id);
     }
   }
   std::vector<FlowId> moving;
   for (auto& [endpoint, ids] : unanswered) {
-    Answering& answering = answering_[endpoint];
-    const Flow& first = flows_.at(ids.front());
-    const bool copied = std::any_of(
-        ids.begin(), ids.end(),
-        [&](const FlowId& it) { return flows_.at(it).opening.copy > 0; });
-    if (!answering.silent && ids.size() < kUnansweredFlows && !copied) {
+    const ServiceId service = flows_.at(ids.front()).opening.service;
+    const SilenceEvidence evidence{
+        ids.size(), std::any_of(ids.begin(), ids.end(), [&](const FlowId& it) {
+          return flows_.at(it).opening.copy > 0;
+        })};
+    const SilenceWatch::Verdict verdict =
+        silence_.Judge(now, endpoint, service, evidence);
+    if (verdict == SilenceWatch::Verdict::kNotYet) {
       continue;
     }
-    if (!answering.silent) {
+    if (verdict == SilenceWatch::Verdict::kFound) {
       ++counters_.silenced;
-      answering.silent = true;
-      answering.service = first.opening.service;
-      answering.probe_due = now + kSilentProbe;
-      SchedulerOf(answering.service).SetSilent(endpoint, true);
+      SchedulerOf(service).SetSilent(endpoint, true);
       actions.silences.push_back(
-          {endpoint, true, ids.size(), SilenceLimit(now)});
+          {endpoint, true, ids.size(), silence_.Limit(now)});
     }
     moving.insert(moving.end(), ids.begin(), ids.end());
   }
@@ -401,10 +340,7 @@
     }
   }
   CarryOut(now, actions);
-  if (now - last_tick_ > kLongestGap) {
-    heard_since_ = now;
-  }
-  last_tick_ = now;
+  silence_.OnTick(now);
   if (now >= review_due_) {
     review_due_ = now + kReviewInterval;
     ReviewSilence(now, actions);
