--- /dev/null
+++ b/src/packetflow/flow_messages.cc
@@ -0,0 +1,65 @@
+#include "src/packetflow/flow_messages.h"
+
+#include <utility>
+
+namespace vanillalatch::internal {
+namespace {
+
+// Below the size that a network carries in one piece.
+constexpr std::size_t kMaxMessageBytes = 1100;
+constexpr std::size_t kFieldBytes = 3;  // Tag and length of one item.
+
+}  // namespace
+
+pb::FlowOpening ToMessage(const FlowOpening& opening, std::uint64_t revision) {
+  pb::FlowOpening message;
+  message.set_id(opening.id.value());
+  message.set_service(opening.service.value());
+  message.set_revision(revision);
+  message.set_route(opening.route.Packed());
+  message.set_work_class(opening.work_class.value());
+  message.set_timeout_ms(
+      static_cast<std::uint32_t>(ToMilliseconds(opening.timeout)));
+  message.set_sequence(opening.sequence);
+  message.set_copy(opening.copy);
+  message.set_data_center(opening.data_center);
+  message.set_packet(opening.packet);
+  return message;
+}
+
+FlowOpening FromMessage(const pb::FlowOpening& message) {
+  FlowOpening opening;
+  opening.id = FlowId(message.id());
+  opening.service = ServiceId(message.service());
+  opening.route = SocketAddress::FromPacked(message.route());
+  opening.work_class = ClassId(message.work_class());
+  opening.timeout = std::chrono::milliseconds(message.timeout_ms());
+  opening.sequence = message.sequence();
+  opening.copy = message.copy();
+  opening.data_center = message.data_center();
+  opening.packet = message.packet();
+  return opening;
+}
+
+std::vector<pb::FlowMessage> CutToDatagrams(pb::FlowMessage message) {
+  std::vector<pb::FlowMessage> parts;
+  std::size_t bytes = kMaxMessageBytes;  // Of the last part; opens the first.
+  const auto move_all = [&](auto& from, auto* (pb::FlowMessage::*add)()) {
+    for (auto& it : from) {
+      const std::size_t n = it.ByteSizeLong() + kFieldBytes;
+      if (bytes + n > kMaxMessageBytes) {
+        parts.emplace_back();
+        bytes = 0;
+      }
+      bytes += n;
+      *(parts.back().*add)() = std::move(it);
+    }
+  };
+  move_all(*message.mutable_openings(), &pb::FlowMessage::add_openings);
+  move_all(*message.mutable_taken(), &pb::FlowMessage::add_taken);
+  move_all(*message.mutable_seen(), &pb::FlowMessage::add_seen);
+  move_all(*message.mutable_ends(), &pb::FlowMessage::add_ends);
+  return parts;
+}
+
+}  // namespace vanillalatch::internal
--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -3,11 +3,11 @@
 #include <algorithm>
 #include <map>
 #include <optional>
-#include <set>
 #include <utility>
 
 #include "absl/container/flat_hash_map.h"
-#include "vanillalatch/placement/rendezvous.h"
+#include "src/packetflow/dispatcher_choice.h"
+#include "src/packetflow/flow_messages.h"
 
 namespace vanillalatch {
 namespace internal {
@@ -19,21 +19,14 @@
 // Endpoints reach a VM that has just started in several messages, within the
 // byte budget of membership.
 constexpr Duration kSettleTime = std::chrono::seconds(2);
-// A VM that declined is asked again after this time, well within kSettleTime.
-constexpr Duration kDeclinePause = std::chrono::milliseconds(500);
 // Openings that come before the endpoints are known wait this long. Callers
 // wait 1.4 s for an answer, and most of it is left to an endpoint.
 constexpr Duration kParkTime = std::chrono::milliseconds(800);
-// Below the size that a network carries in one piece.
-constexpr std::size_t kMaxMessageBytes = 1100;
 // Flows that went on are remembered for one to two times this; longer than
 // most of them last.
 constexpr Duration kSeenGeneration = std::chrono::seconds(30);
 // How often endpoints that were lost long ago are forgotten.
 constexpr Duration kForgetInterval = std::chrono::seconds(5);
-// Ranks of dispatchers that are tried before this VM places alone.
-constexpr std::size_t kDispatcherRanks = 3;
-
 class FlowNodeImpl final : public FlowNode {
  public:
   FlowNodeImpl(std::string data_center, std::unique_ptr<PeerNode> peers,
@@ -80,7 +73,9 @@
   void OpenFlow(TimePoint now, const FlowRoute& route, const FlowPacket& packet,
                 ByteSpan bytes);
   // The VM that places a service's flows; this one if no other is in reach.
-  NodeId DispatcherFor(TimePoint now, ServiceId service) const;
+  NodeId DispatcherFor(TimePoint now, ServiceId service) const {
+    return choice_.For(now, service, peers_->members().members(), self());
+  }
   // Places the opening here, or has another VM do so.
   void Direct(TimePoint now, FlowOpening opening);
   void HandOver(TimePoint now, FlowOpening opening, NodeId to);
@@ -95,7 +90,6 @@
   // The opening as this VM's catalog has it; nullopt if the route is gone.
   std::optional<FlowOpening> Reviewed(const pb::FlowOpening& message);
   void RetryAsked(TimePoint now);
-  void SendInParts(NodeId to, pb::FlowMessage& message, Outbox& out);
   void OnTaken(TimePoint now, NodeId from, const pb::FlowTaken& message);
   void NoteSettled(TimePoint now);
   void UpdateEndpoints(TimePoint now);
@@ -114,9 +108,7 @@
   std::uint64_t members_version_ = 0;
   std::map<FlowId, Asked> asked_;
   std::map<FlowId, Parked> parked_;
-  // VMs that left an opening unanswered, until they are heard again.
-  std::set<NodeId> silent_;
-  std::map<NodeId, TimePoint> declined_until_;
+  DispatcherChoice choice_;
   // Every service has had an endpoint since then.
   std::optional<TimePoint> complete_since_;
   bool settled_ = false;
@@ -231,38 +223,9 @@
   }
 }
 
-NodeId FlowNodeImpl::DispatcherFor(TimePoint now, ServiceId service) const {
-  for (std::size_t rank = 0; rank < kDispatcherRanks; ++rank) {
-    const std::optional<NodeId> it =
-        DispatcherOf(service, peers_->members().members(), rank);
-    if (!it) {
-      break;
-    }
-    const auto declined = declined_until_.find(*it);
-    const bool able =
-        !silent_.contains(*it) &&
-        (declined == declined_until_.end() || now >= declined->second);
-    if (*it == self() || able) {
-      return *it;
-    }
-  }
-  return self();
-}
-
 void FlowNodeImpl::HandOver(TimePoint now, FlowOpening opening, NodeId to) {
   ++counters_.handed_over;
-  pb::FlowOpening& message = *MessageTo(to).add_openings();
-  message.set_id(opening.id.value());
-  message.set_service(opening.service.value());
-  message.set_revision(revision_);
-  message.set_work_class(opening.work_class.value());
-  message.set_timeout_ms(
-      static_cast<std::uint32_t>(ToMilliseconds(opening.timeout)));
-  message.set_route(opening.route.Packed());
-  message.set_sequence(opening.sequence);
-  message.set_copy(opening.copy);
-  message.set_data_center(opening.data_center);
-  message.set_packet(opening.packet);
+  *MessageTo(to).add_openings() = ToMessage(opening, revision_);
   const FlowId id = opening.id;
   asked_[id] = {std::move(opening), to, now + kTakenTimeout};
 }
@@ -334,7 +297,7 @@
                           Outbox& out) {
   const pb::FlowMessage* message = peers_->OnDatagram(now, from, bytes, out);
   const NodeId sender = peers_->sender();
-  silent_.erase(sender);
+  choice_.OnHeard(sender);
   if (message != nullptr) {
     for (const pb::FlowOpening& it : message->openings()) {
       OnOpening(now, sender, it);
@@ -383,7 +346,7 @@
   if (!message.declined()) {
     return;
   }
-  declined_until_[from] = now + kDeclinePause;
+  choice_.OnDeclined(now, from);
   Direct(now, std::move(opening));
 }
 
@@ -406,16 +369,7 @@
 
 std::optional<FlowOpening> FlowNodeImpl::Reviewed(
     const pb::FlowOpening& message) {
-  FlowOpening opening;
-  opening.id = FlowId(message.id());
-  opening.route = SocketAddress::FromPacked(message.route());
-  opening.service = ServiceId(message.service());
-  opening.work_class = ClassId(message.work_class());
-  opening.timeout = std::chrono::milliseconds(message.timeout_ms());
-  opening.sequence = message.sequence();
-  opening.copy = message.copy();
-  opening.data_center = message.data_center();
-  opening.packet = message.packet();
+  FlowOpening opening = FromMessage(message);
   if (message.revision() < revision_) {
     const FlowRoute* route = routes_.Find(opening.route);
     if (route == nullptr) {
@@ -456,7 +410,7 @@
       ++it;
       continue;
     }
-    silent_.insert(it->second.dispatcher);
+    choice_.OnSilent(it->second.dispatcher);
     overdue.push_back(std::move(it->second.opening));
     it = asked_.erase(it);
   }
@@ -512,41 +466,13 @@
 
 void FlowNodeImpl::Finish(TimePoint now, Outbox& out) {
   for (auto& [to, message] : messages_) {
-    SendInParts(to, message, out);
+    for (const pb::FlowMessage& it : CutToDatagrams(std::move(message))) {
+      peers_->Send(to, it, out);
+    }
   }
   messages_.clear();
 }
 
-// Openings are the only large part; each fits a datagram by itself.
-void FlowNodeImpl::SendInParts(NodeId to, pb::FlowMessage& message,
-                               Outbox& out) {
-  constexpr std::size_t kFieldBytes = 3;  // Tag and length of one item.
-  pb::FlowMessage part;
-  std::size_t bytes = 0;
-  const auto flush = [&] {
-    if (bytes > 0) {
-      peers_->Send(to, part, out);
-      part.Clear();
-      bytes = 0;
-    }
-  };
-  const auto move_all = [&](auto& from, auto* (pb::FlowMessage::*add)()) {
-    for (auto& it : from) {
-      const std::size_t n = it.ByteSizeLong() + kFieldBytes;
-      if (bytes + n > kMaxMessageBytes) {
-        flush();
-      }
-      bytes += n;
-      *(part.*add)() = std::move(it);
-    }
-  };
-  move_all(*message.mutable_openings(), &pb::FlowMessage::add_openings);
-  move_all(*message.mutable_taken(), &pb::FlowMessage::add_taken);
-  move_all(*message.mutable_seen(), &pb::FlowMessage::add_seen);
-  move_all(*message.mutable_ends(), &pb::FlowMessage::add_ends);
-  flush();
-}
-
 FlowNodeActions FlowNodeImpl::TakeActions() {
   FlowNodeActions actions;
   for (FlowPlacement& it : actions_.placements) {
