Test a VM that hears nobody, and a large fleet's knowledge of endpoints

Changes: PeerNode says whether it hears anybody and holds the byte budget of a fleet, so that both can be tested without sockets. Before: none. A test of the whole fleet shell over sockets was tried and dropped: its fibers can't be ended, and the process aborted.

--- a/include/vanillalatch/packetflow/peer_node.h
+++ b/include/vanillalatch/packetflow/peer_node.h
@@ -10,6 +10,7 @@
 #define VANILLALATCH_PACKETFLOW_PEER_NODE_H_
 
 #include <memory>
+#include <optional>
 
 #include "peer.pb.h"
 #include "vanillalatch/base/outbox.h"
@@ -20,6 +21,10 @@
 
 class PeerNode {
  public:
+  // What membership and leases of a fleet may use, each VM: a tenth of a 2
+  // Mbit/s link, and only while there is news.
+  static constexpr std::size_t kBytesPerSecond = 24'000;
+
   // Errors: those of MemberList::Create() and Registry::Create().
   static Result<std::unique_ptr<PeerNode>> Create(MemberListOptions members,
                                                   RegistryOptions registry,
@@ -42,8 +47,9 @@
   Registry& registry() { return *registry_; }
   const Registry& registry() const { return *registry_; }
   const MemberList& members() const { return *members_; }
-  // When a peer was heard last.
-  TimePoint last_heard() const { return last_heard_; }
+  // True if this VM can tell nobody what it hears: endpoints had better report
+  // to another one.
+  bool HearsNobody(TimePoint now) const;
   std::uint64_t malformed() const { return malformed_; }
 
  private:
@@ -59,7 +65,8 @@
   pb::PeerDatagram incoming_;
   std::uint64_t malformed_ = 0;
   TimePoint registry_due_{};
-  TimePoint last_heard_{};
+  // When a peer was heard last, or this VM started.
+  std::optional<TimePoint> last_heard_;
 };
 
 }  // namespace vanillalatch
--- a/src/packetflow/flow_node_test.cc
+++ b/src/packetflow/flow_node_test.cc
@@ -151,6 +151,25 @@
   CHECK(fleet.world().Vm(n).Ready());
 }
 
+TEST_CASE("every VM of a large fleet knows every endpoint within 8 s") {
+  constexpr std::size_t kManyVms = 24;
+  constexpr int kEndpoints = 300;
+  FlowWorld world(5);
+  world.AddVms(kManyVms);
+  for (int n = 0; n < kEndpoints; ++n) {
+    world.AddEndpoint(NameOfInstance(InstanceId(0x1000U + n)), "records",
+                      n % 2 == 0 ? "north" : "south");
+  }
+  world.SetRoutes(1, {"records"}, 250);
+  world.Publish();
+  world.Run(seconds(8));
+  for (std::size_t n = 0; n < kManyVms; ++n) {
+    CAPTURE(n);
+    CHECK(world.Vm(n).endpoints() == kEndpoints);
+    CHECK(world.Vm(n).peers().members().members().size() == kManyVms + 1);
+  }
+}
+
 TEST_CASE("openings that come before the endpoints are known wait") {
   FlowWorld world(3);
   world.AddVms(1);
--- a/src/packetflow/peer_node.cc
+++ b/src/packetflow/peer_node.cc
@@ -8,6 +8,8 @@
 // How often leases that ran out are dropped: a small part of the shortest
 // lease, one second.
 constexpr Duration kRegistryInterval = std::chrono::milliseconds(100);
+// Five probe intervals of membership.
+constexpr Duration kAloneAfter = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -50,7 +52,14 @@
   return &incoming_.flow();
 }
 
+bool PeerNode::HearsNobody(TimePoint now) const {
+  return last_heard_ && now > *last_heard_ + kAloneAfter;
+}
+
 void PeerNode::OnTick(TimePoint now, Outbox& out) {
+  if (!last_heard_) {
+    last_heard_ = now;
+  }
   if (now >= registry_due_) {
     registry_due_ = now + kRegistryInterval;
     registry_->OnTick(now);
--- a/src/packetflow/tables_test.cc
+++ b/src/packetflow/tables_test.cc
@@ -3,6 +3,7 @@
 #include <map>
 
 #include "vanillalatch/packetflow/endpoint_table.h"
+#include "vanillalatch/packetflow/peer_node.h"
 #include "vanillalatch/packetflow/route_table.h"
 
 namespace vanillalatch {
@@ -83,6 +84,33 @@
   CHECK(table.Find(FlowCookie(0xaa)) != nullptr);
 }
 
+TEST_CASE("a VM that hears nobody says so, and no longer when it is heard") {
+  MemberListOptions members;
+  members.data_center = "fleet";
+  members.name = "a";
+  members.peer = {1, 7000};
+  members.seeds = {{2, 7000}};
+  const auto a = PeerNode::Create(members, {}, 1).value();
+  members.name = "b";
+  members.peer = {2, 7000};
+  members.seeds = {{1, 7000}};
+  const auto b = PeerNode::Create(members, {}, 2).value();
+  Outbox out;
+  TimePoint now = kNow;
+  a->OnTick(now, out);
+  CHECK(!a->HearsNobody(now));  // It may not have met the others yet.
+  now += std::chrono::milliseconds(1100);
+  CHECK(a->HearsNobody(now));
+  out.Clear();
+  b->OnTick(now, out);
+  REQUIRE(!out.items().empty());
+  const ByteSpan span = out.Bytes(out.items()[0]);
+  const std::vector<std::uint8_t> bytes(span.begin(), span.end());
+  out.Clear();
+  a->OnDatagram(now, {2, 7000}, bytes, out);
+  CHECK(!a->HearsNobody(now));
+}
+
 pb::FlowTable Shared(std::uint32_t first, std::uint32_t second) {
   pb::FlowTable table;
   pb::FlowRoute& route = *table.add_routes();
--- a/src/runtime/fleet_shell.cc
+++ b/src/runtime/fleet_shell.cc
@@ -17,15 +17,8 @@
 // In this many heartbeats each endpoint has reported somewhere, and its report
 // has spread.
 constexpr int kHeartbeatsToHearAll = 3;
-// Without a word from any other VM for this long, this one can tell nobody
-// what endpoints report: they had better report to another one. Five probe
-// intervals of membership.
-constexpr Duration kAloneAfter = std::chrono::seconds(1);
 // Endpoints that were stored longer ago have likely changed meanwhile.
 constexpr std::int64_t kKeptForMs = 30'000;
-// Of membership and leases, each VM: a tenth of a 2 Mbit/s link, used only
-// while there is news.
-constexpr std::size_t kGossipBytesPerSecond = 24'000;
 // All VMs of a fleet are one group, whatever their data centre.
 constexpr std::string_view kFleetGroup = "fleet";
 
@@ -42,7 +35,7 @@
       options.seeds.push_back(it);
     }
   }
-  options.bytes_per_second = kGossipBytesPerSecond;
+  options.bytes_per_second = PeerNode::kBytesPerSecond;
   options.incarnation = static_cast<std::uint64_t>(UnixNowMs());
   return options;
 }
@@ -72,7 +65,6 @@
       peers_(std::move(peers)),
       control_(control),
       jobs_(kJobs),
-      started_(Now()),
       whole_at_(Now() + kHeartbeatsToHearAll * heartbeat) {}
 
 void FleetShell::Start(Reactor& reactor) {
@@ -200,8 +192,7 @@
 Result<EndpointId> FleetShell::RegisterNow(const Registration& registration,
                                            bool leaving) {
   const TimePoint now = Now();
-  if (now - peers_->last_heard() > kAloneAfter &&
-      now - started_ > kAloneAfter) {
+  if (peers_->HearsNobody(now)) {
     return Error(ErrorKind::kNoQuorum, "this control VM hears no other VM");
   }
   Registry& registry = peers_->registry();
--- a/src/runtime/fleet_shell.h
+++ b/src/runtime/fleet_shell.h
@@ -65,7 +65,6 @@
   boost::fibers::buffered_channel<Job> jobs_;
   Outbox out_;
   Wakeup wakeup_;
-  TimePoint started_;
   // Every endpoint has had the time to be heard, here or at a peer.
   TimePoint whole_at_;
   TimePoint keep_due_{};
