Run one receive loop in every shell

Cause: the loop that receives a batch, flushes and lets others run stood in four places, sending an outbox in two. After: ServeBatches() and UdpSocket::SendAll(); shells end their loops when they stop.

--- a/include/vanillalatch/runtime/flow_shell.h
+++ b/include/vanillalatch/runtime/flow_shell.h
@@ -109,7 +109,8 @@
   Duration drain_limit_;
   Outbox out_;
   std::atomic<bool> ready_ = false;
-  bool stopping_ = false;
+  bool stopping_ = false;  // Callers are sent elsewhere; packets go on.
+  bool stopped_ = false;
   TimePoint summary_due_{};
   LogBudget refusal_lines_{kRefusalLines};
   LogBudget malformed_lines_{kMalformedLines};
--- a/include/vanillalatch/runtime/reactor.h
+++ b/include/vanillalatch/runtime/reactor.h
@@ -33,6 +33,18 @@
   bool ready_ = true;
 };
 
+// Calls `receive`, which returns how many datagrams it took, whenever some may
+// have come. Other fibers run between two batches.
+template <typename Receive>
+void ServeBatches(FdWaiter& waiter, const bool& stopped, Receive receive) {
+  while (!stopped) {
+    waiter.WaitReadable();
+    while (receive() > 0) {
+      boost::this_fiber::yield();
+    }
+  }
+}
+
 class EpollScheduler;
 
 class Reactor {
--- a/include/vanillalatch/runtime/udp_socket.h
+++ b/include/vanillalatch/runtime/udp_socket.h
@@ -52,6 +52,8 @@
   // Adds to the batch; `bytes` must stay valid until Flush(). Sends at once
   // when the batch is full.
   void Queue(SocketAddress to, ByteSpan bytes);
+  // Sends everything that waits in the outbox, and empties it.
+  void SendAll(Outbox& out);
   // Sends what was queued. What the kernel has no room for is dropped, as any
   // network may.
   void Flush();
--- a/src/runtime/entry_shell.cc
+++ b/src/runtime/entry_shell.cc
@@ -109,18 +109,15 @@
 
 void EntryShell::ServeSocket(SocketRole role, FdWaiter& waiter) {
   UdpSocket& socket = sockets_[static_cast<std::size_t>(role)];
-  while (!stopped_) {
-    waiter.WaitReadable();
-    std::size_t n = 0;
-    do {
-      const TimePoint now = Now();
-      n = socket.Receive([&](SocketAddress from, ByteSpan bytes) {
-        node_->OnDatagram(now, {role, from, bytes}, out_);
-      });
-      Flush();
-      boost::this_fiber::yield();
-    } while (n > 0);
-  }
+  ServeBatches(waiter, stopped_, [&] {
+    const TimePoint now = Now();
+    const std::size_t n =
+        socket.Receive([&](SocketAddress from, ByteSpan bytes) {
+          node_->OnDatagram(now, {role, from, bytes}, out_);
+        });
+    Flush();
+    return n;
+  });
 }
 
 void EntryShell::RunTimer() {
--- a/src/runtime/fleet_shell.cc
+++ b/src/runtime/fleet_shell.cc
@@ -86,26 +86,24 @@
 void FleetShell::Stop() {
   peers_->Leave(Now(), out_);
   Flush();
+  stopped_ = true;
 }
 
 void FleetShell::ServeSocket(FdWaiter& waiter) {
-  for (;;) {
-    waiter.WaitReadable();
-    std::size_t n = 0;
-    do {
-      const TimePoint now = Now();
-      n = socket_.Receive([&](SocketAddress from, ByteSpan bytes) {
-        // Control VMs place no flows: what is said about them is not for them.
-        peers_->OnDatagram(now, from, bytes, out_);
-      });
-      Flush();
-      boost::this_fiber::yield();
-    } while (n > 0);
-  }
+  ServeBatches(waiter, stopped_, [&] {
+    const TimePoint now = Now();
+    const std::size_t n =
+        socket_.Receive([&](SocketAddress from, ByteSpan bytes) {
+          // Control VMs place no flows: what is said of them is not for them.
+          peers_->OnDatagram(now, from, bytes, out_);
+        });
+    Flush();
+    return n;
+  });
 }
 
 void FleetShell::RunTimer() {
-  for (;;) {
+  while (!stopped_) {
     wakeup_.SleepUntil(peers_->NextWake());
     peers_->OnTick(Now(), out_);
     KeepEndpoints();
@@ -245,11 +243,7 @@
 void FleetShell::Get(Then<pb::GetReply> then) { control_.Get(std::move(then)); }
 
 void FleetShell::Flush() {
-  for (const Outbox::Item& it : out_.items()) {
-    socket_.Queue(it.to, out_.Bytes(it));
-  }
-  socket_.Flush();
-  out_.Clear();
+  socket_.SendAll(out_);
   wakeup_.BringForward(peers_->NextWake());
 }
 
--- a/src/runtime/fleet_shell.h
+++ b/src/runtime/fleet_shell.h
@@ -65,6 +65,7 @@
   boost::fibers::buffered_channel<Job> jobs_;
   Outbox out_;
   Wakeup wakeup_;
+  bool stopped_ = false;
   // Every endpoint has had the time to be heard, here or at a peer.
   TimePoint whole_at_;
   TimePoint keep_due_{};
--- a/src/runtime/flow_shell.cc
+++ b/src/runtime/flow_shell.cc
@@ -98,38 +98,32 @@
   node_->BeginStop(Now(), out_);
   Flush();
   boost::this_fiber::sleep_for(drain_limit_);
+  stopped_ = true;
   link_->follower.Stop();
 }
 
 void FlowShellCore::ServePackets(FdWaiter& waiter) {
-  for (;;) {
-    waiter.WaitReadable();
-    std::size_t n = 0;
-    do {
-      n = ReceivePackets(Now());
-      Flush();
-      boost::this_fiber::yield();
-    } while (n > 0);
-  }
+  ServeBatches(waiter, stopped_, [&] {
+    const std::size_t n = ReceivePackets(Now());
+    Flush();
+    return n;
+  });
 }
 
 void FlowShellCore::ServePeers(FdWaiter& waiter) {
-  for (;;) {
-    waiter.WaitReadable();
-    std::size_t n = 0;
-    do {
-      const TimePoint now = Now();
-      n = sockets_.peers.Receive([&](SocketAddress from, ByteSpan bytes) {
-        node_->OnPeer(now, from, bytes, out_);
-      });
-      Flush();
-      boost::this_fiber::yield();
-    } while (n > 0);
-  }
+  ServeBatches(waiter, stopped_, [&] {
+    const TimePoint now = Now();
+    const std::size_t n =
+        sockets_.peers.Receive([&](SocketAddress from, ByteSpan bytes) {
+          node_->OnPeer(now, from, bytes, out_);
+        });
+    Flush();
+    return n;
+  });
 }
 
 void FlowShellCore::RunTimer() {
-  for (;;) {
+  while (!stopped_) {
     link_->wakeup.SleepUntil(node_->NextWake());
     node_->OnTick(Now(), out_);
     Flush();
@@ -222,11 +216,7 @@
   }
   sockets_.packets.Flush();
   node_->Finish(now, out_);
-  for (const Outbox::Item& it : out_.items()) {
-    sockets_.peers.Queue(it.to, out_.Bytes(it));
-  }
-  sockets_.peers.Flush();
-  out_.Clear();
+  sockets_.peers.SendAll(out_);
   ready_ = !stopping_ && node_->Ready();
   link_->wakeup.BringForward(node_->NextWake());
 }
--- a/src/runtime/udp_socket.cc
+++ b/src/runtime/udp_socket.cc
@@ -97,6 +97,14 @@
   ++queued_;
 }
 
+void UdpSocket::SendAll(Outbox& out) {
+  for (const Outbox::Item& it : out.items()) {
+    Queue(it.to, out.Bytes(it));
+  }
+  Flush();
+  out.Clear();
+}
+
 void UdpSocket::Flush() {
   std::size_t sent = 0;
   while (sent < queued_) {
