--- a/src/entry/entry_node_impl.h
+++ b/src/entry/entry_node_impl.h
@@ -1,6 +1,5 @@
 // The entry VM's decisions, one member function an event. The parts stand in
-// files of their own: callers.cc, dispatch.cc, exchanges.cc, peers.cc,
-// registrations.cc, takeover.cc.
+// files of their own, which the groups below name.
 #ifndef VANILLALATCH_SRC_ENTRY_ENTRY_NODE_IMPL_H_
 #define VANILLALATCH_SRC_ENTRY_ENTRY_NODE_IMPL_H_
 
@@ -249,23 +248,27 @@
   void ReviewKnowledge(ServiceState& service, NodeId old_successor);
   void ReviewSources(ServiceState& service);
   void BecomeComplete(ServiceState& service);
-  static void ReviewClaims(ServiceState& service);
-  bool AwaitsEndpoints(const ServiceState& service) const;
-  void FinishCollection(ServiceState& service);
+  void NoteDispatchers();
+
+  // collection.cc
   void BeginCollection(ServiceState& service);
   void SendCollect(ServiceState& service);
   void TickCollection(ServiceState& service);
+  static void ReviewClaims(ServiceState& service);
+  bool AwaitsEndpoints(const ServiceState& service) const;
+  void FinishCollection(ServiceState& service);
   void OnCollect(NodeId from, const pb::Collect& collect);
   void OnCollectReply(NodeId from, const pb::CollectReply& reply);
-  void NoteDispatchers();
   void TakeOpenRequest(ServiceState& service, const pb::OpenRequest& open);
   void StartServing(ServiceState& service);
+
+  // record_review.cc
   // Looks again at every record after a change of members; what `restarted`
   // had is lost.
   void ReviewRecords(NodeId restarted);
-  void RenewHolds();
   void ReviewHeld(RequestRecord& record);
   void ReviewDuty(RequestRecord& record, NodeId restarted);
+  void RenewHolds();
 
   // transfer.cc
   void BeginTransfer(ServiceState& service, NodeId to);
--- /dev/null
+++ b/src/entry/record_review.cc
@@ -0,0 +1,93 @@
+// What becomes of the requests of a VM that left or died.
+#include <algorithm>
+
+#include "src/entry/entry_node_impl.h"
+
+namespace vanillalatch::internal {
+
+void EntryNodeImpl::ReviewRecords(NodeId restarted) {
+  std::vector<RequestId> open;
+  records_.ForEach([&](const RequestRecord& record) {
+    if (record.state != RequestState::kFinished) {
+      open.push_back(record.id);
+    }
+  });
+  // In order, so that the same events give the same actions.
+  std::sort(open.begin(), open.end());
+  for (const RequestId it : open) {
+    RequestRecord* record = records_.Find(it);
+    if (record == nullptr || FindService(record->service) == nullptr) {
+      continue;
+    }
+    if (HasDuty(*record)) {
+      ReviewDuty(*record, restarted);
+    } else if (record->state == RequestState::kHeld &&
+               record->next != NodeId{} &&
+               (IsGone(record->next) || record->next == restarted)) {
+      ReviewHeld(*record);
+    }
+  }
+}
+
+// The VM with the duty is lost. It may have sent the request if it was granted
+// that.
+void EntryNodeImpl::ReviewHeld(RequestRecord& record) {
+  ReleaseAdopted(record);
+  record.orphaned = true;
+  if (record.grantee != 0) {
+    record.unsettled = 1;
+  }
+  record.acknowledged = false;
+  const ServiceState& service = *FindService(record.service);
+  if (service.dispatches) {
+    ++counters_.taken_over;
+    Note(record.id, HopEvent::kTakenOver, record.next.value());
+  }
+  Route(record);
+}
+
+// Hands on what waits here when another VM dispatches, and renews the second
+// record when its holder is lost.
+void EntryNodeImpl::ReviewDuty(RequestRecord& record, NodeId restarted) {
+  ServiceState& service = *FindService(record.service);
+  const bool elsewhere = service.dispatcher != NodeId{} && !service.dispatches;
+  if (elsewhere && record.state == RequestState::kQueued) {
+    LeaveScheduler(service, record, WorkOutcome::kCancelled);
+    Park(record, kParkedRetry);
+  }
+  if (elsewhere && record.state == RequestState::kParked) {
+    Route(record);
+    return;
+  }
+  const bool holder_lost =
+      record.holder != NodeId{} &&
+      (IsLeavingOrGone(record.holder) || record.holder == restarted);
+  if (!holder_lost) {
+    return;
+  }
+  record.granted = false;
+  record.holder = NodeId{};
+  renewals_due_ = true;
+  if (record.state == RequestState::kPlaced) {
+    record.sends = 0;
+    SendHold(record);
+  }
+}
+
+// Asks again for the second records of requests that are being run, until a
+// VM has confirmed each.
+void EntryNodeImpl::RenewHolds() {
+  if (!renewals_due_) {
+    return;
+  }
+  renewals_due_ = false;
+  records_.ForEach([&](RequestRecord& record) {
+    if (record.state == RequestState::kSent && !record.granted &&
+        !record.idempotent && FindService(record.service) != nullptr) {
+      renewals_due_ = true;
+      SendHold(record);
+    }
+  });
+}
+
+}  // namespace vanillalatch::internal
