Find endpoints by name in the registry, and set up a fleet's peers in one place

Cause, found by reading: a control VM kept a list of its own of endpoints that had registered with it, which only grew, and an endpoint's leave that came to another control VM was not found there. The registry's options of a fleet stood in three places and differed: control VMs could doubt what they knew. After: Registry::FindByName(); PeerNode::Create() sets budget and options. New tests: the latest start of a name; a report of an earlier life does not take an address back.

--- a/include/vanillalatch/packetflow/peer_node.h
+++ b/include/vanillalatch/packetflow/peer_node.h
@@ -25,9 +25,9 @@
   // Mbit/s link, and only while there is news.
   static constexpr std::size_t kBytesPerSecond = 24'000;
 
-  // Errors: those of MemberList::Create() and Registry::Create().
+  // The byte budget of `members` is the fleet's. Errors: those of
+  // MemberList::Create() and Registry::Create().
   static Result<std::unique_ptr<PeerNode>> Create(MemberListOptions members,
-                                                  RegistryOptions registry,
                                                   std::uint64_t seed);
 
   // Takes a datagram of a peer. Returns what it says about flows, or nullptr;
--- a/include/vanillalatch/registry/registry.h
+++ b/include/vanillalatch/registry/registry.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "membership.pb.h"
@@ -95,6 +96,9 @@
   virtual const Endpoint* Find(EndpointId id) const = 0;
   // The endpoint that holds an address now; nullptr if there is none.
   virtual const Endpoint* FindByAddress(SocketAddress address) const = 0;
+  // The endpoint of this name that started last, of whatever service; nullptr
+  // if there is none.
+  virtual const Endpoint* FindByName(std::string_view name) const = 0;
   // Every lease that is ready or leaving, to be merged elsewhere.
   virtual std::vector<pb::LeaseUpdate> Leases(TimePoint now) const = 0;
   // Grows whenever the endpoints of `service` change in more than a renewal.
--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -257,17 +257,13 @@
 
 Result<std::unique_ptr<FlowNode>> FlowNode::Create(FlowNodeOptions options,
                                                    std::uint64_t seed) {
-  RegistryOptions registry;
-  registry.epochs_are_start_times = true;
-  // An entry VM that is cut off goes on with the endpoints that it knows.
-  registry.doubt_after = std::chrono::hours(24);
   Result<std::unique_ptr<FlowDispatcher>> dispatcher =
       FlowDispatcher::Create(options.dispatcher, seed);
   if (!dispatcher.ok()) {
     return dispatcher.error();
   }
   Result<std::unique_ptr<PeerNode>> peers =
-      PeerNode::Create(std::move(options.members), std::move(registry), seed);
+      PeerNode::Create(std::move(options.members), seed);
   if (!peers.ok()) {
     return peers.error();
   }
--- a/src/packetflow/flow_world_test.cc
+++ b/src/packetflow/flow_world_test.cc
@@ -42,11 +42,8 @@
   members.name = "control";
   members.data_center = "fleet";
   members.dispatches = false;
-  members.bytes_per_second = PeerNode::kBytesPerSecond;
   members.peer = PeerOf(kControl);
-  RegistryOptions registry;
-  registry.epochs_are_start_times = true;
-  control_ = PeerNode::Create(members, registry, random_()).value();
+  control_ = PeerNode::Create(members, random_()).value();
   for (std::size_t n = 0; n < count; ++n) {
     StartVm(n);
   }
@@ -58,7 +55,6 @@
   FlowNodeOptions options;
   options.members.name = "vm-" + std::to_string(n);
   options.members.data_center = "fleet";
-  options.members.bytes_per_second = PeerNode::kBytesPerSecond;
   options.members.peer = PeerOf(static_cast<int>(n));
   options.members.seeds = {PeerOf(kControl)};
   options.members.incarnation = ++starts_ * 1000;
--- a/src/packetflow/peer_node.cc
+++ b/src/packetflow/peer_node.cc
@@ -8,14 +8,20 @@
 // How often leases that ran out are dropped: a small part of the shortest
 // lease, one second.
 constexpr Duration kRegistryInterval = std::chrono::milliseconds(100);
+// A VM that is cut off goes on with the endpoints that it knows: which of them
+// answer is seen from flows.
+constexpr Duration kNeverInDoubt = std::chrono::hours(24);
 // Five probe intervals of membership.
 constexpr Duration kAloneAfter = std::chrono::seconds(1);
 
 }  // namespace
 
 Result<std::unique_ptr<PeerNode>> PeerNode::Create(MemberListOptions members,
-                                                   RegistryOptions registry,
                                                    std::uint64_t seed) {
+  members.bytes_per_second = kBytesPerSecond;
+  RegistryOptions registry;
+  registry.epochs_are_start_times = true;
+  registry.doubt_after = kNeverInDoubt;
   const std::uint64_t incarnation = members.incarnation;
   Result<std::unique_ptr<MemberList>> list =
       MemberList::Create(std::move(members), seed);
--- a/src/packetflow/tables_test.cc
+++ b/src/packetflow/tables_test.cc
@@ -84,17 +84,56 @@
   CHECK(table.Find(FlowCookie(0xaa)) != nullptr);
 }
 
+TEST_CASE("an endpoint is found by its name, the latest start of it") {
+  RegistryOptions options;
+  options.epochs_are_start_times = true;
+  const auto registry = Registry::Create(options).value();
+  CHECK(registry->FindByName("aa") == nullptr);
+  Registration registration;
+  registration.name = "aa";
+  registration.service = kService;
+  registration.address = {1, 80};
+  registration.epoch = 5;
+  REQUIRE(registry->Register(kNow, registration).ok());
+  registration.epoch = 9;
+  registration.service = FlowServiceId("plans");
+  registration.address = {2, 80};
+  const EndpointId latest = registry->Register(kNow, registration).value();
+  REQUIRE(registry->FindByName("aa") != nullptr);
+  CHECK(registry->FindByName("aa")->id == latest);
+  CHECK(registry->FindByName("bb") == nullptr);
+}
+
+TEST_CASE("a report of an earlier life does not take an address back") {
+  RegistryOptions options;
+  options.epochs_are_start_times = true;
+  const auto registry = Registry::Create(options).value();
+  Registration later;
+  later.name = "bb";
+  later.service = kService;
+  later.address = {1, 80};
+  later.epoch = 9;
+  REQUIRE(registry->Register(kNow, later).ok());
+  Registration earlier = later;
+  earlier.name = "aa";
+  earlier.epoch = 5;
+  const Result<EndpointId> result = registry->Register(kNow, earlier);
+  REQUIRE(!result.ok());
+  CHECK(result.error().kind() == ErrorKind::kConflict);
+  CHECK(registry->FindByAddress({1, 80})->name == "bb");
+}
+
 TEST_CASE("a VM that hears nobody says so, and no longer when it is heard") {
   MemberListOptions members;
   members.data_center = "fleet";
   members.name = "a";
   members.peer = {1, 7000};
   members.seeds = {{2, 7000}};
-  const auto a = PeerNode::Create(members, {}, 1).value();
+  const auto a = PeerNode::Create(members, 1).value();
   members.name = "b";
   members.peer = {2, 7000};
   members.seeds = {{1, 7000}};
-  const auto b = PeerNode::Create(members, {}, 2).value();
+  const auto b = PeerNode::Create(members, 2).value();
   Outbox out;
   TimePoint now = kNow;
   a->OnTick(now, out);
--- a/src/registry/registry.cc
+++ b/src/registry/registry.cc
@@ -339,6 +339,17 @@
   return changed;
 }
 
+const Endpoint* RegistryImpl::FindByName(std::string_view name) const {
+  const Lease* newest = nullptr;
+  store_.ForEach([&](const Lease& it) {
+    if (it.live() && it.endpoint.name == name &&
+        (newest == nullptr || newest->endpoint.epoch < it.endpoint.epoch)) {
+      newest = &it;
+    }
+  });
+  return newest == nullptr ? nullptr : Find(newest->endpoint.id);
+}
+
 std::vector<pb::LeaseUpdate> RegistryImpl::Leases(TimePoint now) const {
   std::vector<pb::LeaseUpdate> updates;
   store_.ForEach([&](const Lease& it) {
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -33,6 +33,7 @@
   const Endpoint* FindByAddress(SocketAddress address) const override {
     return store_.FindInView(store_.AddressInView(address));
   }
+  const Endpoint* FindByName(std::string_view name) const override;
   std::vector<pb::LeaseUpdate> Leases(TimePoint now) const override;
   std::uint64_t VersionOf(ServiceId service) const override {
     return store_.VersionOf(service);
--- a/src/runtime/fleet_shell.cc
+++ b/src/runtime/fleet_shell.cc
@@ -35,7 +35,6 @@
       options.seeds.push_back(it);
     }
   }
-  options.bytes_per_second = PeerNode::kBytesPerSecond;
   options.incarnation = static_cast<std::uint64_t>(UnixNowMs());
   return options;
 }
@@ -46,11 +45,8 @@
   if (!socket.ok()) {
     return socket.error();
   }
-  RegistryOptions registry;
-  registry.epochs_are_start_times = true;
   Result<std::unique_ptr<PeerNode>> peers =
-      PeerNode::Create(FleetMember(settings, false), std::move(registry),
-                       std::random_device()());
+      PeerNode::Create(FleetMember(settings, false), std::random_device()());
   if (!peers.ok()) {
     return peers.error();
   }
@@ -195,13 +191,13 @@
   }
   Registry& registry = peers_->registry();
   registry.OnTick(now);
+  const Endpoint* before = registry.FindByName(registration.name);
+  const bool known = before != nullptr && before->epoch >= registration.epoch;
   Result<EndpointId> id = registry.Register(now, registration);
   if (!id.ok()) {
     return id;
   }
-  const auto [it, added] = registered_.try_emplace(registration.name, *id);
-  if (added || it->second != *id) {
-    it->second = *id;
+  if (!known) {
     LogEvent(LogLevel::kInfo, "endpoint_registered",
              {{"endpoint", registration.name},
               {"address", registration.address.ToString()},
@@ -222,15 +218,15 @@
 void FleetShell::EndRegistration(std::string name,
                                  Then<Result<EndpointId>> then) {
   Post([this, name = std::move(name), then = std::move(then)] {
-    const auto it = registered_.find(name);
-    if (it == registered_.end()) {
-      then(Error(ErrorKind::kNotFound, name + " is not registered here"));
+    // It may have registered at another VM.
+    const Endpoint* endpoint = peers_->registry().FindByName(name);
+    if (endpoint == nullptr) {
+      then(Error(ErrorKind::kNotFound, name + " is not registered"));
       return;
     }
-    LogEvent(LogLevel::kInfo, "endpoint_ended", {{"endpoint", name}});
-    const EndpointId id = it->second;
-    registered_.erase(it);
-    then(peers_->registry().BeginLeave(Now(), id));
+    LogEvent(LogLevel::kInfo, "endpoint_ended",
+             {{"endpoint", name}, {"epoch", endpoint->epoch}});
+    then(peers_->registry().BeginLeave(Now(), endpoint->id));
   });
 }
 
--- a/src/runtime/fleet_shell.h
+++ b/src/runtime/fleet_shell.h
@@ -2,7 +2,6 @@
 #ifndef VANILLALATCH_SRC_RUNTIME_FLEET_SHELL_H_
 #define VANILLALATCH_SRC_RUNTIME_FLEET_SHELL_H_
 
-#include <map>
 #include <memory>
 #include <string>
 
@@ -61,7 +60,6 @@
   UdpSocket socket_;
   std::unique_ptr<PeerNode> peers_;
   ControlShell& control_;
-  std::map<std::string, EndpointId> registered_;  // Last, by name.
   boost::fibers::buffered_channel<Job> jobs_;
   Outbox out_;
   Wakeup wakeup_;
