Copy final answers that end during a transfer to the next VM in rank

The list of the transfer was made at its start, and nobody else held a record, so its successor counted as complete without it; when the second VM died too, a resend of the request ran again. Ruled out: the grant (the holder had it), the collection (the request was collected), a lost datagram (the successor was never told). Change: a final answer joins the transfer under way, or goes to the next VM in rank by itself; the last part waits while a request that a lost dispatcher may have sent is not settled.

--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -236,6 +236,9 @@
                              std::vector<std::uint8_t> answer, bool not_run) {
   ReleaseAdopted(record);
   record.sends = 0;
+  if (!not_run) {
+    CopyFinished(record);
+  }
   record.answer_due = not_run && !record.tell.empty();
   records_.Finish(record, now_, std::move(answer));
   if (!record.answer_due) {
--- a/src/entry/entry_node_impl.h
+++ b/src/entry/entry_node_impl.h
@@ -223,6 +223,7 @@
   void OnHandoverAck(NodeId from, const pb::HandoverAck& ack);
   void OnKnownHandover(NodeId from, const pb::Handover& handover,
                        RequestRecord& record);
+  void NoteEarlierSend(RequestRecord& record, const pb::Handover& handover);
   RequestRecord* RecordOf(const pb::Handover& handover);
   void OnDone(NodeId from, const pb::Done& done);
   void TakeDone(NodeId from, const pb::Done& done);
@@ -274,6 +275,8 @@
   void BeginTransfer(ServiceState& service, NodeId to);
   void TickTransfer(ServiceState& service);
   void SendTransferPart(ServiceState& service);
+  bool HasUnsettledOrphan(const ServiceState& service) const;
+  void CopyFinished(RequestRecord& record);
   void OnTransfer(NodeId from, const pb::Transfer& transfer);
   void OnTransferAck(NodeId from, const pb::TransferAck& ack);
   void EndOfTransfer(ServiceState& service, NodeId from, bool partial);
--- a/src/entry/transfer.cc
+++ b/src/entry/transfer.cc
@@ -78,13 +78,44 @@
                                  pin.set_caller(caller.Packed());
                                  pin.set_endpoint(endpoint.value());
                                });
-    part.set_last(transfer.pins_next == 0 && !renewals_due_);
+    part.set_last(transfer.pins_next == 0 && !renewals_due_ &&
+                  !HasUnsettledOrphan(service));
   }
   transfer.last = part.last();
   transfer.resend = now_ + kPeerResend;
   SendPeer(transfer.to, message);
 }
 
+// True while this VM alone knows that a lost dispatcher may have sent a
+// request: whoever believed to know everything without it could have it run
+// again.
+bool EntryNodeImpl::HasUnsettledOrphan(const ServiceState& service) const {
+  bool found = false;
+  records_.ForEach([&](const RequestRecord& record) {
+    found |= record.service == service.id() && !record.idempotent &&
+             record.state != RequestState::kFinished &&
+             (record.unsettled > 0 || record.grantee != 0) &&
+             (record.orphaned || IsGone(record.next));
+  });
+  return found;
+}
+
+// A final answer that the second holder was not asked to confirm reaches the
+// next VM in rank with the transfer that is under way, or by itself.
+void EntryNodeImpl::CopyFinished(RequestRecord& record) {
+  ServiceState* service = FindService(record.service);
+  if (service == nullptr || record.idempotent) {
+    return;
+  }
+  if (service->transfer.to != NodeId{}) {
+    service->transfer.finished.push_back(record.id);
+  } else if (service->dispatches && service->successor != NodeId{} &&
+             record.holder == NodeId{}) {
+    record.holder = service->successor;
+    Tell(record, record.holder);
+  }
+}
+
 void EntryNodeImpl::OnTransfer(NodeId from, const pb::Transfer& part) {
   ServiceState* service = FindService(ServiceId{part.service_id()});
   if (service == nullptr) {
