Take over what another VM knows of an earlier send of a request

Ruled out: the holder's record (it said that the request may have been sent). Change: knowledge of an earlier send is merged into an open request, which is then given up as outcome_unknown; the collection includes such records.

--- a/src/entry/collection.cc
+++ b/src/entry/collection.cc
@@ -122,8 +122,9 @@
   std::vector<pb::CollectReply> parts(1);
   std::size_t room = kPeerPayload;
   records_.ForEach([&](const RequestRecord& record) {
-    const bool held_elsewhere =
-        record.state == RequestState::kHeld && record.next != from;
+    // What was granted to an earlier life of the VM that asks counts too.
+    const bool held_elsewhere = record.state == RequestState::kHeld &&
+                                (record.next != from || record.unsettled > 0);
     if (record.service.value() != collect.service_id() ||
         (!held_elsewhere && record.state != RequestState::kSent)) {
       return;
@@ -218,6 +219,9 @@
   const NodeId duty{open.duty()};
   RequestRecord* record = records_.Find(RequestId{open.request().request_id()});
   if (record != nullptr && record->state != RequestState::kHeld) {
+    if (HasDuty(*record)) {
+      NoteEarlierSend(*record, open.request());
+    }
     return;
   }
   if (record == nullptr) {
