Run more random faults, and list what they show

Cause: seeds 1,001 to 3,000 had never been run. Change: the range 1 to 1,000 has no exception any more; mended seeds above it are a test; the world judges a datagram to a backend server as one.

--- a/src/entry/entry_random_test.cc
+++ b/src/entry/entry_random_test.cc
@@ -1,6 +1,5 @@
 // Random faults over fixed seeds: every step is checked by EntryWorld, and at
 // the end no slot and no record is left.
-#include <algorithm>
 #include <array>
 #include <catch2/catch.hpp>
 #include <random>
@@ -14,8 +13,10 @@
 
 constexpr int kSeedsPerTest = 250;
 constexpr int kRounds = 4;
+// Above the range that is run whole, and failed once.
+constexpr std::array kMendedSeeds = {1181, 2209, 2346, 2357, 2874};
 // Listed in KNOWN-RED.txt; a test of their own, so that the others still run.
-constexpr std::array kKnownRedSeeds = {96};
+constexpr std::array kKnownRedSeeds = {1060, 1484, 1555, 2161, 2912};
 
 // Writes a script of requests and faults. One VM always keeps its memory: what
 // no VM remembers can only be told by the time of issue (lost-all.scn).
@@ -124,10 +125,13 @@
 TEST_CASE("random faults", "[entry][random]") {
   const int first = GENERATE(range(0, 4)) * kSeedsPerTest;
   for (int seed = first + 1; seed <= first + kSeedsPerTest; ++seed) {
-    if (std::find(kKnownRedSeeds.begin(), kKnownRedSeeds.end(), seed) ==
-        kKnownRedSeeds.end()) {
-      RunSeed(seed);
-    }
+    RunSeed(seed);
+  }
+}
+
+TEST_CASE("random faults: mended seeds", "[entry][random]") {
+  for (const int it : kMendedSeeds) {
+    RunSeed(it);
   }
 }
 
--- a/src/entry/entry_world_callers_test.cc
+++ b/src/entry/entry_world_callers_test.cc
@@ -188,7 +188,11 @@
     }
     return;
   }
-  Violation("an answer that belongs to no request");
+  Violation(
+      Joined({"an answer that belongs to no request: ",
+              std::to_string(message->code >> 5), ".",
+              std::to_string(message->code % 32), " ", Text(message->payload),
+              " to ", caller.ToString(), " from ", from.ToString()}));
 }
 
 }  // namespace vanillalatch::internal
--- a/src/entry/entry_world_test.cc
+++ b/src/entry/entry_world_test.cc
@@ -175,13 +175,16 @@
 }
 
 void EntryWorld::VmStep(const scenario::Step& step) {
-  const std::size_t n = VmIndex(step.Word(0));
-  Vm& vm = vms_[n];
   const auto serving = std::count_if(
       vms_.begin(), vms_.end(),
       [](const Vm& it) { return it.node != nullptr && !it.stopping; });
-  if (step.Named("spare", "") == "last" &&
-      (serving <= 1 || vm.node == nullptr)) {
+  const bool spares = step.Named("spare", "") == "last";
+  if (spares && serving <= 1) {
+    return;  // The last one may have no rank 1.
+  }
+  const std::size_t n = VmIndex(step.Word(0));
+  Vm& vm = vms_[n];
+  if (spares && vm.node == nullptr) {
     return;
   }
   Write(step.verb + " " + vm.name);
@@ -335,8 +338,10 @@
     }
   }
   for (auto& [name, backend] : backends_) {
-    if (backend.address == to && backend.running) {
-      OnBackendDatagram(backend, from, bytes);
+    if (backend.address == to) {
+      if (backend.running) {
+        OnBackendDatagram(backend, from, bytes);
+      }
       return;
     }
   }
