--- a/src/entry/entry_node_impl.h
+++ b/src/entry/entry_node_impl.h
@@ -267,6 +267,7 @@
   // Looks again at every record after a change of members; what `restarted`
   // had is lost.
   void ReviewRecords(NodeId restarted);
+  bool IsWithPresentLife(const RequestRecord& record) const;
   void ReviewHeld(RequestRecord& record);
   void ReviewDuty(RequestRecord& record, NodeId restarted);
   void RenewHolds();
@@ -277,6 +278,9 @@
   void SendTransferPart(ServiceState& service);
   bool HasUnsettledOrphan(const ServiceState& service) const;
   void CopyFinished(RequestRecord& record);
+  static void FillBlockPin(std::uint64_t answer, const BlockPin& from,
+                           pb::BlockPin& pin);
+  void TellBlockPin(const ServiceState& service, std::uint64_t answer);
   void OnTransfer(NodeId from, const pb::Transfer& transfer);
   void OnTransferAck(NodeId from, const pb::TransferAck& ack);
   void EndOfTransfer(ServiceState& service, NodeId from, bool partial);
--- a/src/entry/pinning.cc
+++ b/src/entry/pinning.cc
@@ -69,8 +69,15 @@
 bool EntryNodeImpl::ChooseBlockPin(ServiceState& service, RequestRecord& record,
                                    Work& work) {
   const auto it = service.blocks.find(record.answer_key);
-  if (it == service.blocks.end() ||
-      !IsOfService(it->second.endpoint, service)) {
+  const bool known = it != service.blocks.end();
+  if (!known && !service.complete && !service.sources.empty() &&
+      record.pin_queries < kMaxPinQueries) {
+    // The VM that served the blocks before transfers what it knows just now.
+    ++record.pin_queries;
+    Park(record, kParkedRetry);
+    return false;
+  }
+  if (!known || !IsOfService(it->second.endpoint, service)) {
     GiveUp(record, ErrorKind::kAnswerBroken, kRetryLater);
     return false;
   }
@@ -99,6 +106,9 @@
   if (block && block->more) {
     service.blocks[record.answer_key] = {record.endpoint, tag,
                                          now_ + kBlockIdle};
+    if (!service.dispatches || service.transfer.to != NodeId{}) {
+      TellBlockPin(service, record.answer_key);
+    }
   }
   return true;
 }
--- a/src/entry/service_state.h
+++ b/src/entry/service_state.h
@@ -52,6 +52,9 @@
   // Where the part that was sent begins, and where the next one will.
   std::size_t finished_at = 0;
   std::size_t finished_next = 0;
+  std::vector<std::uint64_t> blocks;  // Answers of many blocks.
+  std::size_t blocks_at = 0;
+  std::size_t blocks_next = 0;
   std::size_t pins_at = 0;
   std::size_t pins_next = 0;
   bool last = false;  // The part that was sent is the last one.
--- a/src/entry/transfer.cc
+++ b/src/entry/transfer.cc
@@ -9,6 +9,7 @@
 
 constexpr std::size_t kPinsInPart = 32;
 constexpr std::size_t kPinBytes = 24;
+constexpr std::size_t kBlockPinBytes = 32;
 constexpr std::size_t kDoneOverhead = 48;  // Bytes without the answer.
 
 }  // namespace
@@ -23,6 +24,9 @@
       transfer.finished.push_back(record.id);
     }
   });
+  for (const auto& [answer, pin] : service.blocks) {
+    transfer.blocks.push_back(answer);
+  }
   SendTransferPart(service);
 }
 
@@ -68,9 +72,22 @@
     room -= std::min(room, size);
   }
   transfer.finished_next = at;
-  transfer.pins_next = transfer.pins_at;
   const bool all_finished = at == transfer.finished.size();
-  if (all_finished && room > kPinsInPart * kPinBytes) {
+  std::size_t block = transfer.blocks_at;
+  for (; all_finished && block < transfer.blocks.size(); ++block) {
+    if (room < kBlockPinBytes) {
+      break;
+    }
+    const auto it = service.blocks.find(transfer.blocks[block]);
+    if (it != service.blocks.end()) {
+      FillBlockPin(it->first, it->second, *part.add_blocks());
+      room -= kBlockPinBytes;
+    }
+  }
+  transfer.blocks_next = block;
+  transfer.pins_next = transfer.pins_at;
+  if (all_finished && block == transfer.blocks.size() &&
+      room > kPinsInPart * kPinBytes) {
     transfer.pins_next =
         service.pins.VisitSome(transfer.pins_at, kPinsInPart,
                                [&](SocketAddress caller, EndpointId endpoint) {
@@ -116,6 +133,29 @@
   }
 }
 
+void EntryNodeImpl::FillBlockPin(std::uint64_t answer, const BlockPin& from,
+                                 pb::BlockPin& pin) {
+  pin.set_answer(answer);
+  pin.set_endpoint(from.endpoint.value());
+  pin.set_tag(from.tag);
+}
+
+// A VM that stops still gets answers of what it has sent: whoever dispatches
+// now serves their later blocks.
+void EntryNodeImpl::TellBlockPin(const ServiceState& service,
+                                 std::uint64_t answer) {
+  const NodeId to =
+      service.dispatches ? service.transfer.to : service.dispatcher;
+  if (to == NodeId{}) {
+    return;
+  }
+  pb::RequestMessage message;
+  pb::Transfer& part = *message.mutable_transfer();
+  part.set_service_id(service.config.id());
+  FillBlockPin(answer, service.blocks.at(answer), *part.add_blocks());
+  SendPeer(to, message);
+}
+
 void EntryNodeImpl::OnTransfer(NodeId from, const pb::Transfer& part) {
   ServiceState* service = FindService(ServiceId{part.service_id()});
   if (service == nullptr) {
@@ -130,6 +170,14 @@
       PutPin(*service, caller, EndpointId{it.endpoint()});
     }
   }
+  for (const pb::BlockPin& it : part.blocks()) {
+    service->blocks.try_emplace(
+        it.answer(),
+        BlockPin{EndpointId{it.endpoint()}, it.tag(), now_ + kBlockIdle});
+  }
+  if (part.sequence() == 0) {
+    return;
+  }
   if (part.last()) {
     EndOfTransfer(*service, from, part.partial());
   }
@@ -160,6 +208,7 @@
       return;
     }
     transfer.finished_at = transfer.finished_next;
+    transfer.blocks_at = transfer.blocks_next;
     transfer.pins_at = transfer.pins_next;
     transfer.sequence = 0;
     SendTransferPart(service);
