Don't take work for lost that was handed to the new life of a VM

Ruled out: a send by the old life (the trace shows the hand-over 0.14 s after the new start). Change: a record remembers the incarnation that it was handed to.

--- a/include/vanillalatch/request/request_record.h
+++ b/include/vanillalatch/request/request_record.h
@@ -73,6 +73,8 @@
   TimePoint expires = kNever;  // kFinished: to be forgotten.
 
   NodeId next;                // kHeld: the VM that has the duty.
+  // The incarnation of `next` that the duty was handed to; 0: not known.
+  std::uint64_t next_incarnation = 0;
   std::uint64_t grantee = 0;  // Dispatcher that may have sent it; 0: none.
   NodeId holder;              // Holds, or is asked for, the second record.
   // The VMs that wait to hear that the request has its final answer.
--- a/src/entry/collection.cc
+++ b/src/entry/collection.cc
@@ -232,10 +232,12 @@
   }
   if (IsGone(duty) || duty == self_) {
     record->next = duty;
+    record->next_incarnation = 0;
     ReviewHeld(*record);
     return;
   }
   record->next = duty;
+  record->next_incarnation = 0;
   record->acknowledged = true;
   if (open.endpoint() != 0) {
     record->grantee = duty.value();  // Whoever it is, it may have sent it.
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -25,6 +25,8 @@
     Advance(record, RequestEvent::kHandOver);
   }
   record.next = to;
+  const Member* member = FindMember(to);
+  record.next_incarnation = member == nullptr ? 0 : member->incarnation;
   record.acknowledged = false;
   record.sends = 0;
   ++record.hops;
--- a/src/entry/holds.cc
+++ b/src/entry/holds.cc
@@ -101,6 +101,7 @@
   record->grantee = incoming_.request().instance();
   record->endpoint = EndpointId{hold.endpoint()};
   record->next = from;
+  record->next_incarnation = 0;
   record->acknowledged = true;
   records_.WakeAt(*record, record->received + options_.exchange_lifetime);
   ServiceState& service = *FindService(record->service);
--- a/src/entry/record_review.cc
+++ b/src/entry/record_review.cc
@@ -23,12 +23,21 @@
       ReviewDuty(*record, restarted);
     } else if (record->state == RequestState::kHeld &&
                record->next != NodeId{} &&
-               (IsGone(record->next) || record->next == restarted)) {
+               (IsGone(record->next) ||
+                (record->next == restarted && !IsWithPresentLife(*record)))) {
       ReviewHeld(*record);
     }
   }
 }
 
+// A VM that came back may be known by its new incarnation, and be handed work,
+// before its first message shows that it was started anew.
+bool EntryNodeImpl::IsWithPresentLife(const RequestRecord& record) const {
+  const Member* member = FindMember(record.next);
+  return member != nullptr && record.next_incarnation != 0 &&
+         member->incarnation == record.next_incarnation;
+}
+
 // The VM with the duty is lost. It may have sent the request if it was granted
 // that.
 void EntryNodeImpl::ReviewHeld(RequestRecord& record) {
