Let callers' datagrams wait while an entry VM has no catalog

Ruled out: the class' admission (no trace of the request). Change: the callers' socket is read once a catalog is in force; until then datagrams wait in the kernel's buffer, and callers send again elsewhere.

--- a/src/runtime/entry_shell.cc
+++ b/src/runtime/entry_shell.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::size_t kMailboxCalls = 64;  // A power of two.
+// A part of the 2 s after which callers send again.
+constexpr Duration kCatalogPoll = std::chrono::milliseconds(10);
 constexpr Duration kStopPoll = std::chrono::milliseconds(20);
 // Stops with the announcement on its way to every member.
 constexpr Duration kFarewell = std::chrono::milliseconds(100);
@@ -109,6 +111,12 @@
 
 void EntryShell::ServeSocket(SocketRole role, FdWaiter& waiter) {
   UdpSocket& socket = sockets_[static_cast<std::size_t>(role)];
+  // Without a catalog, a service that exists could not be told from one that
+  // doesn't; callers' datagrams wait in the socket.
+  while (role == SocketRole::kCaller && !stopped_ &&
+         node_->revision() == Revision{}) {
+    boost::this_fiber::sleep_for(kCatalogPoll);
+  }
   ServeBatches(waiter, stopped_, [&] {
     const TimePoint now = Now();
     const std::size_t n =
