End calls that reach a control VM while it stops

Ruled out: the disk, the thread's own join. Change: the thread refuses what is still open when it ends; a stopping VM no longer asks its fleet shell for endpoints. Before: the new test 'a control VM stops while calls keep coming' hangs.

--- a/src/runtime/control_shell.cc
+++ b/src/runtime/control_shell.cc
@@ -13,6 +13,7 @@
 constexpr std::size_t kMailboxCalls = 4096;  // A power of two.
 constexpr Duration kLongestStop = std::chrono::seconds(3);
 constexpr Duration kStopPoll = std::chrono::milliseconds(20);
+constexpr const char* kDiskRefuses = "the disk of this control VM refuses";
 constexpr std::size_t kJobs = 4096;  // A power of two.
 // A disk that refused is tried again after this time: well within the time
 // that operators wait for an acknowledgement.
@@ -93,9 +94,12 @@
   calls.join();
   jobs.join();
   timer.join();
+  // The server waits for each call that it has let in.
+  RefuseOpenCalls(ErrorKind::kStopping, "this control VM has stopped");
 }
 
 void ControlShell::Stop() {
+  stopping_ = true;
   Post([this] { boost::fibers::fiber([this] { HandOver(); }).detach(); });
   const TimePoint limit = Now() + kLongestStop + kStopPoll;
   while (!stopped_ && Now() < limit) {
@@ -191,16 +195,16 @@
             {"leads", node_ != nullptr && node_->Status().role() == "leader"}});
   node_.reset();
   reopen_at_ = Now() + kReopenPause;
-  RefuseOpenCalls();
+  RefuseOpenCalls(ErrorKind::kStorage, kDiskRefuses);
 }
 
-void ControlShell::RefuseOpenCalls() {
-  const std::string kind = NameOf(ErrorKind::kStorage);
+void ControlShell::RefuseOpenCalls(ErrorKind refusal,
+                                   const std::string& reason) {
+  const std::string kind = NameOf(refusal);
   pb::ApplyReply apply;
   apply.mutable_outcome()->set_error_kind(kind);
   apply.mutable_outcome()->set_message(
-      "the disk of this control VM refuses; whether the change was taken is "
-      "unknown. Send it again");
+      reason + "; whether the change was taken is unknown. Send it again");
   AnswerAll(applies_, apply);
   pb::GetReply get;
   get.set_error_kind(kind);
@@ -216,7 +220,7 @@
 
 void ControlShell::WithNode(const std::function<void(ControlNode&)>& work) {
   if (node_ == nullptr) {
-    RefuseOpenCalls();
+    RefuseOpenCalls(ErrorKind::kStorage, kDiskRefuses);
     return;
   }
   try {
@@ -260,7 +264,8 @@
   Then<pb::SyncReply> then = Replying(call);
   if (call.request->wants_endpoints() && add_endpoints_) {
     then = [this, then](const pb::SyncReply& reply) {
-      add_endpoints_(reply, then);
+      // While the process stops, nobody may be left to add endpoints.
+      stopping_ ? then(reply) : add_endpoints_(reply, then);
     };
   }
   const Ticket ticket = Open<pb::SyncReply>(syncs_, std::move(then));
--- a/src/runtime/control_shell.h
+++ b/src/runtime/control_shell.h
@@ -69,7 +69,7 @@
   void WithNode(const std::function<void(ControlNode&)>& work);
   void OpenNode();
   void LoseNode(const Error& error);
-  void RefuseOpenCalls();
+  void RefuseOpenCalls(ErrorKind refusal, const std::string& reason);
   // Carries out what the node decided.
   void CarryOut();
   bool Post(Job job);
@@ -106,6 +106,7 @@
   AddEndpoints add_endpoints_;
   OnNote on_note_;
   std::thread thread_;
+  std::atomic<bool> stopping_ = false;
   std::atomic<bool> stopped_ = false;
   mutable std::mutex status_mutex_;
   pb::ControlStatus status_;
--- a/src/runtime/runtime_test.cc
+++ b/src/runtime/runtime_test.cc
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <fstream>
@@ -7,6 +8,7 @@
 #include <vector>
 
 #include "src/runtime/control_shell.h"
+#include "vanillalatch/rpc/control_client.h"
 #include "vanillalatch/runtime/reactor.h"
 #include "vanillalatch/runtime/udp_socket.h"
 #include "vanillalatch/telemetry/log_budget.h"
@@ -123,6 +125,71 @@
   });
 }
 
+// Keeps calls open that a control VM holds until it has news, whatever becomes
+// of the ones before.
+class OpenCallers {
+ public:
+  explicit OpenCallers(SocketAddress control)
+      : stub_(pb::Control::NewStub(OpenChannel(control.ToString()))) {
+    for (int n = 0; n < 8; ++n) {
+      threads_.emplace_back([this] {
+        while (!ended_) {
+          grpc::ClientContext context;
+          context.set_deadline(std::chrono::system_clock::now() +
+                               std::chrono::seconds(1));
+          pb::SyncRequest request;
+          request.set_revision(100);
+          pb::SyncReply reply;
+          stub_->Sync(&context, request, &reply);
+        }
+      });
+    }
+  }
+  ~OpenCallers() {
+    ended_ = true;
+    for (std::thread& it : threads_) {
+      it.join();
+    }
+  }
+
+ private:
+  std::unique_ptr<pb::Control::Stub> stub_;
+  std::atomic<bool> ended_ = false;
+  std::vector<std::thread> threads_;
+};
+
+TEST_CASE("a control VM stops while calls keep coming", "[runtime]") {
+  const std::filesystem::path folder = "build/test-data/control-stop";
+  std::filesystem::remove_all(folder);
+  std::filesystem::create_directories(folder);
+  std::promise<void> stopped;
+  std::future<void> end = stopped.get_future();
+  std::thread control([&] {
+    Reactor::StartOnThisThread();
+    for (int n = 0; n < 5; ++n) {
+      Settings settings;
+      settings.vm = "c1";
+      settings.data_center = "north";
+      settings.control.emplace();
+      const SocketAddress listen =
+          BoundAddress(UdpSocket::Bind(kAnyLoopbackPort).value());
+      settings.control->listen = listen;
+      settings.control->data_folder = folder;
+      settings.control->voters = {{"c1", listen, "north"}};
+      const auto shell = ControlShell::Create(settings).value();
+      shell->Start();
+      CHECK(ReadKind(*shell) == "read");
+      const OpenCallers callers(listen);
+      boost::this_fiber::sleep_for(std::chrono::milliseconds(100));
+      shell->Stop();
+    }
+    stopped.set_value();
+  });
+  // Five stops that hand over nothing; each may take 3 s by its own limit.
+  REQUIRE(end.wait_for(std::chrono::seconds(20)) == std::future_status::ready);
+  control.join();
+}
+
 TEST_CASE("a budget bounds how often an event is logged", "[runtime]") {
   LogBudget budget(10);
   TimePoint now(std::chrono::seconds(1));
