Tell the next VM in rank of block pins made since it took everything over

Ruled out: the transfer (it had ended), the stop (0.9 ms before the request). Change: a pin is told to the next VM in rank when it is made, and again while the answer is being fetched.

--- a/src/entry/entry_node_impl.h
+++ b/src/entry/entry_node_impl.h
@@ -280,7 +280,7 @@
   void CopyFinished(RequestRecord& record);
   static void FillBlockPin(std::uint64_t answer, const BlockPin& from,
                            pb::BlockPin& pin);
-  void TellBlockPin(const ServiceState& service, std::uint64_t answer);
+  void TellBlockPin(ServiceState& service, std::uint64_t answer);
   void OnTransfer(NodeId from, const pb::Transfer& transfer);
   void OnTransferAck(NodeId from, const pb::TransferAck& ack);
   void EndOfTransfer(ServiceState& service, NodeId from, bool partial);
--- a/src/entry/pinning.cc
+++ b/src/entry/pinning.cc
@@ -104,11 +104,9 @@
     }
   }
   if (block && block->more) {
-    service.blocks[record.answer_key] = {record.endpoint, tag,
-                                         now_ + kBlockIdle};
-    if (!service.dispatches || service.transfer.to != NodeId{}) {
-      TellBlockPin(service, record.answer_key);
-    }
+    BlockPin& pin = service.blocks[record.answer_key];
+    pin = {record.endpoint, tag, now_ + kBlockIdle, pin.told};
+    TellBlockPin(service, record.answer_key);
   }
   return true;
 }
--- a/src/entry/service_state.h
+++ b/src/entry/service_state.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -24,6 +25,7 @@
   EndpointId endpoint;
   std::uint64_t tag = 0;  // Hash of the answer's ETag; 0: it has none.
   TimePoint expires;
+  std::optional<TimePoint> told;  // To the VM that would take over.
 };
 
 // Asking the members for their open requests of a service.
--- a/src/entry/transfer.cc
+++ b/src/entry/transfer.cc
@@ -10,6 +10,8 @@
 constexpr std::size_t kPinsInPart = 32;
 constexpr std::size_t kPinBytes = 24;
 constexpr std::size_t kBlockPinBytes = 32;
+// Times that a block pin is told within the time after which it is forgotten.
+constexpr int kTellsInIdle = 3;
 constexpr std::size_t kDoneOverhead = 48;  // Bytes without the answer.
 
 }  // namespace
@@ -140,19 +142,26 @@
   pin.set_tag(from.tag);
 }
 
-// A VM that stops still gets answers of what it has sent: whoever dispatches
-// now serves their later blocks.
-void EntryNodeImpl::TellBlockPin(const ServiceState& service,
-                                 std::uint64_t answer) {
-  const NodeId to =
-      service.dispatches ? service.transfer.to : service.dispatcher;
+// Whoever dispatches next serves the later blocks: the VM that takes over, the
+// next in rank, or the one that dispatches while this VM stops.
+void EntryNodeImpl::TellBlockPin(ServiceState& service, std::uint64_t answer) {
+  BlockPin& pin = service.blocks.at(answer);
+  const bool taken_over =
+      !service.dispatches || service.transfer.to != NodeId{};
+  if (!taken_over && pin.told && now_ < *pin.told + kBlockIdle / kTellsInIdle) {
+    return;
+  }
+  const NodeId to = !service.dispatches               ? service.dispatcher
+                    : service.transfer.to != NodeId{} ? service.transfer.to
+                                                      : service.successor;
   if (to == NodeId{}) {
     return;
   }
+  pin.told = now_;
   pb::RequestMessage message;
   pb::Transfer& part = *message.mutable_transfer();
   part.set_service_id(service.config.id());
-  FillBlockPin(answer, service.blocks.at(answer), *part.add_blocks());
+  FillBlockPin(answer, pin, *part.add_blocks());
   SendPeer(to, message);
 }
 
@@ -171,9 +180,8 @@
     }
   }
   for (const pb::BlockPin& it : part.blocks()) {
-    service->blocks.try_emplace(
-        it.answer(),
-        BlockPin{EndpointId{it.endpoint()}, it.tag(), now_ + kBlockIdle});
+    BlockPin& pin = service->blocks[it.answer()];
+    pin = {EndpointId{it.endpoint()}, it.tag(), now_ + kBlockIdle, pin.told};
   }
   if (part.sequence() == 0) {
     return;
