Let one VM place a service's flows when a whole fleet starts

A VM that took an opening could not say so to a VM that it did not know as a member yet; the ingress waited 0.1 s and placed the flow itself. News of a flow went to whichever VM an ingress would ask now, so placers heard nothing, kept the slots and took ten endpoints for silent, and refused flows. Change: an answer goes to the address that asked; an ingress tells the VM that placed the flow; flows sent within 0.3 s of a change of dispatcher don't show an endpoint silent; a VM that declines is asked again after 0.1 s instead of 0.5 s.

--- a/include/vanillalatch/packetflow/flow_dispatcher.h
+++ b/include/vanillalatch/packetflow/flow_dispatcher.h
@@ -130,6 +130,9 @@
   // from its opening, or from a later request, until the answer begins to come.
   virtual void Seen(TimePoint now, const FlowNews& news,
                     const EstablishedFlow& flow, FlowActions& actions) = 0;
+  // Which VM places the service's flows has changed: for a while, the absence
+  // of news says nothing of an endpoint.
+  virtual void OnDispatcherChanged(TimePoint now, ServiceId service) = 0;
   // Another VM dispatches the service now and hears of its flows.
   virtual void Unwatch(ServiceId service) = 0;
   // The caller ended the flow, or gave it up.
--- a/include/vanillalatch/packetflow/flow_watch.h
+++ b/include/vanillalatch/packetflow/flow_watch.h
@@ -28,6 +28,11 @@
 
   // A packet of an open flow that does not end it.
   std::optional<FlowNews> OnPacket(const FlowPacket& packet);
+  // The VM that placed the flow. It is the one to tell, whichever VM would
+  // place a new flow of the service by now.
+  void OnPlaced(FlowId id, NodeId placer) { placers_[id] = placer; }
+  // nullopt if the flow was not opened through this VM.
+  std::optional<NodeId> PlacerOf(FlowId id) const;
   void Forget(FlowId id);
   // Flows without a packet in the last generation are forgotten.
   void NextGeneration();
@@ -46,6 +51,8 @@
 
   absl::flat_hash_map<FlowId, Flow> flows_;
   absl::flat_hash_map<FlowId, Flow> before_;
+  absl::flat_hash_map<FlowId, NodeId> placers_;
+  absl::flat_hash_map<FlowId, NodeId> placers_before_;
 };
 
 }  // namespace vanillalatch
--- a/include/vanillalatch/packetflow/peer_node.h
+++ b/include/vanillalatch/packetflow/peer_node.h
@@ -9,6 +9,7 @@
 #ifndef VANILLALATCH_PACKETFLOW_PEER_NODE_H_
 #define VANILLALATCH_PACKETFLOW_PEER_NODE_H_
 
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -39,7 +40,8 @@
 
   void OnTick(TimePoint now, Outbox& out);
   TimePoint NextWake() const;
-  // Dropped if the member is unknown.
+  // To a member, or to a VM that has sent news of flows before it was known as
+  // a member; else dropped.
   void Send(NodeId to, const pb::FlowMessage& message, Outbox& out);
   // Announces that this VM stops.
   void Leave(TimePoint now, Outbox& out);
@@ -65,6 +67,11 @@
   pb::PeerDatagram incoming_;
   std::uint64_t malformed_ = 0;
   TimePoint registry_due_{};
+  void NoteStranger(SocketAddress from);
+
+  // A fleet that starts at once: every VM but the few that are known first.
+  static constexpr std::size_t kMostStrangers = 1024;
+  std::map<NodeId, SocketAddress> strangers_;
   // When a peer was heard last, or this VM started.
   std::optional<TimePoint> last_heard_;
 };
--- a/src/packetflow/dispatcher_choice.cc
+++ b/src/packetflow/dispatcher_choice.cc
@@ -7,9 +7,9 @@
 namespace vanillalatch::internal {
 namespace {
 
-// A VM that has just started declines for two seconds; asked this often, it is
-// used soon after.
-constexpr Duration kDeclinePause = std::chrono::milliseconds(500);
+// A VM that has just started declines for 50 ms to two seconds; asked this
+// often, it is used soon after.
+constexpr Duration kDeclinePause = std::chrono::milliseconds(100);
 // Ranks of dispatchers that are tried before this VM places alone.
 constexpr std::size_t kDispatcherRanks = 3;
 
--- a/src/packetflow/flow_dispatcher.cc
+++ b/src/packetflow/flow_dispatcher.cc
@@ -182,7 +182,7 @@
   std::map<EndpointId, std::vector<FlowId>> unanswered;
   for (const auto& [id, it] : flows_) {
     if (it.placed && !it.seen && it.opening.watched &&
-        silence_.Unanswered(now, it.endpoint, it.sent_at)) {
+        silence_.Unanswered(now, it.endpoint, it.opening.service, it.sent_at)) {
       unanswered[it.endpoint].push_back(id);
     }
   }
--- a/src/packetflow/flow_dispatcher_impl.h
+++ b/src/packetflow/flow_dispatcher_impl.h
@@ -38,6 +38,9 @@
   void Open(TimePoint now, FlowOpening opening, FlowActions& actions) override;
   void Seen(TimePoint now, const FlowNews& news, const EstablishedFlow& flow,
             FlowActions& actions) override;
+  void OnDispatcherChanged(TimePoint now, ServiceId service) override {
+    silence_.OnDispatcherChanged(now, service);
+  }
   void Unwatch(ServiceId service) override;
   void End(TimePoint now, FlowId id, bool given_up,
            FlowActions& actions) override;
--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -6,6 +6,7 @@
 
 #include "src/packetflow/flow_messages.h"
 #include "src/packetflow/flow_node_impl.h"
+#include "vanillalatch/placement/rendezvous.h"
 
 namespace vanillalatch {
 namespace internal {
@@ -85,7 +86,7 @@
   }
   const EstablishedFlow open{target.service, route.work_class, route.timeout,
                              target.endpoint};
-  const NodeId to = DispatcherFor(now, target.service);
+  const NodeId to = PlacerOf(now, news->id, target.service);
   if (dispatcher_->Knows(news->id) || to == self()) {
     dispatcher_->Seen(now, *news, open, actions_);
     return;
@@ -103,6 +104,17 @@
   }
 }
 
+NodeId FlowNodeImpl::PlacerOf(TimePoint now, FlowId id,
+                              ServiceId service) const {
+  const std::optional<NodeId> placer = watch_.PlacerOf(id);
+  const std::span<const Member> members = peers_->members().members();
+  const bool there =
+      placer && std::any_of(members.begin(), members.end(), [&](auto& it) {
+        return it.id == *placer && it.state != MemberState::kDead;
+      });
+  return there ? *placer : DispatcherFor(now, service);
+}
+
 void FlowNodeImpl::OnSeen(TimePoint now, const pb::FlowSeen& message) {
   const FlowNews news{FlowId(message.id()), message.requests(),
                       message.answered()};
@@ -121,12 +133,12 @@
 void FlowNodeImpl::EndFlow(TimePoint now, const FlowPacket& packet,
                            ServiceId service) {
   const FlowId id = packet.id();
+  const NodeId to = PlacerOf(now, id, service);
   watch_.Forget(id);
   if (dispatcher_->Knows(id)) {
     dispatcher_->End(now, id, packet.aborts, actions_);
     return;
   }
-  const NodeId to = DispatcherFor(now, service);
   if (to != self()) {
     pb::FlowEnd& message = *MessageTo(to).add_ends();
     message.set_id(id.value());
@@ -177,6 +189,7 @@
   UpdateEndpoints(now);
   if (peers_->members().version() != members_version_) {
     members_version_ = peers_->members().version();
+    NoteDispatchers(now);
     MoveWaiting(now);
   }
   RetryAsked(now);
@@ -213,6 +226,18 @@
   }
 }
 
+void FlowNodeImpl::NoteDispatchers(TimePoint now) {
+  for (const ServiceId it : routes_.services()) {
+    const NodeId first =
+        DispatcherOf(it, peers_->members().members(), 0).value_or(self());
+    const auto [known, added] = first_dispatchers_.try_emplace(it, first);
+    if (added || known->second != first) {
+      known->second = first;
+      dispatcher_->OnDispatcherChanged(now, it);
+    }
+  }
+}
+
 TimePoint FlowNodeImpl::NextWake() const {
   TimePoint wake = std::min(peers_->NextWake(), dispatcher_->NextWake());
   for (const auto& [id, it] : asked_) {
--- a/src/packetflow/flow_node_impl.h
+++ b/src/packetflow/flow_node_impl.h
@@ -65,6 +65,9 @@
   NodeId DispatcherFor(TimePoint now, ServiceId service) const {
     return choice_.For(now, service, peers_->members().members(), self());
   }
+  // The VM that placed the flow, as far as this one knows; else the one that
+  // would place it now.
+  NodeId PlacerOf(TimePoint now, FlowId id, ServiceId service) const;
   // Places the opening here, or has another VM do so.
   void Direct(TimePoint now, FlowOpening opening);
   void HandOver(TimePoint now, FlowOpening opening, NodeId to);
@@ -82,6 +85,7 @@
   void OnTaken(TimePoint now, NodeId from, const pb::FlowTaken& message);
   void NoteSettled(TimePoint now);
   void UpdateEndpoints(TimePoint now);
+  void NoteDispatchers(TimePoint now);
   // Services whose dispatcher is another VM now: what waits goes there.
   void MoveWaiting(TimePoint now);
   NodeId self() const { return peers_->members().self(); }
@@ -98,6 +102,7 @@
   std::map<FlowId, Asked> asked_;
   std::map<FlowId, Parked> parked_;
   DispatcherChoice choice_;
+  std::map<ServiceId, NodeId> first_dispatchers_;  // Rank 0 as last known.
   // Every service has had an endpoint since then.
   std::optional<TimePoint> complete_since_;
   bool settled_ = false;
--- a/src/packetflow/flow_openings.cc
+++ b/src/packetflow/flow_openings.cc
@@ -108,6 +108,7 @@
   FlowOpening opening = std::move(it->second.opening);
   asked_.erase(it);
   if (!message.declined()) {
+    watch_.OnPlaced(opening.id, from);
     return;
   }
   choice_.OnDeclined(now, from);
--- a/src/packetflow/flow_watch.cc
+++ b/src/packetflow/flow_watch.cc
@@ -50,11 +50,26 @@
   return news;
 }
 
+std::optional<NodeId> FlowWatch::PlacerOf(FlowId id) const {
+  for (const auto* it : {&placers_, &placers_before_}) {
+    const auto found = it->find(id);
+    if (found != it->end()) {
+      return found->second;
+    }
+  }
+  return std::nullopt;
+}
+
 void FlowWatch::Forget(FlowId id) {
   flows_.erase(id);
   before_.erase(id);
+  placers_.erase(id);
+  placers_before_.erase(id);
 }
 
-void FlowWatch::NextGeneration() { before_ = std::exchange(flows_, {}); }
+void FlowWatch::NextGeneration() {
+  before_ = std::exchange(flows_, {});
+  placers_before_ = std::exchange(placers_, {});
+}
 
 }  // namespace vanillalatch
--- a/src/packetflow/flow_world_test.cc
+++ b/src/packetflow/flow_world_test.cc
@@ -102,6 +102,11 @@
   }
 }
 
+void FlowWorld::GiveEndpoints(std::size_t vm) {
+  vms_[vm]->OnEndpoints(now_, control_->registry().Leases(now_), true);
+  CarryOut(vm);
+}
+
 FlowWorld::FakeEndpoint& FlowWorld::AddEndpoint(
     const std::string& name, const std::string& service,
     const std::string& data_center) {
--- a/src/packetflow/peer_node.cc
+++ b/src/packetflow/peer_node.cc
@@ -55,9 +55,22 @@
     ++malformed_;
     return nullptr;
   }
+  NoteStranger(from);
   return &incoming_.flow();
 }
 
+void PeerNode::NoteStranger(SocketAddress from) {
+  const std::span<const Member> all = members_->members();
+  const bool known = std::any_of(all.begin(), all.end(), [&](const Member& m) {
+    return m.id == sender();
+  });
+  if (known) {
+    strangers_.erase(sender());
+  } else if (strangers_.size() < kMostStrangers) {
+    strangers_[sender()] = from;
+  }
+}
+
 bool PeerNode::HearsNobody(TimePoint now) const {
   return last_heard_ && now > *last_heard_ + kAloneAfter;
 }
@@ -83,16 +96,18 @@
   const std::span<const Member> all = members_->members();
   const auto it = std::find_if(all.begin(), all.end(),
                                [&](const Member& m) { return m.id == to; });
-  if (it == all.end()) {
+  const auto stranger = strangers_.find(to);
+  if (it == all.end() && stranger == strangers_.end()) {
     return;
   }
+  const SocketAddress address = it == all.end() ? stranger->second : it->peer;
   pb::PeerDatagram datagram;
   datagram.set_from(members_->self().value());
   datagram.set_incarnation(incarnation_);
   *datagram.mutable_flow() = message;
   const std::size_t n = datagram.ByteSizeLong();
   datagram.SerializeWithCachedSizesToArray(
-      out.Reserve(SocketRole::kPeer, it->peer, n).data());
+      out.Reserve(SocketRole::kPeer, address, n).data());
 }
 
 void PeerNode::Leave(TimePoint now, Outbox& out) {
--- a/src/packetflow/silence_watch.cc
+++ b/src/packetflow/silence_watch.cc
@@ -41,7 +41,11 @@
 }
 
 bool SilenceWatch::Unanswered(TimePoint now, EndpointId endpoint,
-                              TimePoint sent_at) const {
+                              ServiceId service, TimePoint sent_at) const {
+  const auto doubted = views_differ_until_.find(service);
+  if (doubted != views_differ_until_.end() && sent_at < doubted->second) {
+    return false;
+  }
   const auto it = endpoints_.find(endpoint);
   // A flow sent later was answered: only this one's packet was lost.
   const bool overtaken =
--- a/src/packetflow/silence_watch.h
+++ b/src/packetflow/silence_watch.h
@@ -29,6 +29,11 @@
  public:
   // Notices pauses of this VM, after which its silence says nothing.
   void OnTick(TimePoint now);
+  // Another VM dispatches the service, or this one does now. Until all VMs know
+  // it, some tell another VM of flows that this one has placed.
+  void OnDispatcherChanged(TimePoint now, ServiceId service) {
+    views_differ_until_[service] = now + kViewsDiffer;
+  }
   // A caller went on this long after its opening packet was sent.
   void OnHandshake(TimePoint now, Duration handshake) {
     handshake_.Add(now, handshake);
@@ -40,7 +45,8 @@
   // How long a flow may wait for its endpoint.
   Duration Limit(TimePoint now) const;
   // True if a flow that was sent then has waited for too long.
-  bool Unanswered(TimePoint now, EndpointId endpoint, TimePoint sent_at) const;
+  bool Unanswered(TimePoint now, EndpointId endpoint, ServiceId service,
+                  TimePoint sent_at) const;
   enum class Verdict : std::uint8_t { kNotYet, kFound, kKnown };
   // Whether the endpoint is silent: found now, or known before.
   Verdict Judge(TimePoint now, EndpointId endpoint, ServiceId service,
@@ -53,6 +59,9 @@
  private:
   // Handshakes that the usual time is taken from.
   static constexpr std::uint64_t kHandshakeSmoothing = 64;
+  // News of a member reaches every VM within this time, some probe intervals
+  // of membership.
+  static constexpr Duration kViewsDiffer = std::chrono::milliseconds(300);
 
   struct State {
     ServiceId service;
@@ -62,6 +71,7 @@
   };
 
   std::map<EndpointId, State> endpoints_;
+  std::map<ServiceId, TimePoint> views_differ_until_;
   AnswerTime handshake_{kHandshakeSmoothing};
   TimePoint last_tick_{};
   TimePoint heard_since_{};  // Without a pause of this VM.
