Log each decision about a flow, without waiting for the log's reader

Cause: of a flow that was placed, moved, given up or not heard of there was no line, and log lines were written by the thread that carries packets: a reader that stops reading would have stopped the VM. Ruled out: log4cplus' own queue, which waits when it is full. FlowOpening carries the caller's address.

--- a/include/vanillalatch/packetflow/flow_dispatcher.h
+++ b/include/vanillalatch/packetflow/flow_dispatcher.h
@@ -27,6 +27,7 @@
 
 struct FlowOpening {
   FlowId id;
+  SocketAddress caller;
   SocketAddress route;  // That the caller opened it to.
   ServiceId service;
   ClassId work_class;
@@ -70,7 +71,29 @@
   Duration limit{};            // For which they had waited.
 };
 
+// What was decided about a flow or found out of it, for the log.
+struct FlowNote {
+  enum class Kind : std::uint8_t {
+    kPlaced,
+    kMoved,    // Placed elsewhere: `from` did not answer.
+    kGivenUp,  // The caller gave up.
+    kUnheard,  // Its time is over, and nobody has told of its end.
+  };
+  Kind kind = Kind::kPlaced;
+  SocketAddress caller;
+  SocketAddress route;
+  std::uint32_t sequence = 0;
+  std::uint32_t copy = 0;
+  EndpointId endpoint;     // 0: it still waited for a slot.
+  EndpointId from;         // kMoved
+  Duration elapsed{};      // Since it began to wait; of a placed one, since
+                           // its opening packet was sent to the endpoint.
+  bool answered = false;   // The endpoint has accepted it.
+  bool requested = false;  // The caller has sent a request on it.
+};
+
 struct FlowActions {
+  std::vector<FlowNote> notes;
   std::vector<FlowPlacement> placements;
   std::vector<FlowRefusal> refusals;
   std::vector<EndpointSilence> silences;
--- a/include/vanillalatch/packetflow/flow_node.h
+++ b/include/vanillalatch/packetflow/flow_node.h
@@ -42,7 +42,23 @@
   const FlowTarget* target = nullptr;  // kForward
 };
 
+// What an ingress decided about an opening packet, for the log.
+struct IngressNote {
+  enum class Kind : std::uint8_t {
+    kDispatcherSilent,  // It did not answer; this VM places the flow.
+    kDeclined,          // The dispatcher knows too little to place it yet.
+    kParked,            // This VM knows too little; the packet waits.
+  };
+  Kind kind = Kind::kParked;
+  SocketAddress caller;
+  SocketAddress route;
+  std::uint32_t sequence = 0;
+  NodeId dispatcher;  // 0: none was asked.
+};
+
 struct FlowNodeActions {
+  std::vector<FlowNote> flow_notes;
+  std::vector<IngressNote> ingress_notes;
   struct Place {
     FlowTarget target;   // Its cookie is to be written into the packet.
     std::string packet;  // An opening packet.
--- a/include/vanillalatch/runtime/flow_shell.h
+++ b/include/vanillalatch/runtime/flow_shell.h
@@ -74,6 +74,8 @@
   void LogMalformed(SocketAddress from, std::size_t bytes);
   void LogSilence(const EndpointSilence& silence);
   void LogRefusal(const FlowPacket& packet, const FlowRefusal& refusal);
+  // A packet that was answered with a reset, as no route is known, or dropped.
+  void LogNotForwarded(const FlowPacket& packet, bool reset);
   // Where a caller takes packets.
   SocketAddress CallerAddress(const FlowPacket& packet) const {
     return {packet.caller.ip, packet_port_};
@@ -83,9 +85,18 @@
 
  private:
   struct Link;
-  // Refused flows logged a second: enough to see every cause, and less than a
-  // hundredth of a small VM's processor.
-  static constexpr std::uint32_t kRefusalLines = 20;
+  // Refused flows logged a second: those of a busy service in trouble, at 20 us
+  // each.
+  static constexpr std::uint32_t kRefusalLines = 100;
+  // Ordinary decisions: those of a busy service, at 15 us a line less than 1 %
+  // of a processor.
+  static constexpr std::uint32_t kPlacedLines = 300;
+  // Flows that were moved, given up or not heard of: a data centre's worth.
+  static constexpr std::uint32_t kLossLines = 100;
+  // Openings that this VM could not have placed as usual, and packets that it
+  // dropped: enough to see every cause.
+  static constexpr std::uint32_t kIngressLines = 20;
+  static constexpr std::uint32_t kDroppedLines = 20;
   // Whoever sends noise is to be seen, not to fill the log.
   static constexpr std::uint32_t kMalformedLines = 1;
   // Often enough to see in a log when something began.
@@ -93,6 +104,10 @@
   // A whole data centre of endpoints may fall silent at once.
   static constexpr std::uint32_t kSilenceLines = 20;
 
+  void LogNote(const FlowNote& note);
+  void LogNote(const IngressNote& note);
+  std::string NameOf(EndpointId id) const;
+  std::string NameOf(NodeId id) const;
   void ServePackets(FdWaiter& waiter);
   void ServePeers(FdWaiter& waiter);
   void RunTimer();
@@ -113,6 +128,10 @@
   bool stopped_ = false;
   TimePoint summary_due_{};
   LogBudget refusal_lines_{kRefusalLines};
+  LogBudget placed_lines_{kPlacedLines};
+  LogBudget loss_lines_{kLossLines};
+  LogBudget ingress_lines_{kIngressLines};
+  LogBudget dropped_lines_{kDroppedLines};
   LogBudget malformed_lines_{kMalformedLines};
   LogBudget silence_lines_{kSilenceLines};
 };
@@ -163,6 +182,9 @@
                             {start, bytes.size() + Codec::kPrefixBytes});
     } else if (verdict.kind == FlowVerdict::Kind::kReset) {
       SendReset(*packet);
+      LogNotForwarded(*packet, true);
+    } else if (verdict.kind == FlowVerdict::Kind::kDrop) {
+      LogNotForwarded(*packet, false);
     }
   }
 
--- a/include/vanillalatch/telemetry/log.h
+++ b/include/vanillalatch/telemetry/log.h
@@ -10,8 +10,8 @@
 //   {"time":"2026-01-02T03:04:05.678901Z","level":"info",
 //    "vm":"entry-north-1","event":"catalog_in_force","revision":7}
 //
-// Every function may be called by every thread. Events before StartLogging()
-// are dropped.
+// Every function may be called by every thread; StartLogging() by one at a
+// time. Events before StartLogging() are dropped.
 #ifndef VANILLALATCH_TELEMETRY_LOG_H_
 #define VANILLALATCH_TELEMETRY_LOG_H_
 
@@ -69,7 +69,12 @@
 void StartLogging(std::string_view level, const std::string& file,
                   std::string_view vm);
 
-// Writes one event. `event` is a stable name in lower case with underscores.
+// Waits until what was logged is written, for a fifth of a second at most.
+void FlushLog();
+
+// Writes one event, without waiting for whoever reads the log: lines that the
+// reader is too slow for are left out, ordinary ones first, and counted.
+// `event` is a stable name in lower case with underscores.
 void LogEvent(LogLevel level, std::string_view event,
               std::initializer_list<LogField> fields = {});
 
--- a/src/packetflow/flow_dispatcher.cc
+++ b/src/packetflow/flow_dispatcher.cc
@@ -57,6 +57,8 @@
   flow.requested = false;
   flow.work = RequestId(++last_work_);
   flow.placed = false;
+  flow.submitted_at = now;
+  flow.moved_from = avoid.value_or(EndpointId{});
   flow.expires = now + flow.opening.timeout;
   by_work_[flow.work] = flow.opening.id;
   Work work;
@@ -113,6 +115,25 @@
   }
 }
 
+void FlowDispatcherImpl::Note(FlowNote::Kind kind, const Flow& flow,
+                              Duration elapsed, FlowActions& actions) {
+  if (flow.opening.caller == SocketAddress{}) {
+    return;  // Another VM placed it and knows it by its addresses.
+  }
+  FlowNote note;
+  note.kind = kind;
+  note.caller = flow.opening.caller;
+  note.route = flow.opening.route;
+  note.sequence = flow.opening.sequence;
+  note.copy = flow.opening.copy;
+  note.endpoint = flow.placed ? flow.endpoint : EndpointId{};
+  note.from = flow.moved_from;
+  note.elapsed = elapsed;
+  note.answered = flow.seen;
+  note.requested = flow.requested;
+  actions.notes.push_back(note);
+}
+
 void FlowDispatcherImpl::Seen(TimePoint now, const FlowNews& news,
                               const EstablishedFlow& open,
                               FlowActions& actions) {
@@ -233,6 +254,10 @@
   if (flow.placed && !given_up) {
     NoteAnswer(flow, actions);
   }
+  if (given_up) {
+    Note(FlowNote::Kind::kGivenUp, flow,
+         now - (flow.placed ? flow.sent_at : flow.submitted_at), actions);
+  }
   Release(now, flow,
           given_up ? WorkOutcome::kCancelled : WorkOutcome::kAnswered);
   CarryOut(now, actions);
@@ -295,7 +320,10 @@
             [](const Flow& a, const Flow& b) { return a.work < b.work; });
   std::sort(unused.begin(), unused.end());
   for (const Flow& it : expired) {
-    counters_.expired += it.idle ? 0 : 1;
+    if (!it.idle) {
+      ++counters_.expired;
+      Note(FlowNote::Kind::kUnheard, it, now - it.sent_at, actions);
+    }
     Release(
         now, it,
         it.opening.copy > 0 ? WorkOutcome::kTimedOut : WorkOutcome::kCancelled);
@@ -329,6 +357,9 @@
       flow.sent_at = now;
       flow.expires = now + flow.opening.timeout;
       actions.placements.push_back({it.endpoint, flow.opening.packet});
+      Note(flow.moved_from == EndpointId{} ? FlowNote::Kind::kPlaced
+                                           : FlowNote::Kind::kMoved,
+           flow, now - flow.submitted_at, actions);
       continue;
     }
     ++counters_.refused;
--- a/src/packetflow/flow_dispatcher_impl.h
+++ b/src/packetflow/flow_dispatcher_impl.h
@@ -57,7 +57,9 @@
     RequestId work;  // Differs each time the flow is submitted.
     bool placed = false;
     EndpointId endpoint;
-    TimePoint sent_at;  // The last copy of its opening packet.
+    EndpointId moved_from;   // 0: it was placed once.
+    TimePoint submitted_at;  // It waits for a slot since then.
+    TimePoint sent_at;       // The last copy of its opening packet.
     bool seen = false;
     TimePoint seen_at;
     bool requested = false;
@@ -77,6 +79,8 @@
   // The flow's caller sends another request.
   void TakeSlot(TimePoint now, Flow& flow);
   void NoteAnswer(const Flow& flow, FlowActions& actions);
+  static void Note(FlowNote::Kind kind, const Flow& flow, Duration elapsed,
+                   FlowActions& actions);
   // Finds endpoints that answer nobody and moves their flows elsewhere.
   void ReviewSilence(TimePoint now, FlowActions& actions);
   void ExpireFlows(TimePoint now, FlowActions& actions);
--- a/src/packetflow/flow_messages.cc
+++ b/src/packetflow/flow_messages.cc
@@ -24,6 +24,7 @@
   message.set_copy(opening.copy);
   message.set_data_center(opening.data_center);
   message.set_packet(opening.packet);
+  message.set_caller(opening.caller.Packed());
   return message;
 }
 
@@ -38,6 +39,7 @@
   opening.copy = message.copy();
   opening.data_center = message.data_center();
   opening.packet = message.packet();
+  opening.caller = SocketAddress::FromPacked(message.caller());
   return opening;
 }
 
--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -267,6 +267,8 @@
   }
   actions.refusals = std::move(actions_.refusals);
   actions.silences = std::move(actions_.silences);
+  actions.flow_notes = std::move(actions_.notes);
+  actions.ingress_notes = std::exchange(ingress_notes_, {});
   actions_ = {};
   return actions;
 }
--- a/src/packetflow/flow_node_impl.h
+++ b/src/packetflow/flow_node_impl.h
@@ -59,6 +59,11 @@
     TimePoint due;
   };
 
+  void Note(IngressNote::Kind kind, const FlowOpening& opening,
+            NodeId dispatcher) {
+    ingress_notes_.push_back(
+        {kind, opening.caller, opening.route, opening.sequence, dispatcher});
+  }
   void OpenFlow(TimePoint now, const FlowRoute& route, const FlowPacket& packet,
                 ByteSpan bytes);
   // The VM that places a service's flows; this one if no other is in reach.
@@ -111,6 +116,7 @@
   TimePoint generation_due_{};
   TimePoint forget_due_{};
   FlowActions actions_;
+  std::vector<IngressNote> ingress_notes_;
   FlowNodeCounters counters_;
 };
 
--- a/src/packetflow/flow_openings.cc
+++ b/src/packetflow/flow_openings.cc
@@ -21,6 +21,7 @@
                             const FlowPacket& packet, ByteSpan bytes) {
   FlowOpening opening;
   opening.id = packet.id();
+  opening.caller = packet.caller;
   opening.route = packet.route;
   opening.service = route.ServiceFor(opening.id);
   opening.work_class = route.work_class;
@@ -38,6 +39,7 @@
   }
   if (!settled_) {
     ++counters_.parked;
+    Note(IngressNote::Kind::kParked, opening, NodeId{});
     const FlowId id = opening.id;
     parked_[id] = {std::move(opening), now + kParkTime};
     return;
@@ -112,6 +114,7 @@
     return;
   }
   choice_.OnDeclined(now, from);
+  Note(IngressNote::Kind::kDeclined, opening, from);
   Direct(now, std::move(opening));
 }
 
@@ -138,6 +141,8 @@
       continue;
     }
     choice_.OnSilent(it->second.dispatcher);
+    Note(IngressNote::Kind::kDispatcherSilent, it->second.opening,
+         it->second.dispatcher);
     overdue.push_back(std::move(it->second.opening));
     it = asked_.erase(it);
   }
--- a/src/runtime/flow_shell.cc
+++ b/src/runtime/flow_shell.cc
@@ -176,6 +176,83 @@
             {"expired", placed.expired}});
 }
 
+std::string FlowShellCore::NameOf(EndpointId id) const {
+  const Endpoint* endpoint = node_->peers().registry().Find(id);
+  // Forgotten since: the id is all that is left.
+  return endpoint == nullptr ? std::to_string(id.value()) : endpoint->name;
+}
+
+std::string FlowShellCore::NameOf(NodeId id) const {
+  for (const Member& it : node_->peers().members().members()) {
+    if (it.id == id) {
+      return it.name;
+    }
+  }
+  return id == NodeId{} ? "" : std::to_string(id.value());
+}
+
+void FlowShellCore::LogNote(const FlowNote& note) {
+  struct Row {
+    std::string_view event;
+    LogLevel level;
+  };
+  static constexpr Row kRows[] = {{"flow_placed", LogLevel::kInfo},
+                                  {"flow_moved", LogLevel::kWarn},
+                                  {"flow_given_up", LogLevel::kWarn},
+                                  {"flow_unheard", LogLevel::kWarn}};
+  const Row& row = kRows[static_cast<std::size_t>(note.kind)];
+  LogBudget& budget =
+      note.kind == FlowNote::Kind::kPlaced ? placed_lines_ : loss_lines_;
+  if (!budget.Take(Now())) {
+    return;
+  }
+  LogEvent(
+      row.level, row.event,
+      {{"caller", note.caller.ToString()},
+       {"route", note.route.ToString()},
+       {"sequence", note.sequence},
+       {"endpoint",
+        note.endpoint == EndpointId{} ? std::string() : NameOf(note.endpoint)},
+       {"from", note.from == EndpointId{} ? std::string() : NameOf(note.from)},
+       {"elapsed_ms", ToMilliseconds(note.elapsed)},
+       {"copy", note.copy},
+       {"answered", note.answered},
+       {"requested", note.requested},
+       {"revision", node_->revision()},
+       {"left_out", budget.TakeLeftOut()}});
+}
+
+void FlowShellCore::LogNote(const IngressNote& note) {
+  static constexpr std::string_view kEvents[] = {
+      "dispatcher_silent", "dispatcher_declined", "opening_parked"};
+  if (!ingress_lines_.Take(Now())) {
+    return;
+  }
+  LogEvent(LogLevel::kWarn, kEvents[static_cast<std::size_t>(note.kind)],
+           {{"caller", note.caller.ToString()},
+            {"route", note.route.ToString()},
+            {"sequence", note.sequence},
+            {"dispatcher", NameOf(note.dispatcher)},
+            {"revision", node_->revision()},
+            {"endpoints", node_->endpoints()},
+            {"left_out", ingress_lines_.TakeLeftOut()}});
+}
+
+void FlowShellCore::LogNotForwarded(const FlowPacket& packet, bool reset) {
+  if (!dropped_lines_.Take(Now())) {
+    return;
+  }
+  LogEvent(LogLevel::kWarn, reset ? "route_unknown" : "packet_dropped",
+           {{"caller", packet.caller.ToString()},
+            {"route", packet.route.ToString()},
+            {"sequence", packet.sequence},
+            {"opens", packet.opens},
+            {"cookie", packet.cookie.value()},
+            {"revision", node_->revision()},
+            {"endpoints", node_->endpoints()},
+            {"left_out", dropped_lines_.TakeLeftOut()}});
+}
+
 void FlowShellCore::LogMalformed(SocketAddress from, std::size_t bytes) {
   if (malformed_lines_.Take(Now())) {
     LogEvent(LogLevel::kWarn, "packet_malformed",
@@ -214,6 +291,12 @@
   for (const EndpointSilence& it : actions.silences) {
     LogSilence(it);
   }
+  for (const FlowNote& it : actions.flow_notes) {
+    LogNote(it);
+  }
+  for (const IngressNote& it : actions.ingress_notes) {
+    LogNote(it);
+  }
   sockets_.packets.Flush();
   node_->Finish(now, out_);
   sockets_.peers.SendAll(out_);
--- a/src/runtime/serve.cc
+++ b/src/runtime/serve.cc
@@ -144,6 +144,7 @@
   }
   Publish(publisher, entry.get(), control.get(), *doors);
   LogEvent(LogLevel::kInfo, "stopped");
+  FlushLog();
   // Sockets and open calls end with the process; fibers that still wait for
   // them are not resumed.
   std::_Exit(0);
--- a/src/telemetry/log.cc
+++ b/src/telemetry/log.cc
@@ -1,21 +1,24 @@
 #include "vanillalatch/telemetry/log.h"
 
-#include <log4cplus/consoleappender.h>
-#include <log4cplus/fileappender.h>
+#include <fcntl.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/spi/loggingevent.h>
+#include <sys/stat.h>
+#include <unistd.h>
 
 #include <array>
 #include <atomic>
 #include <chrono>
 #include <cstdio>
 #include <ctime>
-#include <fstream>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <sstream>
 
+#include "src/telemetry/log_queue.h"
 #include "vanillalatch/base/error.h"
 #include "vanillalatch/telemetry/trace.h"
 
@@ -24,6 +27,10 @@
 
 using Json = nlohmann::ordered_json;
 
+// A stop waits this long for whoever reads the log: a small part of the time
+// that machines give a process to stop.
+constexpr std::chrono::milliseconds kLongestFlush{200};
+
 struct LevelRow {
   LogLevel level;
   std::string_view name;
@@ -96,17 +103,54 @@
   return logger;
 }
 
-log4cplus::SharedAppenderPtr OpenAppender(const std::string& file) {
+// The queue of the log as it was opened last. Never destroyed: threads may log
+// until the process ends.
+std::shared_ptr<internal::LogQueue>& Queue() {
+  static auto* queue = new std::shared_ptr<internal::LogQueue>();
+  return *queue;
+}
+
+std::string LeftOutLine(std::string_view vm, std::uint64_t count) {
+  const Json line = {{"time", UtcText(log4cplus::helpers::now())},
+                     {"level", "warn"},
+                     {"vm", std::string(vm)},
+                     {"event", "log_lines_left_out"},
+                     {"count", count},
+                     {"reason", "the reader of the log is slower than it"}};
+  return Dump(line) + "\n";
+}
+
+// Formats an event and puts it into the queue.
+class QueueAppender : public log4cplus::Appender {
+ public:
+  explicit QueueAppender(std::shared_ptr<internal::LogQueue> queue)
+      : queue_(std::move(queue)) {}
+  ~QueueAppender() override { destructorImpl(); }
+
+  void close() override { closed = true; }
+
+ protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+    std::ostringstream line;
+    layout->formatAndAppend(line, event);
+    queue_->Push(line.str(), event.getLogLevel() >= log4cplus::WARN_LOG_LEVEL);
+  }
+
+ private:
+  std::shared_ptr<internal::LogQueue> queue_;
+};
+
+// Standard output, or the file.
+int OpenSink(const std::string& file) {
   if (file.empty()) {
-    return log4cplus::SharedAppenderPtr(
-        new log4cplus::ConsoleAppender(/*logToStdErr=*/false,
-                                       /*immediateFlush=*/true));
+    return STDOUT_FILENO;
   }
-  if (!std::ofstream(file, std::ios::app)) {
+  const int fd = open(file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
+                      S_IRUSR | S_IWUSR | S_IRGRP | S_IROTH);
+  if (fd < 0) {
     throw Error(ErrorKind::kStorage, file + ": can't be written");
   }
-  return log4cplus::SharedAppenderPtr(
-      new log4cplus::FileAppender(file, std::ios::app));
+  return fd;
 }
 
 }  // namespace
@@ -126,15 +170,27 @@
                 "unknown log level \"" + std::string(level) + "\"");
   }
   log4cplus::Logger& logger = ProcessLogger();
-  log4cplus::SharedAppenderPtr appender = OpenAppender(file);
+  const auto queue = std::make_shared<internal::LogQueue>(
+      OpenSink(file), [name = std::string(vm)](std::uint64_t count) {
+        return LeftOutLine(name, count);
+      });
+  log4cplus::SharedAppenderPtr appender(new QueueAppender(queue));
   appender->setLayout(std::make_unique<JsonLineLayout>(vm));
   logger.removeAllAppenders();
   logger.addAppender(appender);
   logger.setLogLevel(row->library_level);
   logger.setAdditivity(false);
+  FlushLog();
+  Queue() = queue;
   Started().store(true);
 }
 
+void FlushLog() {
+  if (Queue() != nullptr) {
+    Queue()->Flush(kLongestFlush);
+  }
+}
+
 void LogEvent(LogLevel level, std::string_view event,
               std::initializer_list<LogField> fields) {
   const log4cplus::LogLevel library_level =
--- a/src/telemetry/log_test.cc
+++ b/src/telemetry/log_test.cc
@@ -1,13 +1,17 @@
 #include "vanillalatch/telemetry/log.h"
 
+#include <fcntl.h>
 #include <unistd.h>
 
+#include <array>
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <vector>
 
+#include "src/telemetry/log_queue.h"
 #include "vanillalatch/base/error.h"
 
 namespace vanillalatch {
@@ -25,6 +29,7 @@
 
   std::string path() const { return path_; }
   std::vector<Json> Lines() const {
+    FlushLog();
     std::ifstream file(path_);
     std::vector<Json> lines;
     for (std::string line; std::getline(file, line);) {
@@ -80,5 +85,48 @@
   CHECK_THROWS_AS(StartLogging("info", "/nonexistent/folder/log", "vm"), Error);
 }
 
+// A pipe whose reader has stopped reading.
+class FullPipe {
+ public:
+  FullPipe() {
+    REQUIRE(pipe2(ends_.data(), O_CLOEXEC) == 0);
+    fcntl(ends_[1], F_SETPIPE_SZ, 4096);
+  }
+  ~FullPipe() { close(ends_[0]); }
+  int writing_end() const { return ends_[1]; }
+  std::string Read() {
+    std::string text(1 << 20, 0);
+    const ssize_t n = read(ends_[0], text.data(), text.size());
+    text.resize(n < 0 ? 0 : static_cast<std::size_t>(n));
+    return text;
+  }
+
+ private:
+  std::array<int, 2> ends_{};
+};
+
+TEST_CASE("a reader that stops reading holds up nobody", "[telemetry]") {
+  FullPipe pipe;
+  internal::LogQueue queue(pipe.writing_end(), [](std::uint64_t n) {
+    return "left out " + std::to_string(n) + "\n";
+  });
+  const std::string line(99, 'x');
+  const auto begin = std::chrono::steady_clock::now();
+  // Ten times what the queue holds.
+  for (std::size_t n = 0; n < 10 * internal::LogQueue::kMostBytes / 100; ++n) {
+    queue.Push(line + "\n", false);
+  }
+  queue.Push("important\n", true);
+  // Far below what one blocked write would take, which is for ever.
+  CHECK(std::chrono::steady_clock::now() - begin < std::chrono::seconds(1));
+  CHECK(queue.left_out() > 0);
+  std::string text;
+  while (text.find("left out") == std::string::npos) {
+    text += pipe.Read();
+  }
+  // Ordinary lines leave room for those that tell of trouble.
+  CHECK(text.find("important") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace vanillalatch
