Name the cause of a failed flow from the logs of all VMs

Cause: on-call engineers had lines of many VMs and no way from a caller's address to the reason; the list of events stood in a hand-written table.

--- a/src/cli/cli_test.cc
+++ b/src/cli/cli_test.cc
@@ -1,6 +1,8 @@
 // The command line as such, and what it shows of the system.
 #include <catch2/catch.hpp>
 #include <cstdlib>
+#include <filesystem>
+#include <fstream>
 #include <iomanip>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -31,6 +33,10 @@
       {"ctl", "--control", "127.0.0.1:1", "get", "--timeout", "0"},
       {"ctl", "--control", "127.0.0.1:1", "explain", "xyz"},
       {"ctl", "--control", "127.0.0.1:1", "apply", "CMakeLists.txt"},
+      {"logs", "nonsense"},
+      {"logs", "explain", "CMakeLists.txt"},
+      {"logs", "explain", "--flow", "100.64.0.1:4"},
+      {"logs", "explain", "CMakeLists.txt", "--flow", "nowhere"},
   }));
   const Ran ran = Run(arguments);
   CHECK(ran.exit_code == 2);
@@ -45,6 +51,8 @@
                                                  {"check", "-h"},
                                                  {"ctl", "--help"},
                                                  {"ctl", "apply", "--help"},
+                                                 {"logs", "--help"},
+                                                 {"logs", "explain", "-h"},
                                                  {"version"}}));
   const Ran ran = Run(arguments);
   CHECK(ran.exit_code == 0);
@@ -52,6 +60,22 @@
   CHECK(ran.err.empty());
 }
 
+TEST_CASE("logs explain names the cause and shows the lines", "[cli]") {
+  const std::string path = "build/test-data/explain.jsonl";
+  std::filesystem::create_directories("build/test-data");
+  std::ofstream(path)
+      << "no event\n"
+      << R"({"time":"2026-01-02T03:04:05.000000Z","level":"warn","vm":"front-1",)"
+      << R"("event":"flow_refused","caller":"100.64.0.1:4000",)"
+      << R"("route":"198.18.0.1:443","sequence":7,"kind":"no_endpoint"})"
+      << "\n";
+  const Ran ran = Run({"logs", "explain", path, "--flow", "100.64.0.1:4000"});
+  CHECK(ran.exit_code == 0);
+  CHECK_THAT(ran.out, Contains("cause: no_endpoint"));
+  CHECK_THAT(ran.out, Contains("sequence=7"));
+  CHECK_THAT(ran.err, Contains("1 lines are no events"));
+}
+
 TEST_CASE("without an address, ctl says where to state one", "[cli]") {
   unsetenv("VANILLALATCH_CONTROL");
   const Ran ran = Run({"ctl", "get"});
--- a/src/cli/command_line.cc
+++ b/src/cli/command_line.cc
@@ -18,6 +18,7 @@
 Commands:
   serve --config FILE   Run an entry VM, a control VM or both.
   check FILE...         Check settings and catalog files; change nothing.
+  logs COMMAND          Read what VMs have logged: why did a flow fail?
   ctl COMMAND           Look at the running system and change its catalog.
   version               Print the version.
 
@@ -156,6 +157,9 @@
   if (command == "ctl") {
     return RunCtl(rest, console);
   }
+  if (command == "logs") {
+    return RunLogs(rest, console);
+  }
   if (command == "version" || command == "--version") {
     console.out << "vanillalatch " << VL_VERSION << "\n";
     return 0;
--- a/src/cli/command_line.h
+++ b/src/cli/command_line.h
@@ -1,4 +1,4 @@
-// The command line: `vanillalatch serve|check|ctl|version`.
+// The command line: `vanillalatch serve|check|ctl|logs|version`.
 //
 //   Console console{std::cout, std::cerr};
 //   return RunCommandLine({"check", "vm.json"}, &RunServe, console);
@@ -33,6 +33,9 @@
 // `vanillalatch ctl`, see ctl_command.cc. Throws Error.
 int RunCtl(const std::vector<std::string>& arguments, Console console);
 
+// `vanillalatch logs`, see logs_command.cc. Throws Error.
+int RunLogs(const std::vector<std::string>& arguments, Console console);
+
 }  // namespace vanillalatch
 
 #endif  // VANILLALATCH_SRC_CLI_COMMAND_LINE_H_
--- /dev/null
+++ b/src/cli/logs_command.cc
@@ -0,0 +1,139 @@
+// `vanillalatch logs`: reads what VMs have logged. Needs no running system.
+#include <boost/program_options.hpp>
+#include <fstream>
+#include <iostream>
+
+#include "src/cli/command_line.h"
+#include "vanillalatch/base/error.h"
+#include "vanillalatch/explain/story.h"
+#include "vanillalatch/telemetry/log_events.h"
+
+namespace vanillalatch {
+namespace {
+
+namespace po = boost::program_options;
+
+constexpr std::string_view kUsage =
+    R"(Usage: vanillalatch logs explain FILE... --flow CALLER [OPTIONS]
+       vanillalatch logs events
+
+explain tells what happened to one flow, from the logs of all VMs ("-" reads
+standard input): the cause, what decided, and the lines that tell it, by time.
+events prints the list of log events as a page.
+)";
+
+// Lines of a file; those that are no events are counted.
+void ReadLines(std::istream& file, std::vector<LogLine>& lines,
+               std::size_t& unread) {
+  for (std::string text; std::getline(file, text);) {
+    Result<LogLine> line = LogLine::Parse(text);
+    if (line.ok()) {
+      lines.push_back(std::move(*line));
+    } else if (!text.empty()) {
+      ++unread;
+    }
+  }
+}
+
+std::vector<LogLine> ReadFiles(const std::vector<std::string>& paths,
+                               Console console) {
+  std::vector<LogLine> lines;
+  std::size_t unread = 0;
+  for (const std::string& it : paths) {
+    if (it == "-") {
+      ReadLines(std::cin, lines, unread);
+      continue;
+    }
+    std::ifstream file(it);
+    if (!file) {
+      throw Error(ErrorKind::kNotFound, it + ": can't be read");
+    }
+    ReadLines(file, lines, unread);
+  }
+  if (unread > 0) {
+    console.err << unread << " lines are no events and were left out\n";
+  }
+  return lines;
+}
+
+void Print(const Story& story, Console console) {
+  const FlowCauseRow& row = CauseRowOf(story.cause);
+  console.out << "cause: " << row.name << "\n"
+              << "why: " << story.reason << "\n"
+              << "next: " << row.advice << "\n";
+  for (const LogLine& it : story.lines) {
+    console.out << it.time() << "  " << it.vm() << "  " << it.event() << "  "
+                << it.FieldsText() << "\n";
+  }
+}
+
+po::options_description ExplainOptions() {
+  po::options_description options("Options");
+  options.add_options()("help,h", "Show this text.")(
+      "flow", po::value<std::string>(),
+      "The caller's address and port, A.B.C.D:PORT.")(
+      "route", po::value<std::string>(),
+      "The address and port that it opened the flow to.")(
+      "sequence", po::value<std::uint32_t>(),
+      "The number in its opening packet; else its last flow counts.")(
+      "file", po::value<std::vector<std::string>>(), "Log files.");
+  return options;
+}
+
+int RunExplain(const po::variables_map& values, Console console) {
+  if (!values.contains("flow") || !values.contains("file")) {
+    throw Error(ErrorKind::kInvalidArgument,
+                "expected log files and --flow CALLER");
+  }
+  FlowKey key;
+  key.caller = SocketAddress::Parse(values["flow"].as<std::string>()).value();
+  if (values.contains("route")) {
+    key.route = SocketAddress::Parse(values["route"].as<std::string>()).value();
+  }
+  if (values.contains("sequence")) {
+    key.sequence = values["sequence"].as<std::uint32_t>();
+  }
+  Print(
+      Explain(ReadFiles(values["file"].as<std::vector<std::string>>(), console),
+              key),
+      console);
+  return 0;
+}
+
+}  // namespace
+
+int RunLogs(const std::vector<std::string>& arguments, Console console) {
+  const po::options_description options = ExplainOptions();
+  const bool helps = arguments.empty() || arguments.front() == "--help" ||
+                     arguments.front() == "-h";
+  if (helps) {
+    console.out << kUsage << "\n" << options;
+    return arguments.empty() ? AnswerFor(ErrorKind::kInvalidArgument).exit_code
+                             : 0;
+  }
+  if (arguments.front() == "events") {
+    console.out << LogEventsPage();
+    return 0;
+  }
+  if (arguments.front() != "explain") {
+    throw Error(ErrorKind::kInvalidArgument,
+                "unknown command \"logs " + arguments.front() + "\"");
+  }
+  po::positional_options_description files;
+  files.add("file", -1);
+  po::variables_map values;
+  po::store(po::command_line_parser(std::vector<std::string>(
+                                        arguments.begin() + 1, arguments.end()))
+                .options(options)
+                .positional(files)
+                .run(),
+            values);
+  po::notify(values);
+  if (values.contains("help")) {
+    console.out << kUsage << "\n" << options;
+    return 0;
+  }
+  return RunExplain(values, console);
+}
+
+}  // namespace vanillalatch
