Serve latency histograms, and log what each VM believes of the others

Cause: of a flow's times only totals of events were served, and VMs of a fleet did not log when they took another VM for dead or alive.

--- a/include/vanillalatch/packetflow/flow_dispatcher.h
+++ b/include/vanillalatch/packetflow/flow_dispatcher.h
@@ -92,7 +92,19 @@
   bool requested = false;  // The caller has sent a request on it.
 };
 
+// How long a part of a flow took, for histograms.
+struct FlowTiming {
+  enum class Part : std::uint8_t {
+    kWait,       // For a slot.
+    kHandshake,  // From placing it until the caller went on.
+    kAnswer,     // From placing it until its first answer began to come.
+  };
+  Part part = Part::kWait;
+  Duration duration{};
+};
+
 struct FlowActions {
+  std::vector<FlowTiming> timings;
   std::vector<FlowNote> notes;
   std::vector<FlowPlacement> placements;
   std::vector<FlowRefusal> refusals;
--- a/include/vanillalatch/packetflow/flow_node.h
+++ b/include/vanillalatch/packetflow/flow_node.h
@@ -106,6 +106,9 @@
   // Sends what packets and peers' messages have left to tell others.
   virtual void Finish(TimePoint now, Outbox& out) = 0;
   virtual FlowNodeActions TakeActions() = 0;
+  // What flows placed here took since this was asked last; the latest ones, if
+  // they are many.
+  virtual std::vector<FlowTiming> TakeTimings() = 0;
 
   // Catalog and endpoints are known: callers' packets may come.
   virtual bool Ready() const = 0;
--- a/include/vanillalatch/runtime/flow_shell.h
+++ b/include/vanillalatch/runtime/flow_shell.h
@@ -50,7 +50,7 @@
 
   // Callers' packets may come. Any thread may ask.
   bool Ready() const { return ready_; }
-  const FlowNode& node() const { return *node_; }
+  FlowNode& node() { return *node_; }
 
  protected:
   struct Sockets {
--- a/include/vanillalatch/runtime/serve.h
+++ b/include/vanillalatch/runtime/serve.h
@@ -25,7 +25,7 @@
   // Planned stop; suspends the calling fiber.
   virtual void Stop() = 0;
   // The flows that this VM carries, for its metrics; nullptr: none.
-  virtual const FlowNode* flows() const = 0;
+  virtual FlowNode* flows() = 0;
 };
 
 // `control`: nullptr unless this VM is a control VM of a fleet.
--- a/include/vanillalatch/telemetry/metrics.h
+++ b/include/vanillalatch/telemetry/metrics.h
@@ -50,12 +50,17 @@
   kControlCommitted,  // Gauge, log index.
   kControlLeader,     // Gauge, 1 on the leader.
   kFlowEvents,        // Counter; event.
+  kFlowWait,          // Histogram, seconds.
+  kFlowHandshake,     // Histogram, seconds.
+  kFlowAnswer,        // Histogram, seconds.
 };
 
+enum class MetricKind : std::uint8_t { kGauge, kCounter, kHistogram };
+
 struct MetricRow {
   Metric metric;
   std::string_view name;  // As Prometheus shows it.
-  bool counter;
+  MetricKind kind;
   std::string_view help;
   std::span<const std::string_view> labels;
 };
@@ -87,6 +92,8 @@
   // Brings a counter to a total that somebody else counts. A total that went
   // down was started again from zero.
   void SetTotal(Metric metric, LabelValues labels, double total);
+  // One more sample of a histogram.
+  void Observe(Metric metric, LabelValues labels, double value);
   // Drops every series of a family, for example of endpoints that went away.
   void Clear(Metric metric);
 
--- a/src/packetflow/flow_dispatcher.cc
+++ b/src/packetflow/flow_dispatcher.cc
@@ -150,6 +150,7 @@
     flow.opening.work_class = open.work_class;
     flow.opening.timeout = open.timeout;
     flow.endpoint = open.endpoint;
+    flow.answered = true;  // When it was placed is not known here.
     flow.placed = true;
     flow.seen = true;
     flow.idle = true;
@@ -161,10 +162,16 @@
   if (!std::exchange(flow.seen, true)) {
     flow.seen_at = now;
     silence_.OnHandshake(now, now - flow.sent_at);
+    actions.timings.push_back(
+        {FlowTiming::Part::kHandshake, now - flow.sent_at});
     NoteAnswer(flow, actions);
   }
   flow.requested |= news.requests;
   if (news.answered && !flow.idle) {
+    if (!std::exchange(flow.answered, true)) {
+      actions.timings.push_back(
+          {FlowTiming::Part::kAnswer, now - flow.sent_at});
+    }
     MakeIdle(now, flow, WorkOutcome::kAnswered);
     CarryOut(now, actions);
   } else if (news.requests && flow.idle) {
@@ -357,6 +364,8 @@
       flow.sent_at = now;
       flow.expires = now + flow.opening.timeout;
       actions.placements.push_back({it.endpoint, flow.opening.packet});
+      actions.timings.push_back(
+          {FlowTiming::Part::kWait, now - flow.submitted_at});
       Note(flow.moved_from == EndpointId{} ? FlowNote::Kind::kPlaced
                                            : FlowNote::Kind::kMoved,
            flow, now - flow.submitted_at, actions);
--- a/src/packetflow/flow_dispatcher_impl.h
+++ b/src/packetflow/flow_dispatcher_impl.h
@@ -63,8 +63,9 @@
     bool seen = false;
     TimePoint seen_at;
     bool requested = false;
-    bool idle = false;  // Open, without a slot.
-    TimePoint expires;  // It is forgotten then, whatever was heard.
+    bool answered = false;  // Once at least.
+    bool idle = false;      // Open, without a slot.
+    TimePoint expires;      // It is forgotten then, whatever was heard.
   };
   SlotScheduler& SchedulerOf(ServiceId service);
   void Submit(TimePoint now, Flow& flow, std::optional<EndpointId> avoid,
--- a/src/packetflow/flow_dispatcher_test.cc
+++ b/src/packetflow/flow_dispatcher_test.cc
@@ -38,6 +38,7 @@
     actions_ = {};
     FlowOpening opening;
     opening.id = FlowId(id);
+    opening.caller = SocketAddress{0x64400001U, 4000};
     opening.service = kService;
     opening.work_class = kClass;
     opening.timeout = seconds(1);
@@ -64,9 +65,9 @@
     dispatcher_->Seen(now_, {FlowId(id), requests, answered}, flow, actions_);
   }
 
-  void End(std::uint64_t id) {
+  void End(std::uint64_t id, bool given_up = false) {
     actions_ = {};
-    dispatcher_->End(now_, FlowId(id), false, actions_);
+    dispatcher_->End(now_, FlowId(id), given_up, actions_);
   }
 
   // Ticks each millisecond, as a VM would.
@@ -216,5 +217,41 @@
         ErrorKind::kInvalidArgument);
 }
 
+TEST_CASE("a flow tells what its parts took, and why it ended") {
+  OneEndpoint one;
+  one.Open(1);
+  one.Run(milliseconds(5));
+  one.Tell(1, true, false);
+  REQUIRE(one.actions().timings.size() == 1);
+  CHECK(one.actions().timings[0].part == FlowTiming::Part::kHandshake);
+  CHECK(one.actions().timings[0].duration == milliseconds(5));
+  one.Run(milliseconds(20));
+  one.Tell(1, false, true);
+  REQUIRE(one.actions().timings.size() == 1);
+  CHECK(one.actions().timings[0].part == FlowTiming::Part::kAnswer);
+  CHECK(one.actions().timings[0].duration == milliseconds(25));
+  // Nobody tells of the end of the next one.
+  one.Open(2);
+  REQUIRE(one.actions().notes.size() == 1);
+  CHECK(one.actions().notes[0].kind == FlowNote::Kind::kPlaced);
+  CHECK(one.actions().notes[0].elapsed == Duration::zero());
+  one.Run(milliseconds(1100));
+  REQUIRE(one.actions().notes.size() == 1);
+  CHECK(one.actions().notes[0].kind == FlowNote::Kind::kUnheard);
+  CHECK(one.actions().notes[0].endpoint == EndpointId(7));
+  CHECK_FALSE(one.actions().notes[0].answered);
+}
+
+TEST_CASE("a flow that is given up in the queue has no endpoint") {
+  OneEndpoint one;
+  one.Open(1);
+  one.Open(2);
+  one.Open(3);
+  one.End(3, true);
+  REQUIRE(one.actions().notes.size() == 1);
+  CHECK(one.actions().notes[0].kind == FlowNote::Kind::kGivenUp);
+  CHECK(one.actions().notes[0].endpoint == EndpointId{});
+}
+
 }  // namespace
 }  // namespace vanillalatch
--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -268,6 +268,11 @@
   actions.refusals = std::move(actions_.refusals);
   actions.silences = std::move(actions_.silences);
   actions.flow_notes = std::move(actions_.notes);
+  if (timings_.size() + actions_.timings.size() > kMostTimings) {
+    timings_.clear();
+  }
+  timings_.insert(timings_.end(), actions_.timings.begin(),
+                  actions_.timings.end());
   actions.ingress_notes = std::exchange(ingress_notes_, {});
   actions_ = {};
   return actions;
--- a/src/packetflow/flow_node_impl.h
+++ b/src/packetflow/flow_node_impl.h
@@ -37,6 +37,9 @@
   TimePoint NextWake() const override;
   void Finish(TimePoint now, Outbox& out) override;
   FlowNodeActions TakeActions() override;
+  std::vector<FlowTiming> TakeTimings() override {
+    return std::exchange(timings_, {});
+  }
   bool Ready() const override { return settled_; }
   void BeginStop(TimePoint now, Outbox& out) override;
   std::size_t endpoints() const override { return endpoints_.size(); }
@@ -117,6 +120,9 @@
   TimePoint forget_due_{};
   FlowActions actions_;
   std::vector<IngressNote> ingress_notes_;
+  // Asked for each second; three for each flow of the busiest service.
+  static constexpr std::size_t kMostTimings = 10'000;
+  std::vector<FlowTiming> timings_;
   FlowNodeCounters counters_;
 };
 
--- a/src/runtime/fleet_shell.cc
+++ b/src/runtime/fleet_shell.cc
@@ -102,6 +102,7 @@
   while (!stopped_) {
     wakeup_.SleepUntil(peers_->NextWake());
     peers_->OnTick(Now(), out_);
+    member_log_.Review(Now(), peers_->members());
     KeepEndpoints();
     Flush();
   }
--- a/src/runtime/fleet_shell.h
+++ b/src/runtime/fleet_shell.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "src/runtime/control_shell.h"
+#include "src/runtime/member_log.h"
 #include "vanillalatch/packetflow/peer_node.h"
 #include "vanillalatch/runtime/control_gate.h"
 #include "vanillalatch/runtime/reactor.h"
@@ -61,6 +62,7 @@
   std::unique_ptr<PeerNode> peers_;
   ControlShell& control_;
   boost::fibers::buffered_channel<Job> jobs_;
+  MemberLog member_log_;
   Outbox out_;
   Wakeup wakeup_;
   bool stopped_ = false;
--- a/src/runtime/flow_shell.cc
+++ b/src/runtime/flow_shell.cc
@@ -6,6 +6,7 @@
 
 #include "src/runtime/catalog_follower.h"
 #include "src/runtime/fleet_shell.h"
+#include "src/runtime/member_log.h"
 #include "vanillalatch/runtime/wakeup.h"
 #include "vanillalatch/telemetry/log.h"
 
@@ -17,6 +18,7 @@
 
   CatalogFollower follower;
   Wakeup wakeup;
+  MemberLog member_log;
 };
 
 Result<FlowShellCore::Sockets> FlowShellCore::Bind(const Settings& settings) {
@@ -127,6 +129,7 @@
     link_->wakeup.SleepUntil(node_->NextWake());
     node_->OnTick(Now(), out_);
     Flush();
+    link_->member_log.Review(Now(), node_->peers().members());
     LogSummary();
   }
 }
--- a/src/runtime/publisher.cc
+++ b/src/runtime/publisher.cc
@@ -26,12 +26,6 @@
           space == std::string::npos ? "" : text.substr(space + 1)};
 }
 
-std::string_view MemberStateName(MemberState state) {
-  static constexpr std::string_view kNames[] = {"alive", "suspect", "leaving",
-                                                "dead"};
-  return kNames[static_cast<std::size_t>(state)];
-}
-
 std::map<std::string, std::string> MemberStates(const pb::SyncRequest& report) {
   std::map<std::string, std::string> states;
   for (const std::string& it : report.members()) {
@@ -49,6 +43,12 @@
 
 }  // namespace
 
+std::string_view MemberStateName(MemberState state) {
+  static constexpr std::string_view kNames[] = {"alive", "suspect", "leaving",
+                                                "dead"};
+  return kNames[static_cast<std::size_t>(state)];
+}
+
 Result<Publisher> Publisher::Create(const Settings& settings) {
   Result<std::unique_ptr<Metrics>> metrics =
       Metrics::Create(settings.metrics, settings.vm, settings.data_center);
@@ -101,7 +101,13 @@
   }
 }
 
-void Publisher::Publish(const FlowNode& node) {
+void Publisher::Publish(FlowNode& node) {
+  static constexpr Metric kTimings[] = {
+      Metric::kFlowWait, Metric::kFlowHandshake, Metric::kFlowAnswer};
+  for (const FlowTiming& it : node.TakeTimings()) {
+    metrics_->Observe(kTimings[static_cast<std::size_t>(it.part)], {},
+                      std::chrono::duration<double>(it.duration).count());
+  }
   const FlowNodeCounters& flows = node.counters();
   const FlowDispatcherCounters& placed = node.dispatcher_counters();
   const std::pair<const char*, std::uint64_t> totals[] = {
--- a/src/runtime/publisher.h
+++ b/src/runtime/publisher.h
@@ -10,10 +10,12 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "control.pb.h"
 #include "vanillalatch/entry/entry_node.h"
+#include "vanillalatch/membership/member.h"
 #include "vanillalatch/packetflow/flow_node.h"
 #include "vanillalatch/settings/settings.h"
 #include "vanillalatch/telemetry/metrics.h"
@@ -31,6 +33,9 @@
   std::int64_t unix_epoch_ms = 0;
 };
 
+// Stable name in logs and metrics.
+std::string_view MemberStateName(MemberState state);
+
 class Publisher {
  public:
   // Errors: those of Metrics::Create() and TraceWriter::Create().
@@ -38,7 +43,7 @@
 
   void Publish(const EntryView& view);
   void Publish(const pb::ControlStatus& status);
-  void Publish(const FlowNode& node);
+  void Publish(FlowNode& node);
 
  private:
   Publisher(std::unique_ptr<Metrics> metrics,
--- a/src/runtime/serve.cc
+++ b/src/runtime/serve.cc
@@ -68,7 +68,7 @@
 }
 
 void Publish(Publisher& publisher, EntryShell* entry, ControlShell* control,
-             const Doors& doors) {
+             Doors& doors) {
   if (entry != nullptr) {
     publisher.Publish(entry->View());
   }
--- a/src/telemetry/log_events.cc
+++ b/src/telemetry/log_events.cc
@@ -16,7 +16,7 @@
      "the settings file has a fault; the old settings hold"},
     {"log_lines_left_out", "warn", "all", "count, reason",
      "lines that the reader of the log was too slow for"},
-    {"member_changed", "info", "entry", "member, state",
+    {"member_changed", "info", "all", "member, state, incarnation, left_out",
      "another VM is alive, suspect, leaving or dead, as this one sees it"},
     {"catalog_in_force", "info", "entry", "revision, version, routes",
      "the VM works by this catalog from now on"},
--- a/src/telemetry/metric_rows.cc
+++ b/src/telemetry/metric_rows.cc
@@ -14,8 +14,9 @@
 constexpr std::array<std::string_view, 2> kByClass = {"service", "class"};
 constexpr std::array<std::string_view, 2> kByEndpoint = {"service", "endpoint"};
 
-constexpr bool kCounter = true;
-constexpr bool kGauge = false;
+constexpr MetricKind kCounter = MetricKind::kCounter;
+constexpr MetricKind kGauge = MetricKind::kGauge;
+constexpr MetricKind kHistogram = MetricKind::kHistogram;
 
 constexpr auto kRows = std::to_array<MetricRow>({
     {Metric::kInfo, "vanillalatch_info", kGauge,
@@ -119,6 +120,21 @@
      {}},
     {Metric::kFlowEvents, "vanillalatch_flow_events_total", kCounter,
      "What happened to packets and opening packets of flows.", kByEvent},
+    {Metric::kFlowWait,
+     "vanillalatch_flow_wait_seconds",
+     kHistogram,
+     "Time that a flow waited for a slot before it was placed.",
+     {}},
+    {Metric::kFlowHandshake,
+     "vanillalatch_flow_handshake_seconds",
+     kHistogram,
+     "Time from placing a flow until its caller went on.",
+     {}},
+    {Metric::kFlowAnswer,
+     "vanillalatch_flow_answer_seconds",
+     kHistogram,
+     "Time from placing a flow until its answer began to come, first request.",
+     {}},
 });
 
 }  // namespace
--- a/src/telemetry/metrics.cc
+++ b/src/telemetry/metrics.cc
@@ -4,11 +4,13 @@
 #include <prometheus/exposer.h>
 #include <prometheus/family.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
 #include <map>
 #include <mutex>
+#include <type_traits>
 #include <vector>
 
 namespace vanillalatch {
@@ -18,6 +20,10 @@
 
 constexpr std::string_view kOverflowLabel = "other";
 
+// Bounds in seconds: from what one hop takes to the longest that callers wait.
+const prometheus::Histogram::BucketBoundaries kBuckets = {
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5};
+
 }  // namespace
 
 struct Metrics::State {
@@ -46,7 +52,11 @@
       }
       Series<T>& found = series[labels];
       if (found.value == nullptr) {
-        found.value = &family->Add(labels);
+        if constexpr (std::is_same_v<T, prometheus::Histogram>) {
+          found.value = &family->Add(labels, kBuckets);
+        } else {
+          found.value = &family->Add(labels);
+        }
       }
       return found;
     }
@@ -63,6 +73,7 @@
       std::make_shared<prometheus::Registry>();
   std::map<Metric, Family<prometheus::Counter>> counters;
   std::map<Metric, Family<prometheus::Gauge>> gauges;
+  std::map<Metric, Family<prometheus::Histogram>> histograms;
   std::unique_ptr<prometheus::Exposer> exposer;
   std::mutex mutex;
 };
@@ -80,18 +91,27 @@
   for (const MetricRow& it : MetricRows()) {
     const std::string name(it.name);
     const std::string help(it.help);
-    if (it.counter) {
-      state->counters[it.metric].family = &prometheus::BuildCounter()
+    switch (it.kind) {
+      case MetricKind::kCounter:
+        state->counters[it.metric].family = &prometheus::BuildCounter()
+                                                 .Name(name)
+                                                 .Help(help)
+                                                 .Labels(constant)
+                                                 .Register(*state->registry);
+        break;
+      case MetricKind::kGauge:
+        state->gauges[it.metric].family = &prometheus::BuildGauge()
                                                .Name(name)
                                                .Help(help)
                                                .Labels(constant)
                                                .Register(*state->registry);
-    } else {
-      state->gauges[it.metric].family = &prometheus::BuildGauge()
-                                             .Name(name)
-                                             .Help(help)
-                                             .Labels(constant)
-                                             .Register(*state->registry);
+        break;
+      case MetricKind::kHistogram:
+        state->histograms[it.metric].family = &prometheus::BuildHistogram()
+                                                   .Name(name)
+                                                   .Help(help)
+                                                   .Labels(constant)
+                                                   .Register(*state->registry);
     }
   }
   if (address) {
@@ -121,6 +141,12 @@
   state_->counters.at(metric).At(row, labels).value->Increment(amount);
 }
 
+void Metrics::Observe(Metric metric, LabelValues labels, double value) {
+  const std::lock_guard lock(state_->mutex);
+  const MetricRow& row = MetricRows()[static_cast<std::size_t>(metric)];
+  state_->histograms.at(metric).At(row, labels).value->Observe(value);
+}
+
 void Metrics::SetTotal(Metric metric, LabelValues labels, double total) {
   const std::lock_guard lock(state_->mutex);
   const MetricRow& row = MetricRows()[static_cast<std::size_t>(metric)];
--- a/src/telemetry/metrics_test.cc
+++ b/src/telemetry/metrics_test.cc
@@ -22,7 +22,7 @@
     CHECK(names.insert(it.name).second);
     CHECK(prometheus::CheckMetricName(std::string(it.name)));
     CHECK(it.name.starts_with("vanillalatch_"));
-    CHECK(it.name.ends_with("_total") == it.counter);
+    CHECK(it.name.ends_with("_total") == (it.kind == MetricKind::kCounter));
   }
 }
 
@@ -66,5 +66,19 @@
         ErrorKind::kInvalidArgument);
 }
 
+TEST_CASE("a histogram shows samples by their bounds", "[telemetry]") {
+  const auto metrics = Metrics::Create(std::nullopt, "vm", "north").value();
+  for (const double it : {0.0005, 0.004, 0.03, 7.0}) {
+    metrics->Observe(Metric::kFlowWait, {}, it);
+  }
+  const std::string text = metrics->Text();
+  const std::string series = "vanillalatch_flow_wait_seconds_bucket{";
+  CHECK(text.find(series) != std::string::npos);
+  CHECK(text.find("le=\"0.001\"} 1\n") != std::string::npos);
+  CHECK(text.find("le=\"0.005\"} 2\n") != std::string::npos);
+  CHECK(text.find("le=\"5\"} 3\n") != std::string::npos);
+  CHECK(text.find("le=\"+Inf\"} 4\n") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace vanillalatch
