Serve soon after a start without stored endpoints, and store them while they hold

Copies of openings that other VMs had held came when their flows had ended, and were placed as new flows: endpoints that did not answer these looked silent. Ruled out: the start of the processes (0.05 s), the control VMs (0.2 s). New tests for stored endpoints and late copies; they did not exist before.

--- a/src/packetflow/fleet_start_test.cc
+++ b/src/packetflow/fleet_start_test.cc
@@ -15,10 +15,15 @@
 
 constexpr std::size_t kVms = 10;
 constexpr std::size_t kEndpoints = 14;
+// Flows between two questions to a control VM, 0.1 s.
+constexpr int kAskedEvery = 50;
 
 class RestartedFleet {
  public:
-  explicit RestartedFleet(std::uint64_t seed) : world_(seed), random_(seed) {
+  // `told`: control VMs have stored all endpoints; else they say what they have
+  // heard up to now, as often as they are asked.
+  explicit RestartedFleet(std::uint64_t seed, bool told = true)
+      : world_(seed), random_(seed) {
     world_.AddVms(kVms);
     for (std::size_t n = 0; n < kEndpoints; ++n) {
       world_
@@ -36,7 +41,7 @@
     // The VMs come back within 0.2 s, and learn the endpoints as they do.
     for (std::size_t n = 0; n < kVms; ++n) {
       world_.StartVm(n);
-      world_.GiveEndpoints(n);
+      world_.GiveEndpoints(n, told);
       world_.Run(milliseconds(random_() % 40));
     }
   }
@@ -45,6 +50,11 @@
   void Load(int flows, Duration gap) {
     for (int n = 0; n < flows; ++n) {
       const int flow = world_.Open("records", random_() % kVms);
+      for (std::size_t vm = 0; n % kAskedEvery == 0 && vm < kVms; ++vm) {
+        if (!world_.Vm(vm).Ready()) {
+          world_.GiveEndpoints(vm, false);
+        }
+      }
       world_.Run(gap);
       world_.Reroute(flow, random_() % kVms);
     }
@@ -85,5 +95,22 @@
   CHECK(in_time >= 0.95 * 460);
 }
 
+TEST_CASE("without stored endpoints a fleet serves before it knows them all",
+          "[packetflow]") {
+  const auto seed = GENERATE(range<std::uint64_t>(1, 11));
+  RestartedFleet fleet(seed, false);
+  fleet.Load(500, milliseconds(2));
+  fleet.world().Run(seconds(2));
+  int answered = 0;
+  int refused = 0;
+  for (const auto& [id, it] : fleet.world().flows()) {
+    answered += it.answered ? 1 : 0;
+    refused += it.reset ? 1 : 0;
+  }
+  CAPTURE(seed, answered, refused, fleet.Silenced());
+  CHECK(refused == 0);
+  CHECK(answered >= 0.99 * 500);
+}
+
 }  // namespace
 }  // namespace vanillalatch
--- a/src/packetflow/flow_dispatcher.cc
+++ b/src/packetflow/flow_dispatcher.cc
@@ -43,6 +43,14 @@
     Release(now, it->second, WorkOutcome::kCancelled);
     flows_.erase(it);
   }
+  if (const Closed* closed = FindClosed(now, opening)) {
+    // A copy that came late, through a VM that held it: the caller is past it.
+    if (closed->refused) {
+      actions.refusals.push_back(
+          {opening.id, closed->kind, std::move(opening.packet), closed->cause});
+    }
+    return;
+  }
   ++counters_.opened;
   const FlowId id = opening.id;
   Flow& flow = flows_[id];
@@ -50,6 +58,15 @@
   Submit(now, flow, std::nullopt, actions);
 }
 
+const FlowDispatcherImpl::Closed* FlowDispatcherImpl::FindClosed(
+    TimePoint now, const FlowOpening& opening) const {
+  const auto it = closed_.find(opening.id);
+  return it != closed_.end() && it->second.sequence == opening.sequence &&
+                 now < it->second.until
+             ? &it->second
+             : nullptr;
+}
+
 void FlowDispatcherImpl::Submit(TimePoint now, Flow& flow,
                                 std::optional<EndpointId> avoid,
                                 FlowActions& actions) {
@@ -257,6 +274,7 @@
   }
   ++counters_.ended;
   const Flow flow = std::move(it->second);
+  closed_[id] = {flow.opening.sequence, now + kCopiesCome};
   flows_.erase(it);
   if (flow.placed && !given_up) {
     NoteAnswer(flow, actions);
@@ -308,6 +326,8 @@
 // A silent endpoint shows by copies of the opening packet; a flow without
 // them may have ended where no VM heard of it.
 void FlowDispatcherImpl::ExpireFlows(TimePoint now, FlowActions& actions) {
+  absl::erase_if(closed_,
+                 [&](const auto& it) { return now >= it.second.until; });
   std::vector<Flow> expired;
   std::vector<FlowId> unused;
   absl::erase_if(flows_, [&](auto& it) {
@@ -372,6 +392,8 @@
       continue;
     }
     ++counters_.refused;
+    closed_[flow.opening.id] = {flow.opening.sequence, now + kCopiesCome, true,
+                                it.error, it.cause};
     actions.refusals.push_back(
         {flow.opening.id, it.error, std::move(flow.opening.packet), it.cause});
     by_work_.erase(known);
--- a/src/packetflow/flow_dispatcher_impl.h
+++ b/src/packetflow/flow_dispatcher_impl.h
@@ -67,6 +67,21 @@
     bool idle = false;      // Open, without a slot.
     TimePoint expires;      // It is forgotten then, whatever was heard.
   };
+  // A flow that ended or was refused, while copies of its opening packet may
+  // still come.
+  struct Closed {
+    std::uint32_t sequence = 0;
+    TimePoint until;
+    bool refused = false;
+    ErrorKind kind = ErrorKind::kOverloaded;
+    RefusalCause cause{};
+  };
+  // Callers send copies for 0.6 s and wait for 1.4 s; a VM that knows too
+  // little holds one for 0.8 s.
+  static constexpr Duration kCopiesCome = std::chrono::milliseconds(1500);
+
+  // nullptr if it is no copy of such a flow.
+  const Closed* FindClosed(TimePoint now, const FlowOpening& opening) const;
   SlotScheduler& SchedulerOf(ServiceId service);
   void Submit(TimePoint now, Flow& flow, std::optional<EndpointId> avoid,
               FlowActions& actions);
@@ -91,6 +106,7 @@
   std::vector<ClassTarget> classes_;
   std::map<ServiceId, std::unique_ptr<SlotScheduler>> schedulers_;
   absl::flat_hash_map<FlowId, Flow> flows_;
+  absl::flat_hash_map<FlowId, Closed> closed_;
   absl::flat_hash_map<RequestId, FlowId> by_work_;
   std::uint64_t last_work_ = 0;
   TimePoint expire_due_{};
--- a/src/packetflow/flow_dispatcher_test.cc
+++ b/src/packetflow/flow_dispatcher_test.cc
@@ -70,6 +70,10 @@
     dispatcher_->End(now_, FlowId(id), given_up, actions_);
   }
 
+  void LoseEndpoint() {
+    dispatcher_->SetEndpoints(now_, kService, {}, actions_);
+  }
+
   // Ticks each millisecond, as a VM would.
   void Run(Duration time) {
     actions_ = {};
@@ -253,5 +257,29 @@
   CHECK(one.actions().notes[0].endpoint == EndpointId{});
 }
 
+TEST_CASE("a late copy of a flow that has ended opens nothing") {
+  OneEndpoint one;
+  REQUIRE(one.Open(1));
+  one.End(1);
+  CHECK_FALSE(one.Open(1, 1, 1));
+  CHECK(one.actions().refusals.empty());
+  // The port is used again: another flow.
+  CHECK(one.Open(1, 2));
+  one.End(1);
+  one.Run(milliseconds(1600));
+  CHECK(one.Open(1, 2, 1));
+}
+
+TEST_CASE("a late copy of a flow that was refused is refused again") {
+  OneEndpoint one;
+  one.LoseEndpoint();
+  for (std::uint32_t copy = 0; copy < 3; ++copy) {
+    one.Open(1, 1, copy);
+    REQUIRE(one.actions().refusals.size() == 1);
+    CHECK(one.actions().refusals[0].id == FlowId(1));
+    CHECK(one.actions().refusals[0].kind == ErrorKind::kNoEndpoint);
+  }
+}
+
 }  // namespace
 }  // namespace vanillalatch
--- a/src/packetflow/flow_openings.cc
+++ b/src/packetflow/flow_openings.cc
@@ -11,8 +11,9 @@
 // A dispatcher that is well answers within a hop of 0.5 ms each way and its
 // own share of a processor, which may be withheld for 75 ms.
 constexpr Duration kTakenTimeout = std::chrono::milliseconds(100);
-// Openings that come before the endpoints are known wait this long. Callers
-// wait 1.4 s for an answer, and most of it is left to an endpoint.
+// Openings that come before the endpoints are known wait this long, or half of
+// the time that their callers have. Callers wait 1.4 s for an answer, and a
+// good part of it is left to an endpoint.
 constexpr Duration kParkTime = std::chrono::milliseconds(800);
 
 }  // namespace
@@ -41,7 +42,8 @@
     ++counters_.parked;
     Note(IngressNote::Kind::kParked, opening, NodeId{});
     const FlowId id = opening.id;
-    parked_[id] = {std::move(opening), now + kParkTime};
+    const Duration wait = std::min(kParkTime, opening.timeout / 2);
+    parked_[id] = {std::move(opening), now + wait};
     return;
   }
   Direct(now, std::move(opening));
@@ -70,7 +72,9 @@
 
 void FlowNodeImpl::HandOver(TimePoint now, FlowOpening opening, NodeId to) {
   ++counters_.handed_over;
-  *MessageTo(to).add_openings() = ToMessage(opening, revision_);
+  pb::FlowOpening& message = *MessageTo(to).add_openings();
+  message = ToMessage(opening, revision_);
+  message.set_settled(settled_);
   const FlowId id = opening.id;
   asked_[id] = {std::move(opening), to, now + kTakenTimeout};
 }
@@ -87,7 +91,11 @@
   const bool stale = message.revision() > revision_;
   pb::FlowTaken& taken = *MessageTo(from).add_taken();
   taken.set_id(message.id());
-  if (stale || !settled_) {
+  // Of VMs that all know too little, one that places for all does better than
+  // each for itself.
+  const bool knows_less =
+      !settled_ && (message.settled() || endpoints_.size() == 0);
+  if (stale || knows_less) {
     ++counters_.declined;
     taken.set_declined(true);
     return;
--- a/src/packetflow/flow_world.h
+++ b/src/packetflow/flow_world.h
@@ -65,8 +65,9 @@
                  std::uint32_t latency_ms);
   // Gives the catalog in force to one VM, or to all.
   void Publish(std::optional<std::size_t> vm = std::nullopt);
-  // Tells one VM all endpoints that the control VM knows.
-  void GiveEndpoints(std::size_t vm);
+  // Tells one VM the endpoints that the control VM knows. `whole`: these are
+  // all.
+  void GiveEndpoints(std::size_t vm, bool whole = true);
   FakeEndpoint& AddEndpoint(const std::string& name, const std::string& service,
                             const std::string& data_center);
   FakeEndpoint& At(const std::string& name) { return endpoints_.at(name); }
--- a/src/packetflow/flow_world_test.cc
+++ b/src/packetflow/flow_world_test.cc
@@ -102,8 +102,8 @@
   }
 }
 
-void FlowWorld::GiveEndpoints(std::size_t vm) {
-  vms_[vm]->OnEndpoints(now_, control_->registry().Leases(now_), true);
+void FlowWorld::GiveEndpoints(std::size_t vm, bool whole) {
+  vms_[vm]->OnEndpoints(now_, control_->registry().Leases(now_), whole);
   CarryOut(vm);
 }
 
--- a/src/runtime/fleet_shell.cc
+++ b/src/runtime/fleet_shell.cc
@@ -11,14 +11,9 @@
 namespace {
 
 constexpr std::size_t kJobs = 4096;  // A power of two.
-// Endpoints that changed are stored this often at most: some syncs a second
-// would be a good part of what a small disk does.
-constexpr Duration kKeepInterval = std::chrono::seconds(1);
 // In this many heartbeats each endpoint has reported somewhere, and its report
 // has spread.
 constexpr int kHeartbeatsToHearAll = 3;
-// Endpoints that were stored longer ago have likely changed meanwhile.
-constexpr std::int64_t kKeptForMs = 30'000;
 // All VMs of a fleet are one group, whatever their data centre.
 constexpr std::string_view kFleetGroup = "fleet";
 
@@ -123,39 +118,27 @@
   if (now < keep_due_ || now < whole_at_) {
     return;
   }
-  keep_due_ = now + kKeepInterval;
-  pb::KeptEndpoints kept;
-  std::uint64_t digest = 0;
-  for (pb::LeaseUpdate& it : peers_->registry().Leases(now)) {
-    digest ^= StableHash(StableHash(it.name()),
-                         StableHash(it.epoch(), it.version() * 4 + it.state()));
-    it.set_ttl_ms(it.lifetime_ms());
-    *kept.add_endpoints() = std::move(it);
-  }
-  if (digest == kept_digest_) {
-    return;
+  keep_due_ = now + KeptEndpoints::kChangedInterval;
+  if (std::optional<std::string> text =
+          kept_.Next(now, UnixNowMs(), peers_->registry().Leases(now))) {
+    control_.KeepNote(std::move(*text));
   }
-  kept_digest_ = digest;
-  kept.set_unix_ms(UnixNowMs());
-  control_.KeepNote(kept.SerializeAsString());
 }
 
 void FleetShell::TakeKept(const std::string& text) {
-  pb::KeptEndpoints kept;
-  if (text.empty() || !kept.ParseFromString(text)) {
-    return;
+  const RestoredEndpoints kept = KeptEndpoints::Restore(text, UnixNowMs());
+  if (kept.endpoints.empty()) {
+    return;  // A first start, or a disk that was lost.
   }
-  const std::int64_t age_ms = UnixNowMs() - kept.unix_ms();
-  const bool fresh = std::abs(age_ms) <= kKeptForMs;
   LogEvent(LogLevel::kInfo, "endpoints_restored",
-           {{"endpoints", kept.endpoints_size()},
-            {"age_ms", age_ms},
-            {"used", fresh}});
-  if (!fresh) {
+           {{"endpoints", kept.endpoints.size()},
+            {"age_ms", kept.age_ms},
+            {"used", kept.usable}});
+  if (!kept.usable) {
     return;
   }
   const TimePoint now = Now();
-  for (const pb::LeaseUpdate& it : kept.endpoints()) {
+  for (const pb::LeaseUpdate& it : kept.endpoints) {
     peers_->registry().MergeLease(now, it, false);
   }
   whole_at_ = std::min(whole_at_, now);
--- a/src/runtime/fleet_shell.h
+++ b/src/runtime/fleet_shell.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "src/runtime/control_shell.h"
+#include "src/runtime/kept_endpoints.h"
 #include "src/runtime/member_log.h"
 #include "vanillalatch/packetflow/peer_node.h"
 #include "vanillalatch/runtime/control_gate.h"
@@ -62,6 +63,7 @@
   std::unique_ptr<PeerNode> peers_;
   ControlShell& control_;
   boost::fibers::buffered_channel<Job> jobs_;
+  KeptEndpoints kept_;
   MemberLog member_log_;
   Outbox out_;
   Wakeup wakeup_;
@@ -69,7 +71,6 @@
   // Every endpoint has had the time to be heard, here or at a peer.
   TimePoint whole_at_;
   TimePoint keep_due_{};
-  std::uint64_t kept_digest_ = 0;
 };
 
 }  // namespace vanillalatch
