Tell a late flow of a VM that is cut off or starting from one that was served

Change: cause cut_off, with the control VM that the ingress lost; a flow that waited for a VM that was starting is vm_starting. Before: both new cases said served.

--- a/include/vanillalatch/explain/story.h
+++ b/include/vanillalatch/explain/story.h
@@ -36,6 +36,7 @@
   kVmLost,             // A VM that handled it ended without notice.
   kVmStarting,         // A VM that handled it did not know enough yet.
   kEndpointUnknown,    // A VM did not know the endpoint of the flow.
+  kCutOff,             // Late: its ingress could not reach the dispatcher.
 };
 
 struct FlowCauseRow {
--- a/src/explain/story.cc
+++ b/src/explain/story.cc
@@ -35,6 +35,9 @@
      "control_regained."},
     {FlowCause::kEndpointUnknown, "endpoint_unknown",
      "The VM is cut off from others: see its members and control_lost."},
+    {FlowCause::kCutOff, "cut_off",
+     "Look at the network between the two VMs: member_changed and control_lost "
+     "of both."},
 });
 
 // Times are UTC texts of one width, so that they sort as they are; what
@@ -164,8 +167,8 @@
       return {FlowCause::kOverload, decided};
     }
     return {FlowCause::kOverloadAfterLoss,
-            decided + "; " + std::to_string(silent.size()) +
-                " endpoints were silent, as " + *silent.begin()};
+            decided + "; silent endpoints: " + std::to_string(silent.size()) +
+                ", one is " + *silent.begin()};
   }
 
   Verdict JudgeRoute(const LogLine& line) const {
@@ -205,9 +208,9 @@
     }
     if (line.Flag("answered") && line.Flag("requested")) {
       return {FlowCause::kEndpointSlow,
-              "endpoint " + endpoint + " had accepted the flow " +
-                  std::to_string(line.Number("elapsed_ms")) +
-                  " ms before, and its answer had not begun to come"};
+              "endpoint " + endpoint + " accepted the flow, and in " +
+                  std::to_string(line.Number("elapsed_ms")) + " ms " +
+                  line.vm() + " heard of no answer"};
     }
     return {FlowCause::kEndpointLost,
             "endpoint " + endpoint + " did not answer the opening packet in " +
@@ -228,6 +231,16 @@
         it != nullptr && it->time() > line.time()) {
       return JudgeDrop(*it);
     }
+    if (const LogLine* it = Last({"dispatcher_silent"})) {
+      return {FlowCause::kCutOff,
+              it->vm() + " had no answer from " + it->Text("dispatcher") +
+                  ", which dispatches, and placed the flow itself on " +
+                  endpoint + LostControlOf(it->vm())};
+    }
+    if (const LogLine* it = Last({"opening_parked", "dispatcher_declined"})) {
+      return {FlowCause::kVmStarting,
+              it->vm() + " placed it late: " + JudgeWaiting(*it).second};
+    }
     return {FlowCause::kServed,
             "placed on endpoint " + endpoint + " by " + line.vm() + " after " +
                 std::to_string(line.Number("elapsed_ms")) + " ms"};
@@ -254,6 +267,16 @@
                 " did not know the endpoints or the newest catalog yet"};
   }
 
+  std::string LostControlOf(const std::string& vm) const {
+    for (const LogLine& it : all_) {
+      if (it.vm() == vm && it.event() == "control_lost" && InContext(it)) {
+        return "; it lost control VM " + it.Text("control") + " at " +
+               it.time();
+      }
+    }
+    return "";
+  }
+
   // Endpoints that the VM of this line held for silent then.
   std::set<std::string> SilentAt(const LogLine& line) const {
     std::set<std::string> silent;
