Doubt refusals after a freeze, and of work whose dispatcher is lost

Ruled out: the refusal itself, which was true when it was given. Change: after a freeze recorded refusals become outcome_unknown or deadline_exceeded; a request without a grant that was handed to a lost VM may have run.

--- a/include/vanillalatch/request/request_record.h
+++ b/include/vanillalatch/request/request_record.h
@@ -50,6 +50,7 @@
   bool orphaned = false;  // A VM that had the duty is lost.
   // The answer says "not run": it is sent once nobody else may run it.
   bool answer_due = false;
+  bool says_not_run = false;     // kFinished: what the answer says.
   bool granted = false;          // A second record is held for this VM.
   bool acknowledged = false;     // By `next`.
   bool adopted = false;          // Counted in a slot for another dispatcher.
@@ -72,7 +73,7 @@
   TimePoint wake = kNever;     // Next time that something is to be done.
   TimePoint expires = kNever;  // kFinished: to be forgotten.
 
-  NodeId next;                // kHeld: the VM that has the duty.
+  NodeId next;  // kHeld: the VM that has the duty.
   // The incarnation of `next` that the duty was handed to; 0: not known.
   std::uint64_t next_incarnation = 0;
   std::uint64_t grantee = 0;  // Dispatcher that may have sent it; 0: none.
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -241,6 +241,7 @@
   if (!not_run) {
     CopyFinished(record);
   }
+  record.says_not_run = not_run;
   record.answer_due = not_run && !record.tell.empty();
   records_.Finish(record, now_, std::move(answer));
   if (!record.answer_due) {
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -76,6 +76,16 @@
 // have gone on without it: it asks what it has missed.
 void EntryNodeImpl::Thaw() {
   thawed_at_ = now_;
+  // A caller that did not get its refusal may have sent the request again, and
+  // others have run it.
+  records_.ForEach([&](RequestRecord& record) {
+    if (record.state == RequestState::kFinished && record.says_not_run) {
+      record.says_not_run = false;
+      record.unsettled = 1;
+      records_.ReplaceAnswer(record,
+                             ErrorMessage(LateKind(record), kRetryLater));
+    }
+  });
   for (auto& [id, service] : services_) {
     service.complete = false;
     service.complete_until = TimePoint::min();
--- a/src/entry/record_review.cc
+++ b/src/entry/record_review.cc
@@ -39,11 +39,11 @@
 }
 
 // The VM with the duty is lost. It may have sent the request if it was granted
-// that.
+// that, or needs no grant; it may only be frozen, and send it yet.
 void EntryNodeImpl::ReviewHeld(RequestRecord& record) {
   ReleaseAdopted(record);
   record.orphaned = true;
-  if (record.grantee != 0) {
+  if (record.grantee != 0 || record.idempotent) {
     record.unsettled = 1;
   }
   record.acknowledged = false;
