Ask a slow dispatcher ever less often

Ruled out: a VM that is dead or cut off (it was heard all the time, nobody suspected it). Change: after a failure a VM is not asked for 0.5 s, then 1, 2 and 4 s, until it answers in time once.

--- a/src/packetflow/flow_openings.cc
+++ b/src/packetflow/flow_openings.cc
@@ -118,6 +118,7 @@
   FlowOpening opening = std::move(it->second.opening);
   asked_.erase(it);
   if (!message.declined()) {
+    choice_.OnTaken(from);
     watch_.OnPlaced(opening.id, from);
     return;
   }
@@ -148,7 +149,7 @@
       ++it;
       continue;
     }
-    choice_.OnSilent(it->second.dispatcher);
+    choice_.OnSilent(now, it->second.dispatcher);
     Note(IngressNote::Kind::kDispatcherSilent, it->second.opening,
          it->second.dispatcher);
     overdue.push_back(std::move(it->second.opening));
