--- a/src/packetflow/dispatcher_choice.h
+++ b/src/packetflow/dispatcher_choice.h
@@ -6,6 +6,7 @@
 #define VANILLALATCH_SRC_PACKETFLOW_DISPATCHER_CHOICE_H_
 
 #include <map>
+#include <set>
 #include <span>
 
 #include "vanillalatch/base/strong.h"
@@ -20,24 +21,14 @@
   NodeId For(TimePoint now, ServiceId service, std::span<const Member> members,
              NodeId self) const;
 
-  // It left an opening unanswered: not asked until it is heard again, and for a
-  // while in any case, as a slow VM is heard all the time; longer each time
-  // that it fails again.
-  void OnSilent(TimePoint now, NodeId vm);
-  void OnHeard(NodeId vm);
-  // It has answered in time.
-  void OnTaken(NodeId vm) { silent_.erase(vm); }
+  // It left an opening unanswered: not asked until it is heard again.
+  void OnSilent(NodeId vm) { silent_.insert(vm); }
+  void OnHeard(NodeId vm) { silent_.erase(vm); }
   // It does not know enough to place anything yet: not asked for a while.
   void OnDeclined(TimePoint now, NodeId vm);
 
  private:
-  struct Silence {
-    bool heard = false;  // Since then.
-    TimePoint until;
-    int failures = 0;
-  };
-
-  std::map<NodeId, Silence> silent_;
+  std::set<NodeId> silent_;
   std::map<NodeId, TimePoint> declined_until_;
 };
 
--- a/src/packetflow/flow_openings.cc
+++ b/src/packetflow/flow_openings.cc
@@ -118,7 +118,6 @@
   FlowOpening opening = std::move(it->second.opening);
   asked_.erase(it);
   if (!message.declined()) {
-    choice_.OnTaken(from);
     watch_.OnPlaced(opening.id, from);
     return;
   }
@@ -149,7 +148,7 @@
       ++it;
       continue;
     }
-    choice_.OnSilent(now, it->second.dispatcher);
+    choice_.OnSilent(it->second.dispatcher);
     Note(IngressNote::Kind::kDispatcherSilent, it->second.opening,
          it->second.dispatcher);
     overdue.push_back(std::move(it->second.opening));
