--- a/src/entry/entry_node_impl.h
+++ b/src/entry/entry_node_impl.h
@@ -223,7 +223,6 @@
   void OnHandoverAck(NodeId from, const pb::HandoverAck& ack);
   void OnKnownHandover(NodeId from, const pb::Handover& handover,
                        RequestRecord& record);
-  void NoteEarlierSend(RequestRecord& record, const pb::Handover& handover);
   RequestRecord* RecordOf(const pb::Handover& handover);
   void OnDone(NodeId from, const pb::Done& done);
   void TakeDone(NodeId from, const pb::Done& done);
@@ -269,6 +268,7 @@
   void ReviewRecords(NodeId restarted);
   bool IsWithPresentLife(const RequestRecord& record) const;
   void ReviewHeld(RequestRecord& record);
+  void NoteEarlierSend(RequestRecord& record, const pb::Handover& handover);
   void ReviewDuty(RequestRecord& record, NodeId restarted);
   void RenewHolds();
 
--- a/src/entry/peers.cc
+++ b/src/entry/peers.cc
@@ -264,24 +264,6 @@
   }
 }
 
-// Another VM knows of an earlier dispatcher that may have sent the request.
-void EntryNodeImpl::NoteEarlierSend(RequestRecord& record,
-                                    const pb::Handover& handover) {
-  record.orphaned |= handover.orphaned();
-  if (!handover.maybe_sent()) {
-    return;
-  }
-  // The one more of a request that this VM has sent itself outlives an answer
-  // that says "not run" of that send alone.
-  const bool sent = record.state == RequestState::kSent;
-  record.unsettled = std::max<std::uint8_t>(record.unsettled, sent ? 2 : 1);
-  const bool starts_soon = record.state == RequestState::kQueued ||
-                           record.state == RequestState::kPlaced;
-  if (starts_soon && !record.idempotent) {
-    GiveUp(record, ErrorKind::kOutcomeUnknown, kRetryLater);
-  }
-}
-
 void EntryNodeImpl::OnHandoverAck(NodeId from, const pb::HandoverAck& ack) {
   RequestRecord* record = records_.Find(RequestId{ack.request_id()});
   if (record != nullptr && record->state == RequestState::kHeld &&
--- a/src/entry/record_review.cc
+++ b/src/entry/record_review.cc
@@ -83,6 +83,24 @@
   }
 }
 
+// Another VM knows of an earlier dispatcher that may have sent the request.
+void EntryNodeImpl::NoteEarlierSend(RequestRecord& record,
+                                    const pb::Handover& handover) {
+  record.orphaned |= handover.orphaned();
+  if (!handover.maybe_sent()) {
+    return;
+  }
+  // The one more of a request that this VM has sent itself outlives an answer
+  // that says "not run" of that send alone.
+  const bool sent = record.state == RequestState::kSent;
+  record.unsettled = std::max<std::uint8_t>(record.unsettled, sent ? 2 : 1);
+  const bool starts_soon = record.state == RequestState::kQueued ||
+                           record.state == RequestState::kPlaced;
+  if (starts_soon && !record.idempotent) {
+    GiveUp(record, ErrorKind::kOutcomeUnknown, kRetryLater);
+  }
+}
+
 // Asks again for the second records of requests that are being run, until a
 // VM has confirmed each.
 void EntryNodeImpl::RenewHolds() {
--- a/src/runtime/runtime_test.cc
+++ b/src/runtime/runtime_test.cc
@@ -77,6 +77,20 @@
         ErrorKind::kInvalidArgument);
 }
 
+// The only control VM of its group, on a port of its own.
+Settings OneControlVm(const std::string& folder) {
+  Settings settings;
+  settings.vm = "c1";
+  settings.data_center = "north";
+  settings.control.emplace();
+  const SocketAddress listen =
+      BoundAddress(UdpSocket::Bind(kAnyLoopbackPort).value());
+  settings.control->listen = listen;
+  settings.control->data_folder = folder;
+  settings.control->voters = {{"c1", listen, "north"}};
+  return settings;
+}
+
 // Asks for the catalog and waits for the answer.
 std::string ReadKind(ControlShell& shell) {
   std::promise<std::string> answer;
@@ -94,16 +108,7 @@
   // A file in the place of the folder: the disk refuses everything.
   std::ofstream(folder) << "in the way";
   OnReactorThread([&](Reactor&) {
-    Settings settings;
-    settings.vm = "c1";
-    settings.data_center = "north";
-    settings.control.emplace();
-    const SocketAddress listen =
-        BoundAddress(UdpSocket::Bind(kAnyLoopbackPort).value());
-    settings.control->listen = listen;
-    settings.control->data_folder = folder;
-    settings.control->voters = {{"c1", listen, "north"}};
-    const auto shell = ControlShell::Create(settings).value();
+    const auto shell = ControlShell::Create(OneControlVm(folder)).value();
     shell->Start();
     CHECK(ReadKind(*shell) == "storage");
     std::filesystem::remove(folder);
@@ -167,19 +172,11 @@
   std::thread control([&] {
     Reactor::StartOnThisThread();
     for (int n = 0; n < 5; ++n) {
-      Settings settings;
-      settings.vm = "c1";
-      settings.data_center = "north";
-      settings.control.emplace();
-      const SocketAddress listen =
-          BoundAddress(UdpSocket::Bind(kAnyLoopbackPort).value());
-      settings.control->listen = listen;
-      settings.control->data_folder = folder;
-      settings.control->voters = {{"c1", listen, "north"}};
+      const Settings settings = OneControlVm(folder);
       const auto shell = ControlShell::Create(settings).value();
       shell->Start();
       CHECK(ReadKind(*shell) == "read");
-      const OpenCallers callers(listen);
+      const OpenCallers callers(settings.control->listen);
       boost::this_fiber::sleep_for(std::chrono::milliseconds(100));
       shell->Stop();
     }
