--- a/src/explain/story_test.cc
+++ b/src/explain/story_test.cc
@@ -28,6 +28,7 @@
 Story StoryOf(const std::vector<std::string>& texts,
               std::optional<std::uint32_t> sequence = std::nullopt) {
   std::vector<LogLine> lines;
+  lines.reserve(texts.size());
   for (const std::string& it : texts) {
     lines.push_back(LogLine::Parse(it).value());
   }
--- a/src/telemetry/log_queue.h
+++ b/src/telemetry/log_queue.h
@@ -23,9 +23,9 @@
 class LogQueue {
  public:
   // Bytes that wait at most: about a second of the lines that budgets allow.
-  static constexpr std::size_t kMostBytes = 256 * 1024;
+  static constexpr std::size_t kMostBytes = std::size_t{256} * 1024;
   // Of these, only for important lines.
-  static constexpr std::size_t kReservedBytes = 64 * 1024;
+  static constexpr std::size_t kReservedBytes = std::size_t{64} * 1024;
 
   // The line that tells how many were left out before it.
   using LeftOutLine = std::function<std::string(std::uint64_t)>;
