--- a/include/vanillalatch/packetflow/flow_dispatcher.h
+++ b/include/vanillalatch/packetflow/flow_dispatcher.h
@@ -71,7 +71,7 @@
   Duration limit{};            // For which they had waited.
 };
 
-// What was decided about a flow or found out of it, for the log.
+// What was decided about a flow, or became known of it, for the log.
 struct FlowNote {
   enum class Kind : std::uint8_t {
     kPlaced,
@@ -84,10 +84,11 @@
   SocketAddress route;
   std::uint32_t sequence = 0;
   std::uint32_t copy = 0;
-  EndpointId endpoint;     // 0: it still waited for a slot.
-  EndpointId from;         // kMoved
-  Duration elapsed{};      // Since it began to wait; of a placed one, since
-                           // its opening packet was sent to the endpoint.
+  EndpointId endpoint;  // 0: it still waited for a slot.
+  EndpointId from;      // kMoved
+  // kPlaced, kMoved: how long it waited for a slot. Else: since its opening
+  // packet was sent to the endpoint, or since it began to wait without one.
+  Duration elapsed{};
   bool answered = false;   // The endpoint has accepted it.
   bool requested = false;  // The caller has sent a request on it.
 };
