--- a/src/registry/lease.cc
+++ b/src/registry/lease.cc
@@ -17,6 +17,8 @@
 constexpr int kAgeSteps = 250;
 // A renewal counts as news if it is this share of the lifetime younger.
 constexpr int kNewsShare = 16;
+// Some rounds of comparisons between peers.
+constexpr Duration kConfirmTime = milliseconds(1500);
 
 const LeaseChart& TheChart() {
   static const LeaseChart kChart =
@@ -46,6 +48,15 @@
   return TheChart().Next(state, event);
 }
 
+bool ConfirmedOfLate(const Lease& lease, TimePoint now) {
+  return now - lease.confirmed <= std::max(lease.lifetime / 3, kConfirmTime);
+}
+
+bool RenewalIsUrgent(const Lease& lease, TimePoint now) {
+  return lease.expires() - now < lease.lifetime / 3 &&
+         !ConfirmedOfLate(lease, now);
+}
+
 bool Renew(Lease& lease, TimePoint renewed) {
   if (renewed - lease.renewed <= lease.lifetime / kNewsShare) {
     return false;
--- a/src/registry/lease.h
+++ b/src/registry/lease.h
@@ -48,6 +48,14 @@
 // hop by hop they would keep a dead lease alive.
 bool Renew(Lease& lease, TimePoint renewed);
 
+// News of renewals would have come: a peer compared the lease within the last
+// third of its lifetime, or within the last 1.5 s.
+bool ConfirmedOfLate(const Lease& lease, TimePoint now);
+
+// A renewal is sent at once only if less than a third of the lease is left and
+// no peer compared it of late. Else the ages in the digests carry it.
+bool RenewalIsUrgent(const Lease& lease, TimePoint now);
+
 // Equal for equal ids, versions and states, whenever they were renewed.
 std::uint32_t DigestOf(const Lease& lease);
 
