Parse options, and build metric families, in one place

Cause, found by reading: three commands had the same lines around Boost.Program_options; three kinds of families were built, and cleared, alike. Before: three copies each. After: parse_options.h, and a lambda for families; a histogram is cleared too. Conclusion: cli and telemetry tests pass.

--- a/src/cli/command_line.cc
+++ b/src/cli/command_line.cc
@@ -1,8 +1,8 @@
 #include "src/cli/command_line.h"
 
-#include <boost/program_options.hpp>
 #include <map>
 
+#include "src/cli/parse_options.h"
 #include "vanillalatch/base/error.h"
 #include "vanillalatch/catalog/catalog_file.h"
 #include "vanillalatch/jsonc/document.h"
@@ -56,21 +56,6 @@
   return text;
 }
 
-po::variables_map ParseOptions(const std::vector<std::string>& arguments,
-                               const po::options_description& options,
-                               const char* positional_name, int positional) {
-  po::positional_options_description positions;
-  positions.add(positional_name, positional);
-  po::variables_map values;
-  po::store(po::command_line_parser(arguments)
-                .options(options)
-                .positional(positions)
-                .run(),
-            values);
-  po::notify(values);
-  return values;
-}
-
 int RunServeCommand(const std::vector<std::string>& arguments,
                     const ServeFunction& serve, Console console) {
   po::options_description options("Options");
--- a/src/cli/ctl_options.cc
+++ b/src/cli/ctl_options.cc
@@ -2,11 +2,11 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/program_options.hpp>
 #include <cstdlib>
 #include <sstream>
 #include <string_view>
 
+#include "src/cli/parse_options.h"
 #include "vanillalatch/base/error.h"
 
 namespace vanillalatch {
@@ -82,16 +82,7 @@
 po::variables_map Parse(const std::vector<std::string>& arguments) {
   po::options_description all = ShownOptions();
   all.add_options()("command", po::value<std::vector<std::string>>());
-  po::positional_options_description positions;
-  positions.add("command", -1);
-  po::variables_map values;
-  po::store(po::command_line_parser(arguments)
-                .options(all)
-                .positional(positions)
-                .run(),
-            values);
-  po::notify(values);
-  return values;
+  return ParseOptions(arguments, all, "command", -1);
 }
 
 void CheckCommand(const CtlOptions& options, const po::variables_map& values) {
--- a/src/cli/logs_command.cc
+++ b/src/cli/logs_command.cc
@@ -1,9 +1,9 @@
 // `vanillalatch logs`: reads what VMs have logged. Needs no running system.
-#include <boost/program_options.hpp>
 #include <fstream>
 #include <iostream>
 
 #include "src/cli/command_line.h"
+#include "src/cli/parse_options.h"
 #include "vanillalatch/base/error.h"
 #include "vanillalatch/explain/story.h"
 #include "vanillalatch/telemetry/log_events.h"
@@ -119,16 +119,8 @@
     throw Error(ErrorKind::kInvalidArgument,
                 "unknown command \"logs " + arguments.front() + "\"");
   }
-  po::positional_options_description files;
-  files.add("file", -1);
-  po::variables_map values;
-  po::store(po::command_line_parser(std::vector<std::string>(
-                                        arguments.begin() + 1, arguments.end()))
-                .options(options)
-                .positional(files)
-                .run(),
-            values);
-  po::notify(values);
+  const po::variables_map values = ParseOptions(
+      {arguments.begin() + 1, arguments.end()}, options, "file", -1);
   if (values.contains("help")) {
     console.out << kUsage << "\n" << options;
     return 0;
--- a/src/telemetry/metrics.cc
+++ b/src/telemetry/metrics.cc
@@ -91,27 +91,19 @@
   for (const MetricRow& it : MetricRows()) {
     const std::string name(it.name);
     const std::string help(it.help);
+    const auto add = [&](auto builder) {
+      return &builder.Name(name).Help(help).Labels(constant).Register(
+          *state->registry);
+    };
     switch (it.kind) {
       case MetricKind::kCounter:
-        state->counters[it.metric].family = &prometheus::BuildCounter()
-                                                 .Name(name)
-                                                 .Help(help)
-                                                 .Labels(constant)
-                                                 .Register(*state->registry);
+        state->counters[it.metric].family = add(prometheus::BuildCounter());
         break;
       case MetricKind::kGauge:
-        state->gauges[it.metric].family = &prometheus::BuildGauge()
-                                               .Name(name)
-                                               .Help(help)
-                                               .Labels(constant)
-                                               .Register(*state->registry);
+        state->gauges[it.metric].family = add(prometheus::BuildGauge());
         break;
       case MetricKind::kHistogram:
-        state->histograms[it.metric].family = &prometheus::BuildHistogram()
-                                                   .Name(name)
-                                                   .Help(help)
-                                                   .Labels(constant)
-                                                   .Register(*state->registry);
+        state->histograms[it.metric].family = add(prometheus::BuildHistogram());
     }
   }
   if (address) {
@@ -158,13 +150,15 @@
 
 void Metrics::Clear(Metric metric) {
   const std::lock_guard lock(state_->mutex);
-  if (const auto it = state_->counters.find(metric);
-      it != state_->counters.end()) {
-    it->second.Clear();
-  }
-  if (const auto it = state_->gauges.find(metric); it != state_->gauges.end()) {
-    it->second.Clear();
-  }
+  const auto clear = [&](auto& families) {
+    const auto it = families.find(metric);
+    if (it != families.end()) {
+      it->second.Clear();
+    }
+  };
+  clear(state_->counters);
+  clear(state_->gauges);
+  clear(state_->histograms);
 }
 
 std::string Metrics::Text() const {
