Compare the times of log lines as times, also over midnight

Ruled out: the sort of the lines, which goes by the whole text. Before: the new test fails in both directions. After: it passes; the library's parser for RFC 3339 is used.

--- a/src/explain/story.cc
+++ b/src/explain/story.cc
@@ -2,12 +2,13 @@
 
 #include <algorithm>
 #include <array>
-#include <cstdio>
 #include <map>
 #include <set>
 #include <tuple>
 #include <utility>
 
+#include "absl/time/time.h"
+
 namespace vanillalatch {
 namespace {
 
@@ -42,21 +43,15 @@
 
 // Times are UTC texts of one width, so that they sort as they are; what
 // happened up to this long before a flow may have caused its end.
-constexpr std::int64_t kContextBeforeS = 10;
-constexpr std::int64_t kContextAfterS = 5;
-
-std::int64_t SecondOfDay(const std::string& time) {
-  // "2026-01-02T03:04:05.678901Z"
-  constexpr std::size_t kTimeAt = 11;
-  int h = 0;
-  int m = 0;
-  int s = 0;
-  if (time.size() <= kTimeAt ||
-      std::sscanf(time.c_str() + kTimeAt, "%d:%d:%d", &h, &m, &s) != 3) {
-    return 0;
-  }
-  constexpr int kMinute = 60;
-  return (h * kMinute + m) * kMinute + s;
+constexpr absl::Duration kContextBefore = absl::Seconds(10);
+constexpr absl::Duration kContextAfter = absl::Seconds(5);
+
+// Long ago for a text that is no time.
+absl::Time TimeOf(const std::string& text) {
+  absl::Time time;
+  return absl::ParseTime(absl::RFC3339_full, text, &time, nullptr)
+             ? time
+             : absl::InfinitePast();
 }
 
 bool IsFlowEvent(const LogLine& line) { return !line.Text("caller").empty(); }
@@ -323,9 +318,9 @@
   }
 
   bool InContext(const LogLine& line) const {
-    const std::int64_t at = SecondOfDay(line.time());
-    return at >= SecondOfDay(flow_.front()->time()) - kContextBeforeS &&
-           at <= SecondOfDay(flow_.back()->time()) + kContextAfterS;
+    const absl::Time at = TimeOf(line.time());
+    return at >= TimeOf(flow_.front()->time()) - kContextBefore &&
+           at <= TimeOf(flow_.back()->time()) + kContextAfter;
   }
 
   // True for lines of the flow, and for what its endpoints and VMs did then.
--- a/src/explain/story_test.cc
+++ b/src/explain/story_test.cc
@@ -161,6 +161,22 @@
   CHECK(StoryOf(lines, 5).cause == FlowCause::kNoEndpoint);
 }
 
+TEST_CASE("a flow before midnight and its VM's start behind it belong together",
+          "[explain]") {
+  const std::vector<std::string> lines = {
+      R"({"time":"2026-01-31T23:59:59.900000Z","vm":"front-1",)"
+      R"("event":"flow_placed","caller":"100.64.0.7:40001",)"
+      R"("route":"198.18.0.1:443","sequence":7,"endpoint":"aa"})",
+      R"({"time":"2026-02-01T00:00:01.000000Z","vm":"front-1",)"
+      R"("event":"started"})"};
+  CHECK(StoryOf(lines).cause == FlowCause::kVmLost);
+  // The same time on another day is no context.
+  const std::vector<std::string> days = {
+      lines[0], R"({"time":"2026-02-02T23:59:59.950000Z","vm":"front-1",)"
+                R"("event":"started"})"};
+  CHECK(StoryOf(days).cause == FlowCause::kServed);
+}
+
 TEST_CASE("a line that is no event is refused", "[explain]") {
   const auto text = GENERATE(
       values<std::string>({"", "plain text", "{\"time\":\"2026", "{}", "[1]",
