Let one place say when endpoints are compared with those stored

Cause, found by reading: the shell and KeptEndpoints each kept the same second. Ruled out: a change of behaviour (tests unchanged). After: KeptEndpoints::Due(); runtime tests pass.

--- a/src/runtime/fleet_shell.cc
+++ b/src/runtime/fleet_shell.cc
@@ -115,10 +115,9 @@
 
 void FleetShell::KeepEndpoints() {
   const TimePoint now = Now();
-  if (now < keep_due_ || now < whole_at_) {
+  if (now < whole_at_ || !kept_.Due(now)) {
     return;
   }
-  keep_due_ = now + KeptEndpoints::kChangedInterval;
   if (std::optional<std::string> text =
           kept_.Next(now, UnixNowMs(), peers_->registry().Leases(now))) {
     control_.KeepNote(std::move(*text));
--- a/src/runtime/fleet_shell.h
+++ b/src/runtime/fleet_shell.h
@@ -70,7 +70,6 @@
   bool stopped_ = false;
   // Every endpoint has had the time to be heard, here or at a peer.
   TimePoint whole_at_;
-  TimePoint keep_due_{};
 };
 
 }  // namespace vanillalatch
--- a/src/runtime/kept_endpoints.cc
+++ b/src/runtime/kept_endpoints.cc
@@ -10,9 +10,10 @@
 std::optional<std::string> KeptEndpoints::Next(
     TimePoint now, std::int64_t unix_ms,
     std::vector<pb::LeaseUpdate> endpoints) {
-  if (stored_ && now < *stored_ + kChangedInterval) {
+  if (!Due(now)) {
     return std::nullopt;
   }
+  compared_ = now;
   pb::KeptEndpoints kept;
   std::uint64_t digest = 0;
   for (pb::LeaseUpdate& it : endpoints) {
--- a/src/runtime/kept_endpoints.h
+++ b/src/runtime/kept_endpoints.h
@@ -36,7 +36,12 @@
   // Endpoints that were stored longer ago have likely changed meanwhile.
   static constexpr Duration kUsableFor = std::chrono::seconds(30);
 
-  // The text to store now; nullopt if there is nothing to be stored yet.
+  // True if it is time to compare the endpoints with what was stored.
+  bool Due(TimePoint now) const {
+    return !compared_ || now >= *compared_ + kChangedInterval;
+  }
+  // The text to store now; nullopt if it is not due, or the same was stored
+  // lately.
   std::optional<std::string> Next(TimePoint now, std::int64_t unix_ms,
                                   std::vector<pb::LeaseUpdate> endpoints);
   // What a stored text says; empty and not usable for what can't be read.
@@ -45,6 +50,7 @@
 
  private:
   std::uint64_t digest_ = 0;
+  std::optional<TimePoint> compared_;
   std::optional<TimePoint> stored_;
 };
 
