Take the newer address of a VM that is no member yet, also in a full table

Cause, found by reading: with 1,024 unknown VMs in the table, one that came back at another address was answered at its old one. Ruled out: members (their address comes by membership). Before: the new test fails. After: it passes; the answer to a VM that is no member has a test of its own too.

--- a/include/vanillalatch/packetflow/peer_node.h
+++ b/include/vanillalatch/packetflow/peer_node.h
@@ -25,6 +25,9 @@
   // What membership and leases of a fleet may use, each VM: a tenth of a 2
   // Mbit/s link, and only while there is news.
   static constexpr std::size_t kBytesPerSecond = 24'000;
+  // VMs that were heard before they were members. A fleet that starts at once:
+  // every VM but the few that are known first.
+  static constexpr std::size_t kMostStrangers = 1024;
 
   // The byte budget of `members` is the fleet's. Errors: those of
   // MemberList::Create() and Registry::Create().
@@ -69,8 +72,6 @@
   TimePoint registry_due_{};
   void NoteStranger(SocketAddress from);
 
-  // A fleet that starts at once: every VM but the few that are known first.
-  static constexpr std::size_t kMostStrangers = 1024;
   std::map<NodeId, SocketAddress> strangers_;
   // When a peer was heard last, or this VM started.
   std::optional<TimePoint> last_heard_;
--- a/src/packetflow/peer_node.cc
+++ b/src/packetflow/peer_node.cc
@@ -66,7 +66,8 @@
   });
   if (known) {
     strangers_.erase(sender());
-  } else if (strangers_.size() < kMostStrangers) {
+  } else if (strangers_.contains(sender()) ||
+             strangers_.size() < kMostStrangers) {
     strangers_[sender()] = from;
   }
 }
