Log flows in a class of its own, with the name of a flow written once

Cause, found by reading: flow_shell.cc carried packets and composed nine kinds of log lines; four of them wrote caller, route, sequence, revision and what the budget left out, and the public header held the budgets. Ruled out: a change of what is logged (same events and fields; their order in a line differs). The check that every event is listed reads the new call too: 416 assertions as before.

--- a/include/vanillalatch/runtime/flow_shell.h
+++ b/include/vanillalatch/runtime/flow_shell.h
@@ -19,7 +19,6 @@
 #include "vanillalatch/runtime/reactor.h"
 #include "vanillalatch/runtime/udp_socket.h"
 #include "vanillalatch/settings/settings.h"
-#include "vanillalatch/telemetry/log_budget.h"
 
 namespace vanillalatch {
 
@@ -70,9 +69,7 @@
   virtual void SendPlaced(const FlowNodeActions::Place& place) = 0;
   virtual void SendRefused(const FlowRefusal& refusal) = 0;
 
-  void LogSummary();
   void LogMalformed(SocketAddress from, std::size_t bytes);
-  void LogSilence(const EndpointSilence& silence);
   void LogRefusal(const FlowPacket& packet, const FlowRefusal& refusal);
   // A packet that was answered with a reset, as no route is known, or dropped.
   void LogNotForwarded(const FlowPacket& packet, bool reset);
@@ -85,29 +82,6 @@
 
  private:
   struct Link;
-  // Refused flows logged a second: those of a busy service in trouble, at 20 us
-  // each.
-  static constexpr std::uint32_t kRefusalLines = 100;
-  // Ordinary decisions: those of a busy service, at 15 us a line less than 1 %
-  // of a processor.
-  static constexpr std::uint32_t kPlacedLines = 300;
-  // Flows that were moved, given up or not heard of: a data centre's worth.
-  static constexpr std::uint32_t kLossLines = 100;
-  // Openings that this VM could not have placed as usual, and packets that it
-  // dropped: enough to see every cause.
-  static constexpr std::uint32_t kIngressLines = 20;
-  static constexpr std::uint32_t kDroppedLines = 20;
-  // Whoever sends noise is to be seen, not to fill the log.
-  static constexpr std::uint32_t kMalformedLines = 1;
-  // Often enough to see in a log when something began.
-  static constexpr Duration kSummaryInterval = std::chrono::seconds(5);
-  // A whole data centre of endpoints may fall silent at once.
-  static constexpr std::uint32_t kSilenceLines = 20;
-
-  void LogNote(const FlowNote& note);
-  void LogNote(const IngressNote& note);
-  std::string NameOf(EndpointId id) const;
-  std::string NameOf(NodeId id) const;
   void ServePackets(FdWaiter& waiter);
   void ServePeers(FdWaiter& waiter);
   void RunTimer();
@@ -126,14 +100,6 @@
   std::atomic<bool> ready_ = false;
   bool stopping_ = false;  // Callers are sent elsewhere; packets go on.
   bool stopped_ = false;
-  TimePoint summary_due_{};
-  LogBudget refusal_lines_{kRefusalLines};
-  LogBudget placed_lines_{kPlacedLines};
-  LogBudget loss_lines_{kLossLines};
-  LogBudget ingress_lines_{kIngressLines};
-  LogBudget dropped_lines_{kDroppedLines};
-  LogBudget malformed_lines_{kMalformedLines};
-  LogBudget silence_lines_{kSilenceLines};
 };
 
 template <PacketCodec Codec>
--- a/include/vanillalatch/telemetry/log.h
+++ b/include/vanillalatch/telemetry/log.h
@@ -18,6 +18,7 @@
 #include <concepts>
 #include <cstdint>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -76,7 +77,11 @@
 // reader is too slow for are left out, ordinary ones first, and counted.
 // `event` is a stable name in lower case with underscores.
 void LogEvent(LogLevel level, std::string_view event,
-              std::initializer_list<LogField> fields = {});
+              std::span<const LogField> fields);
+inline void LogEvent(LogLevel level, std::string_view event,
+                     std::initializer_list<LogField> fields = {}) {
+  LogEvent(level, event, std::span(fields.begin(), fields.size()));
+}
 
 }  // namespace vanillalatch
 
--- a/src/runtime/flow_shell.cc
+++ b/src/runtime/flow_shell.cc
@@ -6,6 +6,7 @@
 
 #include "src/runtime/catalog_follower.h"
 #include "src/runtime/fleet_shell.h"
+#include "src/runtime/flow_log.h"
 #include "src/runtime/member_log.h"
 #include "vanillalatch/runtime/wakeup.h"
 #include "vanillalatch/telemetry/log.h"
@@ -14,11 +15,13 @@
 
 // What only the sources of this library know.
 struct FlowShellCore::Link {
-  explicit Link(const Settings& settings) : follower(settings.fleet->control) {}
+  Link(const Settings& settings, const FlowNode& node)
+      : follower(settings.fleet->control), log(node) {}
 
   CatalogFollower follower;
   Wakeup wakeup;
   MemberLog member_log;
+  FlowLog log;
 };
 
 Result<FlowShellCore::Sockets> FlowShellCore::Bind(const Settings& settings) {
@@ -45,7 +48,7 @@
                              std::unique_ptr<FlowNode> node)
     : sockets_(std::move(sockets)),
       node_(std::move(node)),
-      link_(std::make_unique<Link>(settings)),
+      link_(std::make_unique<Link>(settings, *node_)),
       vm_(settings.vm),
       data_center_(settings.data_center),
       packet_port_(settings.flows->listen.port),
@@ -130,156 +133,21 @@
     node_->OnTick(Now(), out_);
     Flush();
     link_->member_log.Review(Now(), node_->peers().members());
-    LogSummary();
+    link_->log.Summary(ready_);
   }
 }
 
 void FlowShellCore::LogRefusal(const FlowPacket& packet,
                                const FlowRefusal& refusal) {
-  if (!refusal_lines_.Take(Now())) {
-    return;
-  }
-  LogEvent(LogLevel::kWarn, "flow_refused",
-           {{"caller", packet.caller.ToString()},
-            {"route", packet.route.ToString()},
-            {"sequence", packet.sequence},
-            {"kind", AnswerFor(refusal.kind).name},
-            {"expected_wait_ms", ToMilliseconds(refusal.cause.expected_wait)},
-            {"queued", refusal.cause.queued},
-            {"usable_slots", refusal.cause.usable_slots},
-            {"free_slots", refusal.cause.free_slots},
-            {"revision", node_->revision()},
-            {"left_out", refusal_lines_.TakeLeftOut()}});
-}
-
-void FlowShellCore::LogSummary() {
-  const TimePoint now = Now();
-  if (now < summary_due_) {
-    return;
-  }
-  summary_due_ = now + kSummaryInterval;
-  const FlowNodeCounters& flows = node_->counters();
-  const FlowDispatcherCounters& placed = node_->dispatcher_counters();
-  const std::span<const Member> members = node_->peers().members().members();
-  const auto alive = std::count_if(
-      members.begin(), members.end(),
-      [](const Member& it) { return it.state == MemberState::kAlive; });
-  LogEvent(LogLevel::kInfo, "flows_summary",
-           {{"ready", ready_.load()},
-            {"revision", node_->revision()},
-            {"endpoints", node_->endpoints()},
-            {"members_alive", alive},
-            {"packets", flows.packets},
-            {"unknown_endpoint", flows.unknown_endpoint},
-            {"placed_alone", flows.placed_alone},
-            {"declined", flows.declined},
-            {"placed", placed.placed},
-            {"moved", placed.moved},
-            {"refused", placed.refused},
-            {"expired", placed.expired}});
-}
-
-std::string FlowShellCore::NameOf(EndpointId id) const {
-  const Endpoint* endpoint = node_->peers().registry().Find(id);
-  // Forgotten since: the id is all that is left.
-  return endpoint == nullptr ? std::to_string(id.value()) : endpoint->name;
-}
-
-std::string FlowShellCore::NameOf(NodeId id) const {
-  for (const Member& it : node_->peers().members().members()) {
-    if (it.id == id) {
-      return it.name;
-    }
-  }
-  return id == NodeId{} ? "" : std::to_string(id.value());
-}
-
-void FlowShellCore::LogNote(const FlowNote& note) {
-  struct Row {
-    std::string_view event;
-    LogLevel level;
-  };
-  static constexpr Row kRows[] = {{"flow_placed", LogLevel::kInfo},
-                                  {"flow_moved", LogLevel::kWarn},
-                                  {"flow_given_up", LogLevel::kWarn},
-                                  {"flow_unheard", LogLevel::kWarn}};
-  const Row& row = kRows[static_cast<std::size_t>(note.kind)];
-  LogBudget& budget =
-      note.kind == FlowNote::Kind::kPlaced ? placed_lines_ : loss_lines_;
-  if (!budget.Take(Now())) {
-    return;
-  }
-  LogEvent(
-      row.level, row.event,
-      {{"caller", note.caller.ToString()},
-       {"route", note.route.ToString()},
-       {"sequence", note.sequence},
-       {"endpoint",
-        note.endpoint == EndpointId{} ? std::string() : NameOf(note.endpoint)},
-       {"from", note.from == EndpointId{} ? std::string() : NameOf(note.from)},
-       {"elapsed_ms", ToMilliseconds(note.elapsed)},
-       {"copy", note.copy},
-       {"answered", note.answered},
-       {"requested", note.requested},
-       {"revision", node_->revision()},
-       {"left_out", budget.TakeLeftOut()}});
-}
-
-void FlowShellCore::LogNote(const IngressNote& note) {
-  static constexpr std::string_view kEvents[] = {
-      "dispatcher_silent", "dispatcher_declined", "opening_parked"};
-  if (!ingress_lines_.Take(Now())) {
-    return;
-  }
-  LogEvent(LogLevel::kWarn, kEvents[static_cast<std::size_t>(note.kind)],
-           {{"caller", note.caller.ToString()},
-            {"route", note.route.ToString()},
-            {"sequence", note.sequence},
-            {"dispatcher", NameOf(note.dispatcher)},
-            {"revision", node_->revision()},
-            {"endpoints", node_->endpoints()},
-            {"left_out", ingress_lines_.TakeLeftOut()}});
+  link_->log.Refused(packet, refusal);
 }
 
 void FlowShellCore::LogNotForwarded(const FlowPacket& packet, bool reset) {
-  if (!dropped_lines_.Take(Now())) {
-    return;
-  }
-  LogEvent(LogLevel::kWarn, reset ? "route_unknown" : "packet_dropped",
-           {{"caller", packet.caller.ToString()},
-            {"route", packet.route.ToString()},
-            {"sequence", packet.sequence},
-            {"opens", packet.opens},
-            {"cookie", packet.cookie.value()},
-            {"revision", node_->revision()},
-            {"endpoints", node_->endpoints()},
-            {"left_out", dropped_lines_.TakeLeftOut()}});
+  link_->log.NotForwarded(packet, reset);
 }
 
 void FlowShellCore::LogMalformed(SocketAddress from, std::size_t bytes) {
-  if (malformed_lines_.Take(Now())) {
-    LogEvent(LogLevel::kWarn, "packet_malformed",
-             {{"from", from.ToString()},
-              {"bytes", bytes},
-              {"left_out", malformed_lines_.TakeLeftOut()}});
-  }
-}
-
-void FlowShellCore::LogSilence(const EndpointSilence& silence) {
-  const Endpoint* endpoint = node_->peers().registry().Find(silence.endpoint);
-  if (endpoint == nullptr || !silence_lines_.Take(Now())) {
-    return;
-  }
-  LogEvent(
-      LogLevel::kWarn, silence.silent ? "endpoint_silent" : "endpoint_answers",
-      {{"endpoint", endpoint->name},
-       {"address", endpoint->address.ToString()},
-       {"data_center", endpoint->data_center},
-       {"unanswered_flows", silence.unanswered},
-       {"limit_ms",
-        std::chrono::duration_cast<std::chrono::milliseconds>(silence.limit)
-            .count()},
-       {"left_out", silence_lines_.TakeLeftOut()}});
+  link_->log.Malformed(from, bytes);
 }
 
 void FlowShellCore::Flush() {
@@ -292,13 +160,13 @@
     SendRefused(it);
   }
   for (const EndpointSilence& it : actions.silences) {
-    LogSilence(it);
+    link_->log.Silence(it);
   }
   for (const FlowNote& it : actions.flow_notes) {
-    LogNote(it);
+    link_->log.Note(it);
   }
   for (const IngressNote& it : actions.ingress_notes) {
-    LogNote(it);
+    link_->log.Note(it);
   }
   sockets_.packets.Flush();
   node_->Finish(now, out_);
--- a/src/telemetry/log.cc
+++ b/src/telemetry/log.cc
@@ -192,7 +192,7 @@
 }
 
 void LogEvent(LogLevel level, std::string_view event,
-              std::initializer_list<LogField> fields) {
+              std::span<const LogField> fields) {
   const log4cplus::LogLevel library_level =
       kLevels.at(static_cast<std::size_t>(level)).library_level;
   if (!Started().load() || !ProcessLogger().isEnabledFor(library_level)) {
