Keep the placer of a flow with what is watched of it, and start a port anew

Cause, found by reading: the placers had two generations of maps beside those of the flows; and a port that a caller used again, while the end of its flow before had reached another VM, counted as told already: its dispatcher was not told that the new flow went on, kept its slot and took the endpoint for silent. Ruled out: flows whose end passes here (they are forgotten). Change: one entry a flow, begun anew when a flow is placed through this VM, also by itself. Before: the new test 'a port that is used again tells of its new flow' fails. After: it passes, and so do all 53 of packetflow.

--- a/include/vanillalatch/packetflow/flow_watch.h
+++ b/include/vanillalatch/packetflow/flow_watch.h
@@ -30,7 +30,7 @@
   std::optional<FlowNews> OnPacket(const FlowPacket& packet);
   // The VM that placed the flow. It is the one to tell, whichever VM would
   // place a new flow of the service by now.
-  void OnPlaced(FlowId id, NodeId placer) { placers_[id] = placer; }
+  void OnPlaced(FlowId id, NodeId placer);
   // nullopt if the flow was not opened through this VM.
   std::optional<NodeId> PlacerOf(FlowId id) const;
   void Forget(FlowId id);
@@ -41,18 +41,18 @@
 
  private:
   struct Flow {
+    NodeId placer;         // 0: not known.
+    bool went_on = false;  // A packet behind the opening one has come.
     std::uint8_t told = 0;
     bool working = false;  // A request was sent and not answered yet.
     bool answered_once = false;
     std::uint32_t acknowledged = 0;  // When the request began.
   };
 
-  Flow& At(const FlowPacket& packet);
+  Flow& At(FlowId id);
 
   absl::flat_hash_map<FlowId, Flow> flows_;
   absl::flat_hash_map<FlowId, Flow> before_;
-  absl::flat_hash_map<FlowId, NodeId> placers_;
-  absl::flat_hash_map<FlowId, NodeId> placers_before_;
 };
 
 }  // namespace vanillalatch
--- a/src/packetflow/flow_openings.cc
+++ b/src/packetflow/flow_openings.cc
@@ -52,6 +52,7 @@
 void FlowNodeImpl::Direct(TimePoint now, FlowOpening opening) {
   const NodeId to = DispatcherFor(now, opening.service);
   if (to == self()) {
+    watch_.OnPlaced(opening.id, to);
     Place(now, std::move(opening));
   } else {
     HandOver(now, std::move(opening), to);
@@ -156,6 +157,7 @@
   }
   for (FlowOpening& it : overdue) {
     ++counters_.placed_alone;
+    watch_.OnPlaced(it.id, self());
     Place(now, std::move(it));
   }
 }
--- a/src/packetflow/flow_watch.cc
+++ b/src/packetflow/flow_watch.cc
@@ -13,23 +13,27 @@
 
 }  // namespace
 
-FlowWatch::Flow& FlowWatch::At(const FlowPacket& packet) {
-  const FlowId id = packet.id();
+FlowWatch::Flow& FlowWatch::At(FlowId id) {
   const auto [it, added] = flows_.try_emplace(id);
-  if (added) {
-    const auto before = before_.find(id);
-    if (before != before_.end()) {
-      it->second = before->second;
-      before_.erase(before);
-    } else {
-      it->second.acknowledged = packet.acknowledged;
-    }
+  const auto before = added ? before_.find(id) : before_.end();
+  if (before != before_.end()) {
+    it->second = before->second;
+    before_.erase(before);
   }
   return it->second;
 }
 
+void FlowWatch::OnPlaced(FlowId id, NodeId placer) {
+  Flow& flow = At(id);
+  flow = {};  // The port may have had a flow before.
+  flow.placer = placer;
+}
+
 std::optional<FlowNews> FlowWatch::OnPacket(const FlowPacket& packet) {
-  Flow& flow = At(packet);
+  Flow& flow = At(packet.id());
+  if (!std::exchange(flow.went_on, true)) {
+    flow.acknowledged = packet.acknowledged;
+  }
   FlowNews news{packet.id(), packet.carries_data, false};
   bool tell = flow.told < kTimesTold;
   if (packet.carries_data && !flow.working) {
@@ -51,10 +55,10 @@
 }
 
 std::optional<NodeId> FlowWatch::PlacerOf(FlowId id) const {
-  for (const auto* it : {&placers_, &placers_before_}) {
+  for (const auto* it : {&flows_, &before_}) {
     const auto found = it->find(id);
-    if (found != it->end()) {
-      return found->second;
+    if (found != it->end() && found->second.placer != NodeId{}) {
+      return found->second.placer;
     }
   }
   return std::nullopt;
@@ -63,13 +67,8 @@
 void FlowWatch::Forget(FlowId id) {
   flows_.erase(id);
   before_.erase(id);
-  placers_.erase(id);
-  placers_before_.erase(id);
 }
 
-void FlowWatch::NextGeneration() {
-  before_ = std::exchange(flows_, {});
-  placers_before_ = std::exchange(placers_, {});
-}
+void FlowWatch::NextGeneration() { before_ = std::exchange(flows_, {}); }
 
 }  // namespace vanillalatch
--- a/src/packetflow/flow_watch_test.cc
+++ b/src/packetflow/flow_watch_test.cc
@@ -79,5 +79,42 @@
   CHECK(watch.size() == 0);
 }
 
+TEST_CASE("the VM that placed a flow is known until the flow ends") {
+  FlowWatch watch;
+  FlowPacket packet;
+  packet.caller = {0x64400001U, 4000};
+  packet.route = {0xC6120001U, 443};
+  CHECK_FALSE(watch.PlacerOf(packet.id()).has_value());
+  watch.OnPlaced(packet.id(), NodeId(5));
+  watch.OnPacket(packet);
+  CHECK(watch.PlacerOf(packet.id()) == NodeId(5));
+  watch.NextGeneration();
+  CHECK(watch.PlacerOf(packet.id()) == NodeId(5));
+  watch.OnPacket(packet);
+  watch.NextGeneration();
+  CHECK(watch.PlacerOf(packet.id()) == NodeId(5));
+  // The port is used again, through another dispatcher.
+  watch.OnPlaced(packet.id(), NodeId(6));
+  CHECK(watch.OnPacket(packet).has_value());
+  CHECK(watch.PlacerOf(packet.id()) == NodeId(6));
+  watch.Forget(packet.id());
+  CHECK_FALSE(watch.PlacerOf(packet.id()).has_value());
+}
+
+TEST_CASE("a port that is used again tells of its new flow") {
+  FlowWatch watch;
+  FlowPacket packet;
+  packet.caller = {0x64400001U, 4000};
+  packet.route = {0xC6120001U, 443};
+  watch.OnPlaced(packet.id(), NodeId(5));
+  for (int n = 0; n < 10; ++n) {
+    watch.OnPacket(packet);
+  }
+  CHECK_FALSE(watch.OnPacket(packet).has_value());
+  // The end of the flow before reached another VM.
+  watch.OnPlaced(packet.id(), NodeId(5));
+  CHECK(watch.OnPacket(packet).has_value());
+}
+
 }  // namespace
 }  // namespace vanillalatch
