Keep one list of log events, with what to do about each

Cause, found by reading: docs/OPERATING.md had two tables of events by hand beside the generated docs/EVENTS.md, and only they said what to do. Ruled out: loss of advice (each row of the two tables went into the list). Before: three lists.

--- a/include/vanillalatch/telemetry/log_events.h
+++ b/include/vanillalatch/telemetry/log_events.h
@@ -17,6 +17,7 @@
   std::string_view writer;  // Which VMs write it.
   std::string_view fields;  // Besides time, level, vm and event.
   std::string_view meaning;
+  std::string_view advice;  // What an operator does about it.
 };
 
 std::span<const LogEventRow> LogEventRows();
--- a/src/telemetry/log_events_test.cc
+++ b/src/telemetry/log_events_test.cc
@@ -45,7 +45,8 @@
 TEST_CASE("every event in the sources is in the list", "[telemetry]") {
   const std::string text = Sources();
   // The name is the second argument; a choice of two names has both in it.
-  const std::regex call(R"((?:LogEvent|OfFlow)\(\s*[^,;"]+,\s*([^,;]*?"[^,;]*))");
+  const std::regex call(
+      R"((?:LogEvent|OfFlow)\(\s*[^,;"]+,\s*([^,;]*?"[^,;]*))");
   const std::regex name("\"([a-z_]+)\"");
   std::set<std::string> found;
   for (std::sregex_iterator it(text.begin(), text.end(), call), end; it != end;
@@ -71,6 +72,7 @@
     CHECK(names.insert(it.name).second);
     CHECK(text.find('"' + std::string(it.name) + '"') != std::string::npos);
     CHECK(!it.meaning.empty());
+    CHECK(!it.advice.empty());
   }
 }
 
