Let a VM without a role no longer count as complete for good

A VM that was successor received the last part of a transfer 0.7 ms after it had lost that role, and MarkComplete() set complete without looking at the roles. Completeness is reviewed only when roles change, so it stayed set: 9.6 s later, after both VMs with records of the request were killed, the new dispatcher took that VM for a source with all records and ran a resend again.

Change: a VM that is neither dispatcher nor successor when a transfer ends retains the state for kCompleteStateRetention only.

--- a/src/entry/takeover.cc
+++ b/src/entry/takeover.cc
@@ -141,9 +141,13 @@
 }
 
 // Makes this VM complete: transfers delivered the complete state, or no other
-// VM has dispatched the service.
+// VM has dispatched the service. A VM that has neither role by then receives no
+// later requests, so it only retains that state for a while.
 void EntryNodeImpl::MarkComplete(ServiceState& service) {
-  service.complete = true;
+  service.complete = service.dispatches || service.successor == self_;
+  if (!service.complete) {
+    service.complete_until = now_ + kCompleteStateRetention;
+  }
   service.later_dispatchers.clear();
   if (!service.dispatches) {
     service.later_dispatchers.insert(service.dispatcher);
