Do not let a late Done overrule the answer of the VM that took over

Behind a one-way cut a dispatcher refused a request and withheld its 'not run' until the ingress acknowledged it. The ingress counted that VM as failed, took the request over, ran and answered it. Its record still named the old dispatcher as responsible_vm, so the Done that arrived after the cut was acknowledged as the first answer, and the old dispatcher sent its 'not run' as well.

Change: a VM that takes a request becomes its responsible_vm, so that a Done from another VM is acknowledged as superseded.

--- a/include/vanillalatch/request/request_record.h
+++ b/include/vanillalatch/request/request_record.h
@@ -92,7 +92,8 @@
   TimePoint wake_at = kNever;  // When the next action is due.
   TimePoint expires = kNever;  // kFinished: when the record is erased.
 
-  NodeId responsible_vm;  // kHeld: the VM that must answer the request.
+  // kHeld: the VM that must answer the request. kFinished: the VM that did.
+  NodeId responsible_vm;
   // Incarnation of `responsible_vm` at the handover; 0 if unknown.
   std::uint64_t responsible_incarnation = 0;
   // Instance of the dispatcher that this VM, as holder of the second record,
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -37,6 +37,7 @@
 
 void EntryNodeImpl::TakeResponsibility(RequestRecord& record) {
   ReleaseAdoptedSlot(record);
+  record.responsible_vm = self_;
   const ServiceState& service = *FindService(record.service);
   if (record.state == RequestState::kHeld) {
     Advance(record, RequestEvent::kTake);
