Keep what a peer tells of an earlier send in a held record too

A dispatcher sent it and was killed; the new dispatcher collected the open record from the holder of the second record, when the old dispatcher had restarted and counted as alive. The holder found the restart later and handed the request over with maybe_sent, but OnRepeatedHandover() merged that only into a record that this VM is responsible for; here it was held. The caller's resend went to the restarted VM, which returned it as never sent.

Change: maybe_sent and orphaned are merged into every record that isn't finished. A non-idempotent request that a VM with a grant returns counts as one that may have run, since that VM may have restarted.

--- a/src/entry/peers.cc
+++ b/src/entry/peers.cc
@@ -243,16 +243,18 @@
   const bool is_returned = record.state == RequestState::kHeld &&
                            record.responsible_vm == from &&
                            handover.hops() > record.hops;
+  if (record.state != RequestState::kFinished) {
+    MergeEarlierSend(record, handover);
+  }
   if (is_returned) {
     record.hops = handover.hops();
-    record.possible_runs = std::max<std::uint8_t>(
-        record.possible_runs, handover.maybe_sent() ? 1 : 0);
+    if (record.grant_holder != 0 && !record.idempotent) {
+      // The VM may have restarted and lost its record of a send.
+      record.possible_runs = std::max<std::uint8_t>(record.possible_runs, 1);
+    }
     Route(record);
     return;
   }
-  if (IsResponsible(record)) {
-    MergeEarlierSend(record, handover);
-  }
   const std::string& text = handover.datagram();
   const Datagram datagram{
       SocketRole::kCaller, SocketAddress::FromPacked(handover.caller()),
