Doubt a refusal of an orphaned request without a majority

Two of three VMs were left, with a one-way cut between them. The ingress counted the dispatcher as failed, took the request over and refused it as not run. The dispatcher was alive, heard the ingress and kept asking for a second record; when the third VM came back, that one granted it, as it knew of no other dispatcher, and the request ran after its refusal.

Change: a refusal of a request whose responsible VM has failed says 'not run' only if more VMs are alive than failed recently. A majority has collected from its members and grants the other side nothing.

--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -203,15 +203,18 @@
   records_.WakeAt(record, std::min(now_ + retry, record.deadline));
 }
 
-// True if the request has certainly not run, through this VM or another: this
-// VM would have a record of the run.
+// True if the request has certainly not run, through this VM or another, and no
+// other VM will run it. If a VM that was responsible for it has failed, that VM
+// may be alive behind a cut. Only a majority, which grants it no second record,
+// keeps it from sending the request.
 bool EntryNodeImpl::CertainlyNotRun(const RequestRecord& record) {
   const ServiceState* service = FindService(record.service);
   if (service == nullptr) {
     return true;  // Deleted: only this VM's own sends count.
   }
   if (!service->dispatches || !service->ready || InMinority() ||
-      now_ < thawed_at_ + kThawSettleTime) {
+      now_ < thawed_at_ + kThawSettleTime ||
+      (record.orphaned && !InMajority())) {
     return false;
   }
   const bool may_predate =
--- a/src/entry/entry_node_impl.h
+++ b/src/entry/entry_node_impl.h
@@ -266,6 +266,12 @@
   bool HasJoined() const;
   void OnMembersChanged();
   void TrackFailures();
+  std::size_t CountAliveMembers() const;
+  // Failures within the last exchange_lifetime, without VMs that announced that
+  // they leave.
+  std::size_t CountRecentlyFailedMembers() const;
+  // True if more VMs of the data centre are alive than have failed recently.
+  bool InMajority() const;
   // True if most VMs of the data centre have failed within the last
   // exchange_lifetime without announcing that they leave, so that this VM may
   // be in the smaller part of a partition. See kMinTieBreakMembers for ties.
--- a/src/entry/takeover.cc
+++ b/src/entry/takeover.cc
@@ -45,19 +45,32 @@
   }
 }
 
-bool EntryNodeImpl::InMinority() const {
-  const auto is_recent = [&](const auto& it) {
-    return it.second + options_.exchange_lifetime > now_;
-  };
-  const auto failed = static_cast<std::size_t>(
-      std::count_if(failed_members_.begin(), failed_members_.end(), is_recent));
+std::size_t EntryNodeImpl::CountAliveMembers() const {
   const auto members = members_->members();
-  const auto alive = static_cast<std::size_t>(std::count_if(
+  return static_cast<std::size_t>(std::count_if(
       members.begin(), members.end(),
       [](const Member& it) { return it.state != MemberState::kDead; }));
+}
+
+std::size_t EntryNodeImpl::CountRecentlyFailedMembers() const {
+  return static_cast<std::size_t>(
+      std::count_if(failed_members_.begin(), failed_members_.end(),
+                    [&](const auto& it) {
+                      return it.second + options_.exchange_lifetime > now_;
+                    }));
+}
+
+bool EntryNodeImpl::InMajority() const {
+  return CountAliveMembers() > CountRecentlyFailedMembers();
+}
+
+bool EntryNodeImpl::InMinority() const {
+  const std::size_t alive = CountAliveMembers();
+  const std::size_t failed = CountRecentlyFailedMembers();
   if (alive != failed || alive + failed < kMinTieBreakMembers) {
     return alive < failed;
   }
+  const auto members = members_->members();
   // Equal parts: the one with the smallest VM id counts as the larger.
   const NodeId smallest_id =
       std::min_element(
