Count an imported request that was granted as one that may have run

A new dispatcher collected an open record from the holder that had granted it, before the holder noticed the failure of the old dispatcher, so maybe_sent was not set. The import kept the grant only if the responsible VM was alive; here it had failed, the request counted as never sent and was refused as not run.

Change: the grant is stored before the failure of the VM is handled.

--- a/src/entry/collection.cc
+++ b/src/entry/collection.cc
@@ -240,6 +240,10 @@
   if (record == nullptr) {
     return;
   }
+  if (open.endpoint() != 0) {
+    // That VM may have sent the request.
+    record->grant_holder = responsible_vm.value();
+  }
   if (IsFailed(responsible_vm) || responsible_vm == self_) {
     record->responsible_vm = responsible_vm;
     record->responsible_incarnation = 0;
@@ -249,10 +253,6 @@
   record->responsible_vm = responsible_vm;
   record->responsible_incarnation = 0;
   record->acknowledged = true;
-  if (open.endpoint() != 0) {
-    record->grant_holder =
-        responsible_vm.value();  // That VM may have sent the request.
-  }
   records_.WakeAt(*record, record->deadline);
   const EndpointId endpoint{open.endpoint()};
   if (endpoint != EndpointId{} && !record->adopted &&
