Test the turns of Sync calls, and format the sources

Tests only: a VM that calls again ends its earlier call; 100 calls that are due together are answered eight a turn, within 0.1 s. The rest is clang-format.

--- a/include/vanillalatch/rpc/control_service.h
+++ b/include/vanillalatch/rpc/control_service.h
@@ -2,8 +2,8 @@
 // service of an entry VM. Calls arrive on gRPC's threads and are put into a
 // mailbox; the thread that owns the node takes them out and answers each one
 // with Reply(). A call is refused with RESOURCE_EXHAUSTED while the mailbox
-// is full. Sync calls of entry VMs have a mailbox of their own, so that calls of
-// operators and of other control VMs never wait behind them.
+// is full. Sync calls of entry VMs have a mailbox of their own, so that calls
+// of operators and of other control VMs never wait behind them.
 //
 //   auto server = StartControlService(address, mailbox, syncs).value();
 //   ControlCall call;
--- a/src/control/control_node_test.cc
+++ b/src/control/control_node_test.cc
@@ -99,6 +99,78 @@
   CHECK(node->TakeActions().applies.empty());
 }
 
+pb::SyncRequest SyncRequestOf(const std::string& vm, std::uint64_t revision) {
+  pb::SyncRequest request;
+  request.set_vm(vm);
+  request.set_revision(revision);
+  request.set_accepts_packed(true);
+  return request;
+}
+
+// A control VM that leads alone and has applied one flow table.
+class SingleControl {
+ public:
+  SingleControl() {
+    ControlOptions options;
+    options.vm = "c1";
+    options.configured_vms = {{"c1", "c1:1", "north"}};
+    node_ = ControlNode::Create(options, disk_, now_, 1).value();
+    node_->OnTick(now_ += std::chrono::seconds(2));
+    node_->OnApply(now_, Ticket{1}, FlowRequest(1));
+    node_->TakeActions();
+  }
+
+  ControlNode& node() { return *node_; }
+  TimePoint& now() { return now_; }
+
+ private:
+  FakeDisk disk_;
+  TimePoint now_{std::chrono::seconds(1)};
+  std::unique_ptr<ControlNode> node_;
+};
+
+TEST_CASE("a VM that calls again ends its earlier Sync call", "[control]") {
+  SingleControl control;
+  control.node().OnSync(control.now(), Ticket{10}, SyncRequestOf("e1", 1));
+  CHECK(control.node().TakeActions().syncs.empty());
+  control.node().OnSync(control.now(), Ticket{11}, SyncRequestOf("e1", 1));
+  ControlActions actions = control.node().TakeActions();
+  REQUIRE(actions.syncs.size() == 1);
+  CHECK(actions.syncs[0].first == Ticket{10});
+  CHECK(actions.syncs[0].second.deltas().empty());
+  control.node().OnApply(control.now(), Ticket{2}, FlowRequest(2));
+  actions = control.node().TakeActions();
+  REQUIRE(actions.syncs.size() == 1);
+  CHECK(actions.syncs[0].first == Ticket{11});
+  CHECK(actions.syncs[0].second.deltas_size() == 1);
+}
+
+TEST_CASE("Sync calls that are due together are answered in turns",
+          "[control]") {
+  constexpr std::uint64_t kCalls = 100;
+  SingleControl control;
+  for (std::uint64_t n = 0; n < kCalls; ++n) {
+    control.node().OnSync(control.now(), Ticket{100 + n},
+                          SyncRequestOf("e" + std::to_string(n), 1));
+  }
+  control.node().TakeActions();
+  control.node().OnApply(control.now(), Ticket{2}, FlowRequest(2));
+  std::size_t answered = 0;
+  const TimePoint began = control.now();
+  while (answered < kCalls && control.now() < began + std::chrono::seconds(1)) {
+    const std::size_t n = control.node().TakeActions().syncs.size();
+    CHECK(n <= 8);
+    answered += n;
+    if (answered == kCalls) {
+      break;
+    }
+    control.now() = std::max(control.now(), control.node().NextWake());
+    control.node().OnTick(control.now());
+  }
+  CHECK(answered == kCalls);
+  CHECK(control.now() - began <= std::chrono::milliseconds(100));
+}
+
 // Load: an operator changes a flow table of thousands of routes again and
 // again. Each change contains the whole table.
 TEST_CASE("large changes leave a log that a restart reads quickly",
--- a/src/entry/takeover.cc
+++ b/src/entry/takeover.cc
@@ -53,11 +53,10 @@
 }
 
 std::size_t EntryNodeImpl::CountRecentlyFailedMembers() const {
-  return static_cast<std::size_t>(
-      std::count_if(failed_members_.begin(), failed_members_.end(),
-                    [&](const auto& it) {
-                      return it.second + options_.exchange_lifetime > now_;
-                    }));
+  return static_cast<std::size_t>(std::count_if(
+      failed_members_.begin(), failed_members_.end(), [&](const auto& it) {
+        return it.second + options_.exchange_lifetime > now_;
+      }));
 }
 
 bool EntryNodeImpl::InMajority() const {
--- a/src/runtime/control_shell.cc
+++ b/src/runtime/control_shell.cc
@@ -73,9 +73,8 @@
 Result<std::unique_ptr<ControlShell>> ControlShell::Create(
     const Settings& settings) {
   std::unique_ptr<ControlShell> shell(new ControlShell(settings));
-  Result<std::unique_ptr<RpcServer>> server =
-      StartControlService(settings.control->listen, shell->mailbox_,
-                          shell->sync_mailbox_);
+  Result<std::unique_ptr<RpcServer>> server = StartControlService(
+      settings.control->listen, shell->mailbox_, shell->sync_mailbox_);
   if (!server.ok()) {
     return server.error();
   }
--- a/src/runtime/control_shell.h
+++ b/src/runtime/control_shell.h
@@ -31,8 +31,8 @@
   // Adds the registered endpoints to the reply for an entry VM that requested
   // them, packed if `packed` is true, and passes it to the callback. Called on
   // the control thread.
-  using AddEndpoints = std::function<void(pb::SyncReply, bool packed,
-                                          Callback<pb::SyncReply>)>;
+  using AddEndpoints =
+      std::function<void(pb::SyncReply, bool packed, Callback<pb::SyncReply>)>;
   // Receives the text that StoreNote() stored before the start, or an empty
   // string if there is none. Called once, on the control thread, when the disk
   // is first opened.
