Wait after a damaged catalog, and bound what a packed message may claim

Cause, by reading: a VM whose reply can't be applied asked for the whole catalog at once; two builds that disagree on the digest would have asked in a loop. A damaged size field could claim 64 MiB for a few bytes, on a VM with 80 MB.

Change: such a reply counts as a failure, with its delay; a packed message may claim no more than the format can hold.

Measured: catalog_tests [feed] with a row for the size; runtime_tests pass.

--- a/src/catalog/catalog_feed_test.cc
+++ b/src/catalog/catalog_feed_test.cc
@@ -138,6 +138,10 @@
     chain = third;
     chain[0].set_size(0xffffffff);
   }
+  SECTION("a size that the data can't hold") {
+    chain = third;
+    chain[0].set_size(1 << 20);
+  }
   SECTION("a wrong digest") {
     pb::CatalogDelta delta;
     REQUIRE(UnpackMessage(third[0], delta).ok());
--- a/src/catalog/packed.cc
+++ b/src/catalog/packed.cc
@@ -1,5 +1,7 @@
 #include "vanillalatch/catalog/packed.h"
 
+#include <algorithm>
+
 #include "vanillalatch/base/compress.h"
 #include "vanillalatch/base/error.h"
 
@@ -8,6 +10,8 @@
 
 // Limits the memory that a damaged size field can claim.
 constexpr std::size_t kMaxUnpackedBytes = std::size_t{64} << 20;
+// No input of RFC 1951 yields more bytes for each of its own.
+constexpr std::size_t kMaxCompressionRatio = 1032;
 
 }  // namespace
 
@@ -19,11 +23,13 @@
 }
 
 Result<std::string> UnpackBytes(const pb::Packed& packed) {
-  if (packed.size() > kMaxUnpackedBytes) {
+  const std::size_t limit =
+      std::min(kMaxUnpackedBytes, packed.data().size() * kMaxCompressionRatio);
+  if (packed.size() > limit) {
     return Error(ErrorKind::kTooLarge,
-                 "a packed message claims " + std::to_string(packed.size()) +
-                     " B, the limit is " + std::to_string(kMaxUnpackedBytes) +
-                     " B");
+                 "a packed message of " + std::to_string(packed.data().size()) +
+                     " B claims to hold " + std::to_string(packed.size()) +
+                     " B, the limit is " + std::to_string(limit) + " B");
   }
   return Decompress(packed.data(), packed.size());
 }
--- a/src/runtime/catalog_follower.cc
+++ b/src/runtime/catalog_follower.cc
@@ -123,7 +123,10 @@
   client_.DisconnectOthers(address);
   last_quorum_contact_ = Now();
   UpdateAddresses(*reply);
-  return true;
+  // A damaged catalog counts as a failure: without the delay, this VM would ask
+  // for the whole catalog in a loop.
+  const bool is_damaged = reply->deltas_size() > 0 && receiver_.revision() == 0;
+  return !is_damaged;
 }
 
 // Retains the seeds, because all control VMs that the group names may fail
