Store departures of endpoints at once, and their tombstones

Cause: control VMs stored their endpoints at most once a second and without those that had left. After a failure of all VMs an endpoint that left within that second was used again, and so was one that only a partitioned control VM still had as ready: without a tombstone the older copy was accepted. Change: a departure that this VM acknowledges is stored within 0.1 s; the stored text contains tombstones.

--- a/include/vanillalatch/registry/registry.h
+++ b/include/vanillalatch/registry/registry.h
@@ -115,6 +115,11 @@
   virtual const Endpoint* FindByName(std::string_view name) const = 0;
   // Every lease that is ready or leaving, for MergeLease() of another registry.
   virtual std::vector<pb::LeaseUpdate> Leases(TimePoint now) const = 0;
+  // Like Leases(), with the tombstones of endpoints that are gone. Where leases
+  // are stored, the tombstones prevent an older copy of another VM from
+  // restoring an endpoint that has left.
+  virtual std::vector<pb::LeaseUpdate> LeasesAndTombstones(
+      TimePoint now) const = 0;
   // Increases whenever the endpoints of `service` change, except by a renewal.
   virtual std::uint64_t VersionOf(ServiceId service) const = 0;
 };
--- a/src/registry/registry.cc
+++ b/src/registry/registry.cc
@@ -197,6 +197,17 @@
   return updates;
 }
 
+std::vector<pb::LeaseUpdate> RegistryImpl::LeasesAndTombstones(
+    TimePoint now) const {
+  std::vector<pb::LeaseUpdate> updates;
+  store_.ForEach([&](const Lease& it) {
+    if (it.state != LeaseState::kLapsed) {
+      ToUpdate(it, now, updates.emplace_back());
+    }
+  });
+  return updates;
+}
+
 }  // namespace internal
 
 Result<std::unique_ptr<Registry>> Registry::Create(RegistryOptions options) {
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -37,6 +37,8 @@
   }
   const Endpoint* FindByName(std::string_view name) const override;
   std::vector<pb::LeaseUpdate> Leases(TimePoint now) const override;
+  std::vector<pb::LeaseUpdate> LeasesAndTombstones(
+      TimePoint now) const override;
   std::uint64_t VersionOf(ServiceId service) const override {
     return store_.VersionOf(service);
   }
--- a/src/runtime/fleet_shell.cc
+++ b/src/runtime/fleet_shell.cc
@@ -143,7 +143,7 @@
     return;
   }
   if (std::optional<std::string> text = stored_endpoints_.TakeTextToStore(
-          now, UnixNowMs(), peers_->registry().Leases(now))) {
+          now, UnixNowMs(), peers_->registry().LeasesAndTombstones(now))) {
     control_.StoreNote(std::move(*text));
   }
 }
@@ -222,7 +222,10 @@
       endpoint->state == EndpointState::kReady) {
     LogEvent(LogLevel::kInfo, "endpoint_leaving",
              {{"endpoint", registration.name}, {"epoch", registration.epoch}});
-    return registry.BeginLeave(now, *id);
+    Result<EndpointId> result = registry.BeginLeave(now, *id);
+    stored_endpoints_.OnDeparture();
+    StoreEndpoints();
+    return result;
   }
   return id;
 }
@@ -239,7 +242,11 @@
     }
     LogEvent(LogLevel::kInfo, "endpoint_ended",
              {{"endpoint", name}, {"epoch", endpoint->epoch}});
-    callback(peers_->registry().BeginLeave(Now(), endpoint->id));
+    const Result<EndpointId> result =
+        peers_->registry().BeginLeave(Now(), endpoint->id);
+    stored_endpoints_.OnDeparture();
+    StoreEndpoints();
+    callback(result);
   });
 }
 
--- a/src/runtime/stored_endpoints.cc
+++ b/src/runtime/stored_endpoints.cc
@@ -14,6 +14,7 @@
     return std::nullopt;
   }
   last_compared_at_ = now;
+  departure_pending_ = false;
   pb::KeptEndpoints message;
   std::uint64_t digest = 0;
   for (pb::LeaseUpdate& it : endpoints) {
--- a/src/runtime/stored_endpoints.h
+++ b/src/runtime/stored_endpoints.h
@@ -33,6 +33,11 @@
   // The shortest time between two writes. Several disk syncs per second would
   // use a large part of a small disk's capacity.
   static constexpr Duration kMinStoreInterval = std::chrono::seconds(1);
+  // The shortest time between two writes after an endpoint began to leave. A
+  // start after a failure of all VMs would use the endpoint again if its
+  // departure was not stored.
+  static constexpr Duration kMinDepartureInterval =
+      std::chrono::milliseconds(100);
   // Unchanged endpoints are stored again after this interval. It is a fraction
   // of kMaxAge, because the age must tell when the endpoints were last
   // confirmed, not when they last changed.
@@ -42,8 +47,13 @@
 
   // True if the endpoints must be compared with the stored ones.
   bool IsDue(TimePoint now) const {
-    return !last_compared_at_ || now >= *last_compared_at_ + kMinStoreInterval;
+    return !last_compared_at_ ||
+           now >= *last_compared_at_ + (departure_pending_
+                                            ? kMinDepartureInterval
+                                            : kMinStoreInterval);
   }
+  // Records that an endpoint began to leave, which is to be stored soon.
+  void OnDeparture() { departure_pending_ = true; }
   // Returns the text to store now; nullopt if it is not due, or if the same
   // endpoints were stored less than kUnchangedInterval ago. `unix_ms`: the
   // current Unix time.
@@ -59,6 +69,7 @@
   std::uint64_t stored_digest_ = 0;
   std::optional<TimePoint> last_compared_at_;
   std::optional<TimePoint> last_stored_at_;
+  bool departure_pending_ = false;
 };
 
 }  // namespace vanillalatch
