--- a/include/vanillalatch/catalog/state_machine.h
+++ b/include/vanillalatch/catalog/state_machine.h
@@ -23,6 +23,12 @@
 // total. Returns a description of the first error, or an empty string.
 std::string FindCatalogError(const pb::Change& change);
 
+// True for a name of 1 to 64 letters, digits, dots, underscores and dashes.
+bool IsDataCenterName(std::string_view name);
+
+// True if an evacuation of the data centre is in force.
+bool IsEvacuated(const pb::Catalog& catalog, std::string_view data_center);
+
 class CatalogState {
  public:
   // Number of stored outcomes, from which a resent change is answered. It
@@ -36,6 +42,9 @@
   //   from another revision is refused with kConflict.
   // - A change of the flow table is always accepted. It takes effect if its
   //   version is the highest so far. Its outcome is not stored.
+  // - An evacuation order is always accepted, whatever its change id. It raises
+  //   the revision unless the evacuation is already in that state. Its outcome
+  //   is not stored; the summary is empty if nothing changed.
   pb::ChangeOutcome Apply(const pb::Change& change);
 
   // The stored outcome of a change id; nullopt if there is none.
@@ -52,6 +61,7 @@
 
  private:
   pb::ChangeOutcome ApplyFlows(const pb::Change& change);
+  pb::ChangeOutcome ApplyEvacuation(const pb::Change& change);
   void StoreOutcome(const pb::ChangeOutcome& outcome);
 
   pb::Catalog catalog_;
--- a/src/catalog/catalog_image.cc
+++ b/src/catalog/catalog_image.cc
@@ -28,12 +28,14 @@
 pb::Catalog RestOf(const pb::Catalog& catalog) {
   pb::Catalog rest;
   *rest.mutable_draining_vms() = catalog.draining_vms();
+  *rest.mutable_evacuations() = catalog.evacuations();
   rest.set_next_service_id(catalog.next_service_id());
   rest.set_next_class_id(catalog.next_class_id());
   if (catalog.has_flows()) {
     rest.mutable_flows()->set_version(catalog.flows().version());
     rest.mutable_flows()->set_idle_timeout_ms(
         catalog.flows().idle_timeout_ms());
+    *rest.mutable_flows()->mutable_warm_ups() = catalog.flows().warm_ups();
   }
   return rest;
 }
--- a/src/catalog/state_machine.cc
+++ b/src/catalog/state_machine.cc
@@ -107,6 +107,7 @@
   if (current.has_flows()) {
     *catalog.mutable_flows() = current.flows();
   }
+  *catalog.mutable_evacuations() = current.evacuations();
   *catalog.mutable_services() = change.services();
   *catalog.mutable_draining_vms() = change.draining_vms();
   for (pb::Service& service : *catalog.mutable_services()) {
@@ -150,6 +151,23 @@
 
 }  // namespace
 
+bool IsDataCenterName(std::string_view name) {
+  constexpr std::size_t kMaxLength = 64;
+  return !name.empty() && name.size() <= kMaxLength &&
+         std::all_of(name.begin(), name.end(), [](char it) {
+           return (it >= 'A' && it <= 'Z') || (it >= 'a' && it <= 'z') ||
+                  (it >= '0' && it <= '9') || it == '.' || it == '_' ||
+                  it == '-';
+         });
+}
+
+bool IsEvacuated(const pb::Catalog& catalog, std::string_view data_center) {
+  return std::any_of(catalog.evacuations().begin(), catalog.evacuations().end(),
+                     [&](const pb::Evacuation& it) {
+                       return it.data_center() == data_center;
+                     });
+}
+
 std::string FindCatalogError(const pb::Change& change) {
   std::set<std::string> names;
   for (const pb::Service& it : change.services()) {
@@ -184,7 +202,44 @@
   return outcome;
 }
 
+// An order that is applied again changes nothing, so its outcome need not be
+// stored.
+pb::ChangeOutcome CatalogState::ApplyEvacuation(const pb::Change& change) {
+  const pb::EvacuationOrder& order = change.evacuation();
+  pb::ChangeOutcome outcome;
+  outcome.set_change_id(change.change_id());
+  outcome.set_author(change.author());
+  outcome.set_unix_ms(change.unix_ms());
+  outcome.set_accepted(true);
+  auto& list = *catalog_.mutable_evacuations();
+  if (IsEvacuated(catalog_, order.data_center()) == order.end()) {
+    catalog_.set_revision(catalog_.revision() + 1);
+    outcome.set_summary(
+        (order.end() ? "end of evacuation of " : "evacuation of ") +
+        order.data_center());
+    if (order.end()) {
+      list.erase(std::find_if(list.begin(), list.end(), [&](const auto& it) {
+        return it.data_center() == order.data_center();
+      }));
+    } else {
+      pb::Evacuation& added = *list.Add();
+      added.set_data_center(order.data_center());
+      added.set_revision(catalog_.revision());
+      added.set_author(change.author());
+      added.set_unix_ms(change.unix_ms());
+      std::sort(list.begin(), list.end(), [](const auto& a, const auto& b) {
+        return a.data_center() < b.data_center();
+      });
+    }
+  }
+  outcome.set_revision(catalog_.revision());
+  return outcome;
+}
+
 pb::ChangeOutcome CatalogState::Apply(const pb::Change& change) {
+  if (change.has_evacuation()) {
+    return ApplyEvacuation(change);
+  }
   if (change.has_flows()) {
     return ApplyFlows(change);
   }
--- a/src/catalog/state_machine_test.cc
+++ b/src/catalog/state_machine_test.cc
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 #include <functional>
 
+#include "vanillalatch/catalog/catalog_image.h"
+
 namespace vanillalatch {
 namespace {
 
@@ -159,5 +161,120 @@
   CHECK(restored.catalog().flows().version() == 4);
 }
 
+pb::Change OrderChange(const std::string& data_center, bool end,
+                       const std::string& id, const std::string& author) {
+  pb::Change change;
+  change.set_change_id(id);
+  change.set_author(author);
+  change.set_unix_ms(7);
+  change.mutable_evacuation()->set_data_center(data_center);
+  change.mutable_evacuation()->set_end(end);
+  return change;
+}
+
+// The data centres that are evacuated, each with the revision and the author.
+std::string Evacuations(const pb::Catalog& catalog) {
+  std::string text;
+  for (const pb::Evacuation& it : catalog.evacuations()) {
+    text += it.data_center() + " " + std::to_string(it.revision()) + " " +
+            it.author() + ";";
+  }
+  return text;
+}
+
+// Guards against an order that is lost in a later change of the catalog, or
+// that a repetition reverts or moves to another revision.
+TEST_CASE("the last order of a data centre is valid", "[state_machine]") {
+  struct Row {
+    const char* name;
+    pb::Change change;
+    bool accepted;
+    std::uint64_t revision;  // Afterwards.
+    const char* evacuations;
+  };
+  pb::Change service_with_order_id = MakeChange("o1", 3, {"plans"});
+  // The fields beside the order are unused.
+  pb::Change mixed = OrderChange("east", false, "o6", "bob");
+  mixed.mutable_flows()->set_version(99);
+  mixed.set_base_revision(77);
+  const Row rows[] = {
+      {"catalog", MakeChange("a", 0, {"records"}), true, 1, ""},
+      {"start", OrderChange("north", false, "o1", "alice"), true, 2,
+       "north 2 alice;"},
+      {"the same start", OrderChange("north", false, "o1", "alice"), true, 2,
+       "north 2 alice;"},
+      {"start by another operator", OrderChange("north", false, "o2", "bob"),
+       true, 2, "north 2 alice;"},
+      {"end of one not in force", OrderChange("west", true, "o3", "bob"), true,
+       2, "north 2 alice;"},
+      {"second data centre, ordered by name",
+       OrderChange("east", false, "o4", "bob"), true, 3,
+       "east 3 bob;north 2 alice;"},
+      {"catalog from the revision before", MakeChange("b", 1, {"plans"}), false,
+       3, "east 3 bob;north 2 alice;"},
+      {"catalog with the id of an order", service_with_order_id, true, 4,
+       "east 3 bob;north 2 alice;"},
+      {"flow table", FlowChange(5, "five"), true, 5,
+       "east 3 bob;north 2 alice;"},
+      {"end", OrderChange("north", true, "o5", "bob"), true, 6, "east 3 bob;"},
+      {"the same end", OrderChange("north", true, "o5", "bob"), true, 6,
+       "east 3 bob;"},
+      {"late repeat of the start", OrderChange("north", false, "o1", "alice"),
+       true, 7, "east 3 bob;north 7 alice;"},
+      {"order with other fields set", mixed, true, 7,
+       "east 3 bob;north 7 alice;"},
+  };
+  CatalogState state;
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    const pb::ChangeOutcome outcome = state.Apply(row.change);
+    CHECK(outcome.accepted() == row.accepted);
+    CHECK(outcome.revision() == row.revision);
+    CHECK(state.catalog().revision() == row.revision);
+    CHECK(Evacuations(state.catalog()) == row.evacuations);
+  }
+  CHECK(state.catalog().flows().version() == 5);
+  CHECK(state.outcomes().size() == 3);  // Those of the catalog.
+}
+
+// Guards against stored data or differences that drop evacuations, and against
+// a start from stored data of a version that has none.
+TEST_CASE("evacuations survive a snapshot and a difference",
+          "[state_machine]") {
+  const bool evacuated = GENERATE(false, true);
+  CatalogState state;
+  state.Apply(MakeChange("a", 0, {"records"}));
+  const CatalogImage before = CatalogImage::Encode(state.catalog());
+  if (evacuated) {
+    state.Apply(OrderChange("north", false, "o1", "alice"));
+  }
+  pb::Catalog stored;
+  REQUIRE(stored.ParseFromString(state.catalog().SerializeAsString()));
+  CatalogState restored;
+  restored.Restore(stored, state.outcomes());
+  CHECK(IsEvacuated(restored.catalog(), "north") == evacuated);
+  const CatalogImage after = CatalogImage::Encode(state.catalog());
+  const Result<CatalogImage> received =
+      CatalogImage::Apply(before, CatalogImage::Difference(before, after));
+  REQUIRE(received.ok());
+  CHECK(IsEvacuated(received->Decode().value(), "north") == evacuated);
+}
+
+TEST_CASE("the name of a data centre", "[state_machine]") {
+  const auto [name, valid] = GENERATE(table<std::string, bool>({
+      {"", false},
+      {"north", true},
+      {"A-z_0.9", true},
+      {std::string(64, 'a'), true},
+      {std::string(65, 'a'), false},
+      {"a b", false},
+      {"a/b", false},
+      {"n\xc3\xb6rd", false},
+      {std::string("a\0b", 3), false},
+  }));
+  CAPTURE(name);
+  CHECK(IsDataCenterName(name) == valid);
+}
+
 }  // namespace
 }  // namespace vanillalatch
