Take evacuation orders at control VMs

An order is proposed at once or refused at once, and acknowledged after its own log entry is applied. A control VM that was frozen, or has held the order for the deadline of a call, refuses it: the order could revert a newer one. Log entries of other changes no longer cover a change of another kind.

--- a/include/vanillalatch/control/control_node.h
+++ b/include/vanillalatch/control/control_node.h
@@ -62,6 +62,8 @@
   // large one take as much as many small ones, and a start reads all of them.
   std::uint64_t snapshot_every = 256;
   std::size_t snapshot_bytes = std::size_t{1} << 20;
+  // The data centres that may be evacuated; empty: all.
+  std::vector<std::string> data_centers;
 };
 
 // What the shell has to carry out, in this order. Each reply belongs to the
@@ -102,8 +104,13 @@
   // Each starts one call. The call's ticket gets exactly one reply, in the
   // actions of this or a later event. If this VM is not the leader, the reply
   // names the leader where it is known.
+  void OnApply(TimePoint now, Ticket ticket, const pb::ApplyRequest& request) {
+    OnApply(now, ticket, request, now);
+  }
+  // `received` is when the process received the call. An evacuation order that
+  // has waited since then for the deadline of a call is refused.
   virtual void OnApply(TimePoint now, Ticket ticket,
-                       const pb::ApplyRequest& request) = 0;
+                       const pb::ApplyRequest& request, TimePoint received) = 0;
   virtual void OnGet(TimePoint now, Ticket ticket) = 0;
   virtual void OnHistory(TimePoint now, Ticket ticket,
                          const pb::HistoryRequest& request) = 0;
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -164,6 +164,12 @@
   if (disk_failed_) {
     throw Error(ErrorKind::kStorage, "the disk has failed before");
   }
+  if (expected_wake_ != kNever &&
+      now > expected_wake_ + options_.election_timeout) {
+    // This VM was frozen. Orders that it reads now may be older than opposite
+    // ones that another leader has committed meanwhile.
+    orders_from_ = now + options_.election_timeout;
+  }
   ExecuteReplicaActions(replica_->TakeActions());
   AdvanceApplies(now);
   AdvanceReads(now);
@@ -175,6 +181,7 @@
   AdvanceSyncs(now);
   AdvanceStatuses(now);
   CompactIfDue();
+  expected_wake_ = std::max(now, NextWake());
 }
 
 void ControlNodeImpl::ExecuteReplicaActions(ReplicaActions actions) {
@@ -196,7 +203,14 @@
 
 void ControlNodeImpl::ApplyEntry(const pb::LogEntry& entry) {
   if (entry.has_change()) {
-    state_.Apply(entry.change());
+    const pb::ChangeOutcome outcome = state_.Apply(entry.change());
+    for (ApplyCall& it : applies_) {
+      if (entry.change().has_evacuation() &&
+          it.index.value() == entry.index() &&
+          it.term.value() == entry.term()) {
+        it.outcome = outcome;
+      }
+    }
   }
   applied_index_ = LogIndex(entry.index());
   applied_term_ = Term(entry.term());
--- a/src/control/control_node_impl.h
+++ b/src/control/control_node_impl.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -26,6 +27,16 @@
   pb::Change change;
   LogIndex index;
   TimePoint deadline;
+  // Only for evacuation orders: the term of the entry at `index`, and the
+  // outcome once that entry is applied.
+  Term term;
+  std::optional<pb::ChangeOutcome> outcome;
+};
+
+// Why a call is refused.
+struct Refusal {
+  ErrorKind kind;
+  std::string message;
 };
 
 enum class ReadKind : std::uint8_t { kGet, kHistory };
@@ -70,8 +81,8 @@
   void OnMessage(TimePoint now, const pb::ConsensusMessage& message) override;
   void OnTick(TimePoint now) override;
   TimePoint NextWake() const override;
-  void OnApply(TimePoint now, Ticket ticket,
-               const pb::ApplyRequest& request) override;
+  void OnApply(TimePoint now, Ticket ticket, const pb::ApplyRequest& request,
+               TimePoint received) override;
   void OnGet(TimePoint now, Ticket ticket) override;
   void OnHistory(TimePoint now, Ticket ticket,
                  const pb::HistoryRequest& request) override;
@@ -99,6 +110,11 @@
   // Apply, Get and History calls (operator_calls.cc).
   void AdvanceApplies(TimePoint now);
   bool AdvanceApply(TimePoint now, ApplyCall& call);
+  bool AdvanceOrder(TimePoint now, ApplyCall& call);
+  std::optional<Refusal> FindOrderRefusal(TimePoint now,
+                                          const ApplyCall& call) const;
+  std::optional<Refusal> FindNameRefusal(
+      const pb::EvacuationOrder& order) const;
   bool AnswerIfApplied(ApplyCall& call);
   void ProposeChange(TimePoint now, ApplyCall& call);
   void AnswerApply(Ticket ticket, pb::ChangeOutcome outcome);
@@ -137,6 +153,9 @@
   TimePoint next_syncs_ = kNever;
   std::vector<StatusCall> statuses_;
   std::uint64_t report_round_ = 0;  // Round of the last Status call.
+  // When this VM expects to run next. If it runs much later, it was frozen.
+  TimePoint expected_wake_ = kNever;
+  TimePoint orders_from_ = TimePoint::min();  // Earlier orders are refused.
   // Set during each write, so it stays set if the write throws. It is then
   // unknown what is stored.
   bool disk_failed_ = false;
--- a/src/control/control_node_test.cc
+++ b/src/control/control_node_test.cc
@@ -225,5 +225,134 @@
         ErrorKind::kInvalidArgument);
 }
 
+pb::ApplyRequest OrderRequest(const std::string& data_center, bool end) {
+  pb::ApplyRequest request;
+  request.mutable_change()->set_change_id("order");
+  request.mutable_change()->set_author("alice");
+  request.mutable_change()->mutable_evacuation()->set_data_center(data_center);
+  request.mutable_change()->mutable_evacuation()->set_end(end);
+  return request;
+}
+
+// Guards against an order for a misspelt data centre, and against an evacuation
+// that can't be ended because its name is no longer listed.
+TEST_CASE("an order names a data centre that may be evacuated", "[control]") {
+  struct Row {
+    std::vector<std::string> listed;
+    std::string name;
+    bool end;
+    const char* kind;  // Empty: accepted.
+  };
+  const std::string too_long(65, 'a');
+  const Row row = GENERATE_COPY(
+      Row{{}, "north", false, ""}, Row{{}, "north", true, ""},
+      Row{{}, "", false, "invalid_argument"},
+      Row{{}, too_long, false, "invalid_argument"},
+      Row{{}, "a b", true, "invalid_argument"}, Row{{}, "old", true, ""},
+      Row{{"north", "a b"}, "north", false, ""},
+      Row{{"north", "a b"}, "a b", false, ""},
+      Row{{"north"}, "nroth", false, "not_found"},
+      Row{{"north"}, "nroth", true, "not_found"},
+      Row{{"north"}, too_long, false, "not_found"},
+      // Evacuated while it was listed.
+      Row{{"north"}, "old", true, ""},
+      Row{{"north"}, "old", false, "not_found"});
+  CAPTURE(row.name, row.end);
+  FakeDisk disk;
+  ControlOptions options;
+  options.vm = "c1";
+  options.configured_vms = {{"c1", "c1:1", "north"}};
+  TimePoint now(std::chrono::seconds(1));
+  {
+    auto node = ControlNode::Create(options, disk, now, 1).value();
+    node->OnTick(now += std::chrono::seconds(2));
+    node->OnApply(now, Ticket{1}, OrderRequest("old", false));
+    REQUIRE(node->TakeActions().applies.at(0).second.outcome().accepted());
+  }
+  options.data_centers = row.listed;
+  auto node = ControlNode::Create(options, disk, now, 2).value();
+  node->OnTick(now += std::chrono::seconds(2));
+  node->OnApply(now, Ticket{1}, OrderRequest(row.name, row.end));
+  const pb::ChangeOutcome outcome =
+      node->TakeActions().applies.at(0).second.outcome();
+  CHECK(outcome.error_kind() == row.kind);
+  CHECK(outcome.accepted() == (*row.kind == '\0'));
+}
+
+// Guards against an order that waited in a frozen VM, or behind a hanging disk,
+// and would be applied after a later opposite order; and against an order that
+// is held although another control VM could take it at once.
+TEST_CASE("an order that may be late, or has no leader, is refused at once",
+          "[control]") {
+  struct Row {
+    const char* name;
+    bool leads;
+    Duration frozen;  // Before the order is handled.
+    Duration held;    // Since the process received it.
+    bool accepted;
+  };
+  using std::chrono::milliseconds;
+  const Row row = GENERATE(
+      Row{"in time", true, milliseconds(0), milliseconds(0), true},
+      Row{"held briefly", true, milliseconds(0), milliseconds(1900), true},
+      Row{"held", true, milliseconds(0), milliseconds(2000), false},
+      Row{"frozen", true, milliseconds(5000), milliseconds(0), false},
+      Row{"no leader", false, milliseconds(0), milliseconds(0), false});
+  CAPTURE(row.name);
+  FakeDisk disk;
+  ControlOptions options;
+  options.vm = "c1";
+  options.configured_vms = {{"c1", "c1:1", "north"}};
+  if (!row.leads) {
+    options.configured_vms.push_back({"c2", "c2:1", "north"});
+  }
+  TimePoint now(std::chrono::seconds(1));
+  auto node = ControlNode::Create(options, disk, now, 1).value();
+  node->OnTick(now);
+  REQUIRE((node->Status().role() == "leader") == row.leads);
+  node->TakeActions();
+  if (row.frozen == Duration::zero()) {
+    node->OnTick(now = node->NextWake());
+  }
+  now += row.frozen;
+  node->OnApply(now, Ticket{1}, OrderRequest("north", false), now - row.held);
+  ControlActions actions = node->TakeActions();
+  REQUIRE(actions.applies.size() == 1);
+  CHECK(actions.applies[0].second.outcome().accepted() == row.accepted);
+  if (!row.accepted) {
+    CHECK(actions.applies[0].second.outcome().error_kind() == "no_quorum");
+  }
+}
+
+// Guards against an order that counts as done because of another change with
+// its change id or without a version, and the reverse.
+TEST_CASE("an order takes a log entry beside other changes", "[control]") {
+  FakeDisk disk;
+  ControlOptions options;
+  options.vm = "c1";
+  options.configured_vms = {{"c1", "c1:1", "north"}};
+  TimePoint now(std::chrono::seconds(1));
+  auto node = ControlNode::Create(options, disk, now, 1).value();
+  node->OnTick(now);
+  std::uint64_t committed = node->Status().committed_index();
+  pb::ApplyRequest services;
+  services.mutable_change()->set_change_id("order");
+  for (const pb::ApplyRequest& it :
+       {OrderRequest("north", false), FlowRequest(0), services,
+        OrderRequest("north", false), OrderRequest("north", true)}) {
+    const bool order = it.change().has_evacuation();
+    node->OnApply(now, Ticket{++committed}, it);
+    const pb::ChangeOutcome outcome =
+        node->TakeActions().applies.at(0).second.outcome();
+    CAPTURE(it.ShortDebugString(), outcome.ShortDebugString());
+    CHECK((outcome.accepted() || outcome.error_kind() == "conflict"));
+    // A flow table of version 0 changes nothing and needs no entry.
+    committed -= it.change().has_flows() ? 1 : 0;
+    CHECK(node->Status().committed_index() == committed);
+    CHECK((!order || outcome.accepted()));
+  }
+  CHECK(node->Status().revision() == 2);
+}
+
 }  // namespace
 }  // namespace vanillalatch
--- a/src/control/control_scenario_test.cc
+++ b/src/control/control_scenario_test.cc
@@ -38,6 +38,8 @@
     AddControls(step.Number(0), step.NamedNumber("snapshot", 256));
   } else if (step.verb == "seeds") {
     seeds_ = SplitList(step.Word(0));
+  } else if (step.verb == "data-centers") {
+    data_centers_ = SplitList(step.Word(0));
   } else if (step.verb == "add-control") {
     AddControl(step.Word(0));
   } else if (step.verb == "start") {
@@ -122,6 +124,10 @@
     Apply(step.Word(0), step.Word(1), step.NamedNumber("base", 0),
           step.Named("service", step.Word(1)), step.Named("at", Leader()),
           step.NamedTime("within", std::chrono::seconds(10)));
+  } else if (step.verb == "evacuate") {
+    Order(step.Word(0), step.Word(1), step.Word(2),
+          step.NamedNumber("end", 0) != 0, step.Named("at", Leader()),
+          step.NamedTime("within", std::chrono::seconds(10)));
   } else if (step.verb == "changes") {
     for (std::uint64_t n = 0; n < step.Number(0); ++n) {
       const std::string id = "change-" + std::to_string(accepted_revision_ + 1);
--- a/src/control/control_world.h
+++ b/src/control/control_world.h
@@ -59,6 +59,17 @@
   std::optional<pb::ApplyReply> reply;  // The last final answer.
   unsigned answers_to_lose = 0;  // Number of coming answers that get lost.
   std::string first_answer;  // The outcome that every later answer must repeat.
+  std::size_t order = 0;     // Index in orders_, for an evacuation order.
+};
+
+// What an operator has seen of an evacuation order.
+struct ObservedOrder {
+  pb::EvacuationOrder order;
+  TimePoint sent;  // For the first time.
+  // When it was acknowledged; otherwise the time after which no control VM may
+  // propose it.
+  TimePoint latest;
+  bool acknowledged = false;
 };
 
 class ControlWorld {
@@ -90,6 +101,10 @@
   void Apply(const std::string& author, const std::string& id,
              std::uint64_t base, const std::string& service,
              const std::string& at, Duration within);
+  // Sends an evacuation order in the same way.
+  void Order(const std::string& author, const std::string& id,
+             const std::string& data_center, bool end, const std::string& at,
+             Duration within);
   // Reads the catalog at a control VM. The reply must be as new as the latest
   // revision that an operator had received before.
   void Get(const std::string& at);
@@ -104,6 +119,8 @@
   // The leader with the highest term; empty if there is none.
   std::string Leader() const;
   std::vector<std::string> ControlNames() const;
+  const std::vector<ObservedOrder>& orders() const { return orders_; }
+  const std::optional<pb::GetReply>& last_get() const { return last_get_; }
   std::uint64_t accepted_revision() const { return accepted_revision_; }
   // True if `revision` is in force at every entry VM except `excluded`.
   bool IsInForceEverywhere(std::uint64_t revision,
@@ -128,6 +145,7 @@
   void SendSync(const std::string& name);
   void HandleSyncReply(const std::string& name, std::uint64_t call,
                        const pb::SyncReply& reply);
+  void StartCall(OperatorCall& call, const std::string& at, Duration within);
   void SendApply(const std::string& id);
   void HandleApplyReply(const std::string& id, std::uint64_t attempt,
                         const pb::ApplyReply& reply);
@@ -138,11 +156,15 @@
   static const Replica& ReplicaOf(const ControlVm& vm);
   void CheckNode(ControlVm& vm);
   void CheckCatalog(const pb::Catalog& catalog);
+  // Checks the evacuations in a catalog that was read since `begin` against the
+  // orders that operators saw acknowledged.
+  void CheckEvacuations(TimePoint begin, const pb::Catalog& catalog) const;
   void CheckSync(const EntryVm& entry, const pb::SyncReply& reply) const;
   void CheckAnswer(OperatorCall& call, const pb::ApplyReply& reply);
   void Expect(Arguments step);
   void ExpectOutcome(Arguments step);
   void ExpectOneWins(Arguments step);
+  void ExpectEvacuated(Arguments step);
   void ExpectReplica(Arguments step);
   void ExpectInForce(Arguments step);
   void ExpectLeader(Arguments step);
@@ -156,6 +178,7 @@
 
   FakeNetwork network_;
   std::uint64_t snapshot_every_ = 256;
+  std::vector<std::string> data_centers_;  // As in the settings; empty: all.
   // The VMs that the settings list, for the control VMs that start from now on.
   // Other control VMs join through them. If empty, the settings list all VMs.
   std::vector<std::string> seeds_;
@@ -176,6 +199,7 @@
   std::map<std::uint64_t, std::string> catalogs_;   // By revision.
   std::map<std::uint64_t, std::string> accepted_;   // Change id by revision.
   std::uint64_t accepted_revision_ = 0;             // Reported to an operator.
+  std::vector<ObservedOrder> orders_;
   std::string last_leader_;
   std::optional<pb::GetReply> last_get_;
   std::optional<pb::StatusReply> last_status_;
--- a/src/control/control_world_test.cc
+++ b/src/control/control_world_test.cc
@@ -60,6 +60,7 @@
   ControlOptions options;
   options.vm = name;
   options.snapshot_every = snapshot_every_;
+  options.data_centers = data_centers_;
   if (!seeds_.empty()) {
     options.open_membership = true;
     options.may_bootstrap = controls_.at(name).may_bootstrap;
--- a/src/runtime/control_shell.cc
+++ b/src/runtime/control_shell.cc
@@ -269,6 +269,12 @@
 }
 
 void ControlShell::Handle(const ApplyCall& call) {
+  if (call.request->change().has_evacuation() && call.IsCancelled()) {
+    // It has waited for longer than its caller, who may have sent the opposite
+    // order since.
+    call.Reply({});
+    return;
+  }
   const Ticket ticket =
       AddOpenCall<pb::ApplyReply>(applies_, MakeReplyCallback(call));
   RunOnNode(
@@ -332,9 +338,12 @@
 
 void ControlShell::Apply(pb::ApplyRequest request,
                          Callback<pb::ApplyReply> callback) {
-  Post([this, request = std::move(request), callback = std::move(callback)] {
+  Post([this, request = std::move(request), callback = std::move(callback),
+        received = Now()] {
     const Ticket ticket = AddOpenCall<pb::ApplyReply>(applies_, callback);
-    RunOnNode([&](ControlNode& node) { node.OnApply(Now(), ticket, request); });
+    RunOnNode([&](ControlNode& node) {
+      node.OnApply(Now(), ticket, request, received);
+    });
   });
 }
 
