--- a/include/vanillalatch/settings/settings.h
+++ b/include/vanillalatch/settings/settings.h
@@ -99,9 +99,19 @@
   Duration heartbeat = std::chrono::milliseconds(1200);  // Interval.
 };
 
+// A data centre of the deployment and the region that it is in.
+//
+// "data_centers": [{"name": "NAME", "region": "NAME"}]
+struct DataCenterSettings {
+  std::string name;
+  std::string region;
+};
+
 // The whole file:
 //
-// {"vm": "NAME", "data_center": "NAME", "entry": {...}, "control": {...},
+// {"vm": "NAME", "data_center": "NAME",
+//  "data_centers": [{"name": "NAME", "region": "NAME"}],
+//  "entry": {...}, "control": {...},
 //  "fleet": {...}, "flows": {...}, "doors": {...},
 //  "log": {"level": "info", "file": "PATH"}, "trace_file": "PATH",
 //  "metrics": "A:P"}
@@ -109,6 +119,8 @@
 struct Settings {
   std::string vm;
   std::string data_center;
+  // All data centres. Empty: not known, and no region is known either.
+  std::vector<DataCenterSettings> data_centers;
   std::optional<EntrySettings> entry;
   std::optional<ControlSettings> control;
   std::optional<FleetSettings> fleet;
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -189,6 +189,27 @@
   return doors;
 }
 
+// Names and regions may be any text: they come from a list that covers the
+// whole deployment, and a name that this VM does not use must not prevent its
+// start.
+std::vector<DataCenterSettings> ReadDataCenters(const JsonValue& list,
+                                                const std::string& own) {
+  std::set<std::string> names;
+  std::vector<DataCenterSettings> data_centers;
+  for (const JsonValue& it : list.Items()) {
+    it.CheckKeys({"name", "region"});
+    const std::string name = it.At("name").Text();
+    if (name.empty() || !names.insert(name).second) {
+      it.At("name").Fail("each data centre's name once");
+    }
+    data_centers.push_back({name, it.At("region").Text()});
+  }
+  if (!data_centers.empty() && !names.contains(own)) {
+    list.Fail("this VM's \"data_center\", \"" + own + "\"");
+  }
+  return data_centers;
+}
+
 void ReadLog(const JsonValue& value, Settings& settings) {
   value.CheckKeys({"level", "file"});
   if (const JsonValue* it = value.Find("level")) {
@@ -201,12 +222,15 @@
 }
 
 Settings ReadRoot(const JsonValue& root) {
-  root.CheckKeys({"vm", "data_center", "entry", "control", "fleet", "flows",
-                  "doors", "log", "trace_file", "metrics"});
+  root.CheckKeys({"vm", "data_center", "data_centers", "entry", "control",
+                  "fleet", "flows", "doors", "log", "trace_file", "metrics"});
   Settings settings;
   ListenAddresses sockets;
   settings.vm = root.At("vm").Name();
   settings.data_center = root.At("data_center").Name();
+  if (const JsonValue* it = root.Find("data_centers")) {
+    settings.data_centers = ReadDataCenters(*it, settings.data_center);
+  }
   if (const JsonValue* it = root.Find("entry")) {
     settings.entry = ReadEntry(*it, sockets);
   }
