Accept unknown values of the platform's messages, and its evacuation calls

A configuration or heartbeat with a value that this build does not know is accepted with a careful meaning, logged and counted; it is refused only if it can't be read in full.

--- a/include/vanillalatch/runtime/serve.h
+++ b/include/vanillalatch/runtime/serve.h
@@ -5,6 +5,7 @@
 #ifndef VANILLALATCH_RUNTIME_SERVE_H_
 #define VANILLALATCH_RUNTIME_SERVE_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -29,6 +30,9 @@
   // The node that forwards this VM's flows, from which metrics are published;
   // nullptr if the VM forwards none.
   virtual FlowNode* flows() = 0;
+  // The values of accepted messages that the adapter did not know, since the
+  // start.
+  virtual std::uint64_t unknown_values() const = 0;
 };
 
 // Creates the platform adapter. `control` is nullptr unless this VM is a
--- a/include/vanillalatch/telemetry/metrics.h
+++ b/include/vanillalatch/telemetry/metrics.h
@@ -51,7 +51,9 @@
   kEndpointBusyTime,  // Counter, seconds; service, endpoint.
   kControlTerm,       // Gauge.
   kControlCommitted,  // Gauge, log index.
-  kControlLeader,     // Gauge, 1 on the leader.
+  kControlLeader,
+  kEvacuations,
+  kUnknownValues,     // Gauge, 1 on the leader.
   kFlowEvents,        // Counter; event.
   kFlowWait,          // Histogram, seconds.
   kFlowHandshake,     // Histogram, seconds.
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -155,6 +155,8 @@
   status.set_term(replica_->term().value());
   status.set_committed_index(replica_->commit_index().value());
   status.set_revision(state_.catalog().revision());
+  status.set_evacuations(
+      static_cast<std::uint32_t>(state_.catalog().evacuations_size()));
   return status;
 }
 
--- a/src/runtime/control_shell.cc
+++ b/src/runtime/control_shell.cc
@@ -46,6 +46,9 @@
 ControlOptions MakeControlOptions(const Settings& settings) {
   ControlOptions options;
   options.vm = settings.vm;
+  for (const DataCenterSettings& it : settings.data_centers) {
+    options.data_centers.push_back(it.name);
+  }
   for (const ControlVoter& it : settings.control->voters) {
     options.configured_vms.push_back(
         {it.vm, it.address.ToString(), it.data_center});
@@ -60,6 +63,40 @@
   return std::string(AnswerFor(kind).name);
 }
 
+// Logs an evacuation order that is acknowledged or refused as invalid.
+void LogOrder(const pb::Change& change, const pb::ChangeOutcome& outcome) {
+  const pb::EvacuationOrder& order = change.evacuation();
+  if (outcome.accepted()) {
+    LogEvent(LogLevel::kInfo,
+             order.end() ? "evacuation_ended" : "evacuation_started",
+             {{"data_center", order.data_center()},
+              {"revision", outcome.revision()},
+              {"author", change.author()},
+              {"changed", !outcome.summary().empty()}});
+  } else if (outcome.error_kind() ==
+                 AnswerFor(ErrorKind::kInvalidArgument).name ||
+             outcome.error_kind() == AnswerFor(ErrorKind::kNotFound).name) {
+    LogEvent(LogLevel::kWarn, "evacuation_refused",
+             {{"data_center", order.data_center()},
+              {"end", order.end()},
+              {"author", change.author()},
+              {"kind", outcome.error_kind()},
+              {"reason", outcome.message()}});
+  }
+}
+
+// Returns a callback that also logs the outcome of an evacuation order.
+ControlShell::Callback<pb::ApplyReply> WithOrderLog(
+    const pb::Change& change, ControlShell::Callback<pb::ApplyReply> callback) {
+  if (!change.has_evacuation()) {
+    return callback;
+  }
+  return [change, callback = std::move(callback)](const pb::ApplyReply& reply) {
+    LogOrder(change, reply.outcome());
+    callback(reply);
+  };
+}
+
 // Answers every open call with the same reply.
 template <typename Calls, typename Reply>
 void ReplyToAll(Calls& open, const Reply& reply) {
@@ -275,8 +312,8 @@
     call.Reply({});
     return;
   }
-  const Ticket ticket =
-      AddOpenCall<pb::ApplyReply>(applies_, MakeReplyCallback(call));
+  const Ticket ticket = AddOpenCall<pb::ApplyReply>(
+      applies_, WithOrderLog(call.request->change(), MakeReplyCallback(call)));
   RunOnNode(
       [&](ControlNode& node) { node.OnApply(Now(), ticket, *call.request); });
 }
@@ -340,7 +377,8 @@
                          Callback<pb::ApplyReply> callback) {
   Post([this, request = std::move(request), callback = std::move(callback),
         received = Now()] {
-    const Ticket ticket = AddOpenCall<pb::ApplyReply>(applies_, callback);
+    const Ticket ticket = AddOpenCall<pb::ApplyReply>(
+        applies_, WithOrderLog(request.change(), callback));
     RunOnNode([&](ControlNode& node) {
       node.OnApply(Now(), ticket, request, received);
     });
--- a/src/runtime/publisher.cc
+++ b/src/runtime/publisher.cc
@@ -95,6 +95,7 @@
   metrics_->Set(Metric::kControlTerm, {}, static_cast<double>(status.term()));
   metrics_->Set(Metric::kControlCommitted, {},
                 static_cast<double>(status.committed_index()));
+  metrics_->Set(Metric::kEvacuations, {}, status.evacuations());
   metrics_->Set(Metric::kControlLeader, {}, status.role() == "leader" ? 1 : 0);
   if (status.role() != control_role_) {
     control_role_ = status.role();
@@ -103,6 +104,10 @@
   }
 }
 
+void Publisher::PublishUnknownValues(std::uint64_t total) {
+  metrics_->SetTotal(Metric::kUnknownValues, {}, static_cast<double>(total));
+}
+
 void Publisher::Publish(FlowNode& node) {
   // Indexed by FlowTiming::Part.
   static constexpr Metric kTimings[] = {
--- a/src/runtime/publisher.h
+++ b/src/runtime/publisher.h
@@ -49,6 +49,8 @@
   void Publish(const EntryTelemetry& telemetry);
   // Publishes a control VM's metrics and logs a change of its role.
   void Publish(const pb::ControlStatus& status);
+  // Publishes how many values of accepted messages were unknown.
+  void PublishUnknownValues(std::uint64_t total);
   // Publishes the metrics of a VM that forwards flows. Takes the timings out of
   // the node.
   void Publish(FlowNode& node);
--- a/src/runtime/serve.cc
+++ b/src/runtime/serve.cc
@@ -77,6 +77,7 @@
   }
   if (control != nullptr) {
     publisher.Publish(control->Status());
+    publisher.PublishUnknownValues(adapter.unknown_values());
   }
   if (adapter.flows() != nullptr) {
     publisher.Publish(*adapter.flows());
--- a/src/telemetry/log_events.cc
+++ b/src/telemetry/log_events.cc
@@ -176,6 +176,35 @@
      "no majority has confirmed the operator's configuration, or a disk "
      "reports an error; it is safe to send it again",
      "check the control VMs and their disks"},
+    {"configuration_value_unknown", "warn", "control",
+     "version, pointer, value",
+     "the operator's configuration has a value that this version of the "
+     "program "
+     "does not know; it is in force with the careful meaning, for example a "
+     "route of an unknown type is never repeated",
+     "correct the operator's file, or upgrade"},
+    {"heartbeat_value_unknown", "warn", "control",
+     "endpoint, pointer, value, left_out",
+     "a heartbeat has an optional value that this version of the program does "
+     "not know; the value counts as absent",
+     "check the sender"},
+    {"evacuation_started", "info", "control",
+     "data_center, revision, author, changed",
+     "a majority of the control VMs has stored the order: the endpoints of the "
+     "data centre take no new work; changed is false if it was evacuated "
+     "already",
+     "wait until `ctl status` shows no open flows there; end the evacuation "
+     "after the work"},
+    {"evacuation_ended", "info", "control",
+     "data_center, revision, author, changed",
+     "a majority of the control VMs has stored the order: the endpoints of the "
+     "data centre take work again; changed is false if it was not evacuated",
+     "nothing"},
+    {"evacuation_refused", "warn", "control",
+     "data_center, end, author, kind, reason",
+     "an evacuation order names no data centre of the settings; nothing has "
+     "changed",
+     "repeat the order with the name of a data centre"},
     {"connection_not_accepted", "warn", "control, entry", "reason",
      "the kernel did not accept a connection to the HTTP server",
      "check how many file descriptors the process has open"},
