--- a/src/cli/catalog_change.cc
+++ b/src/cli/catalog_change.cc
@@ -12,6 +12,7 @@
 #include "src/cli/text_table.h"
 #include "vanillalatch/base/error.h"
 #include "vanillalatch/catalog/catalog_file.h"
+#include "vanillalatch/catalog/state_machine.h"
 #include "vanillalatch/jsonc/document.h"
 
 namespace vanillalatch {
@@ -67,6 +68,11 @@
     if (e.kind() != ErrorKind::kNoQuorum) {
       throw;
     }
+    if (change.has_evacuation()) {
+      throw Error(e.kind(), std::string(e.what()) +
+                                "; the order may or may not have been "
+                                "accepted: repeat it");
+    }
     // The change may be accepted although no answer arrived. Sent again with
     // the same id, it is not applied twice and the outcome is returned.
     throw Error(e.kind(),
@@ -196,6 +202,45 @@
   return true;
 }
 
+// Warns of each service whose endpoints are all in the data centre or in others
+// that are evacuated: its new work is refused. Endpoints are known from the
+// reports of the VMs that dispatch the service, in their own data centre.
+void WarnOfLastDataCenter(const std::string& data_center,
+                          const pb::StatusReply& status, Console console) {
+  std::map<std::uint32_t, int> remaining;  // Endpoints elsewhere, by service.
+  for (const pb::EntryStatus& entry : status.entries()) {
+    const std::string& home = entry.last_sync().data_center();
+    const bool evacuated =
+        home == data_center || IsEvacuated(status.catalog(), home);
+    for (const pb::ServiceReport& it : entry.last_sync().services()) {
+      remaining[it.service_id()] += evacuated ? 0 : it.endpoints_size();
+    }
+  }
+  for (const pb::Service& it : status.catalog().services()) {
+    const auto found = remaining.find(it.id());
+    if (found != remaining.end() && found->second == 0) {
+      console.err << "warning: service " << it.name()
+                  << " has no endpoint in another data centre; its new work "
+                     "is refused\n";
+    }
+  }
+}
+
+// Warns if no data centre with entry VMs is left to serve.
+void WarnOfNoDataCenter(const std::string& data_center,
+                        const pb::StatusReply& status, Console console) {
+  const bool left = std::any_of(
+      status.entries().begin(), status.entries().end(),
+      [&](const pb::EntryStatus& it) {
+        const std::string& home = it.last_sync().data_center();
+        return home != data_center && !IsEvacuated(status.catalog(), home);
+      });
+  if (!left) {
+    console.err << "warning: every data centre with entry VMs is evacuated "
+                   "then; new work may be refused\n";
+  }
+}
+
 }  // namespace
 
 std::string GenerateChangeId() {
@@ -269,4 +314,31 @@
   }
 }
 
+int RunEvacuate(const CtlOptions& options, OperatorClient& client,
+                Console console) {
+  const std::string& data_center = options.arguments.front();
+  if (!options.end) {
+    const pb::StatusReply status = client.Status();
+    WarnOfLastDataCenter(data_center, status, console);
+    WarnOfNoDataCenter(data_center, status, console);
+  }
+  pb::Change change;
+  change.set_change_id(GenerateChangeId());
+  change.set_author(options.author);
+  change.set_unix_ms(UnixMsNow());
+  change.mutable_evacuation()->set_data_center(data_center);
+  change.mutable_evacuation()->set_end(options.end);
+  const pb::ChangeOutcome outcome = SendChange(change, client);
+  if (!options.json && outcome.summary().empty()) {
+    console.err << data_center
+                << (options.end ? " is not evacuated" : " is evacuated already")
+                << "\n";
+  }
+  PrintOutcome(outcome, options, console);
+  if (options.wait) {
+    WaitUntilInForce(outcome.revision(), options, client, console);
+  }
+  return 0;
+}
+
 }  // namespace vanillalatch
--- a/src/cli/catalog_change.h
+++ b/src/cli/catalog_change.h
@@ -25,6 +25,13 @@
 int RunSetDraining(const CtlOptions& options, bool draining,
                    OperatorClient& client, Console console);
 
+// Runs `ctl evacuate DATACENTER` (with --end: ends the evacuation). Warns if a
+// service that entry VMs report has no endpoint in another data centre. Returns
+// the exit code. Throws Error; kNotFound or kInvalidArgument if the control VMs
+// know no data centre of this name, kDeadlineExceeded if --wait timed out.
+int RunEvacuate(const CtlOptions& options, OperatorClient& client,
+                Console console);
+
 // Returns a new change id: 32 random hexadecimal digits.
 std::string GenerateChangeId();
 
--- a/src/cli/cli_change_test.cc
+++ b/src/cli/cli_change_test.cc
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 #include <set>
+#include <tuple>
 
 #include "src/cli/fake_control.h"
 
@@ -188,5 +189,51 @@
   CHECK_THAT(unknown.err, Contains("entry VMs: entry-1"));
 }
 
+// Guards against an evacuation that is forgotten, because the status does not
+// show it, and against one that silently leaves a service without endpoints.
+TEST_CASE("evacuate starts, shows and ends an evacuation", "[cli]") {
+  FakeControl control;
+  CatalogState state;
+  ApplyChangesTo(state, control);
+  REQUIRE(RunCtlAgainst(control, {"apply", kCatalogPath}).exit_code == 0);
+  for (const auto& [vm, data_center, flows] :
+       {std::tuple("e1", "north", 3), std::tuple("e2", "south", 4)}) {
+    pb::EntryStatus entry = MakeEntryStatus(vm, data_center, 2);
+    pb::OpenFlows& open = *entry.mutable_last_sync()->add_open_flows();
+    open.set_data_center("north");
+    open.set_flows(static_cast<std::uint64_t>(flows));
+    *control.status.add_entries() = entry;
+  }
+  pb::ServiceReport& report =
+      *control.status.mutable_entries(0)->mutable_last_sync()->add_services();
+  report.set_service_id(state.catalog().services(0).id());
+  report.add_endpoints()->set_name("0000000a");
+  *control.status.mutable_catalog() = state.catalog();
+  const CommandResult start = RunCtlAgainst(
+      control, {"evacuate", "north", "--author", "ann", "--wait"});
+  CHECK(start.exit_code == 0);
+  CHECK_THAT(start.out, Contains("accepted as revision 2"));
+  CHECK_THAT(start.err, Contains("warning: service " +
+                                 state.catalog().services(0).name()));
+  CHECK_THAT(start.err, !Contains("every data centre"));
+  *control.status.mutable_catalog() = state.catalog();
+  control.status.mutable_entries(1)->mutable_last_sync()->set_revision(1);
+  const CommandResult status = RunCtlAgainst(control, {"status"});
+  CHECK_THAT(status.out, Contains("north") && Contains("ann") &&
+                             Contains("1 of 2 entry VMs"));
+  CHECK_THAT(status.out, Catch::Matches("[^]*1 of 2 entry VMs +7[^]*"));
+  const CommandResult again = RunCtlAgainst(control, {"evacuate", "north"});
+  CHECK(again.exit_code == 0);
+  CHECK_THAT(again.err, Contains("north is evacuated already"));
+  CHECK_THAT(RunCtlAgainst(control, {"evacuate", "south"}).err,
+             Contains("every data centre"));
+  CHECK(RunCtlAgainst(control, {"evacuate", "north", "--end"}).exit_code == 0);
+  CHECK_FALSE(IsEvacuated(state.catalog(), "north"));
+  CHECK_THAT(RunCtlAgainst(control, {"evacuate", "north", "--end"}).err,
+             Contains("north is not evacuated"));
+  CHECK(RunCtlAgainst(control, {"evacuate"}).exit_code == 2);
+  CHECK(RunCtlAgainst(control, {"status", "--end"}).exit_code == 2);
+}
+
 }  // namespace
 }  // namespace vanillalatch
--- a/src/cli/ctl_command.cc
+++ b/src/cli/ctl_command.cc
@@ -144,6 +144,9 @@
   if (command == "explain") {
     return RunExplain(options, client, console);
   }
+  if (command == "evacuate") {
+    return RunEvacuate(options, client, console);
+  }
   return RunSetDraining(options, command == "drain", client, console);
 }
 
--- a/src/cli/ctl_options.cc
+++ b/src/cli/ctl_options.cc
@@ -28,6 +28,10 @@
                      class meets its target.
   drain VM           Move the work of an entry VM to others. Takes --author.
   undrain VM         Let a drained entry VM take work again. Takes --author.
+  evacuate DATACENTER
+                     Send no new work to the endpoints of a data centre; with
+                     --end, let them take work again. Takes --end, --wait,
+                     --wait-timeout and --author.
   history            Show changes of the catalog, their authors and the
                      revisions they were made from. Takes --limit.
   explain REQUEST    Show what happened to a request, hop by hop.
@@ -52,6 +56,7 @@
       {"status", 0, {}},
       {"drain", 1, {"author"}},
       {"undrain", 1, {"author"}},
+      {"evacuate", 1, {"end", "wait", "wait-timeout", "author"}},
       {"history", 0, {"limit"}},
       {"explain", 1, {}},
   };
@@ -73,7 +78,8 @@
       "Timeout of each call in seconds; default: 10.")(
       "wait", "Wait until the change is in force on every entry VM.")(
       "wait-timeout", po::value<int>(),
-      "Timeout of --wait in seconds; default: 30.")(
+      "Timeout of --wait in seconds; default: 30.")("end",
+                                                    "End the evacuation.")(
       "dry-run", "Show the difference only; change nothing.")(
       "author", po::value<std::string>(),
       "Author of the change; default: the login name.")(
@@ -183,6 +189,7 @@
   CheckCommand(options, values);
   options.json = values.contains("json");
   options.wait = values.contains("wait");
+  options.end = values.contains("end");
   options.dry_run = values.contains("dry-run");
   options.control = ControlAddresses(values);
   options.timeout = ReadSeconds(values, "timeout", options.timeout);
--- a/src/cli/ctl_options.h
+++ b/src/cli/ctl_options.h
@@ -20,6 +20,7 @@
   bool json = false;
   bool wait = false;
   bool dry_run = false;
+  bool end = false;
   std::string command;
   std::vector<std::string> arguments;  // Those after the command.
   std::vector<SocketAddress> control;  // gRPC addresses of control VMs.
--- a/src/cli/status_text.cc
+++ b/src/cli/status_text.cc
@@ -98,6 +98,29 @@
   table.Print(out);
 }
 
+// Shows for each evacuation on how many entry VMs it is in force, and how many
+// flows those VMs still hold open in the data centre.
+void PrintEvacuations(const pb::StatusReply& status, std::ostream& out) {
+  TextTable table({"EVACUATED", "REVISION", "SINCE", "AUTHOR", "IN FORCE ON",
+                   "OPEN FLOWS"});
+  for (const pb::Evacuation& it : status.catalog().evacuations()) {
+    int in_force = 0;
+    std::uint64_t flows = 0;
+    for (const pb::EntryStatus& entry : status.entries()) {
+      in_force += entry.last_sync().revision() >= it.revision() ? 1 : 0;
+      for (const pb::OpenFlows& open : entry.last_sync().open_flows()) {
+        flows += open.data_center() == it.data_center() ? open.flows() : 0;
+      }
+    }
+    table.Add({it.data_center(), std::to_string(it.revision()),
+               FormatUtcTime(it.unix_ms()), it.author(),
+               std::to_string(in_force) + " of " +
+                   std::to_string(status.entries_size()) + " entry VMs",
+               std::to_string(flows)});
+  }
+  table.Print(out);
+}
+
 void PrintClasses(const pb::StatusReply& status, std::ostream& out) {
   TextTable table({"SERVICE", "CLASS", "DATA CENTRE", "P99", "TARGET",
                    "WAITING", "ANSWERED", "WITHIN TARGET"});
@@ -174,6 +197,10 @@
       << status.catalog().services_size() << " services\n\n";
   PrintControlVms(status, out);
   out << "\n";
+  if (!status.catalog().evacuations().empty()) {
+    PrintEvacuations(status, out);
+    out << "\n";
+  }
   PrintEntryVms(status, out);
   out << "\n";
   PrintClasses(status, out);
