Decide which regions a route may reach

A restricted route reaches only data centres in its regions; a data centre without a known region is in none. Its opening packets may also be sent to VMs in the caller's own region. Placement does not ask yet.

--- a/include/vanillalatch/packetflow/route_table.h
+++ b/include/vanillalatch/packetflow/route_table.h
@@ -9,6 +9,9 @@
 #define VANILLALATCH_PACKETFLOW_ROUTE_TABLE_H_
 
 #include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -25,12 +28,42 @@
 // contains its service.
 ServiceId FlowServiceId(std::string_view name);
 
+// The regions of the data centres, from the settings.
+//
+//   DataCenterRegions regions({{"tas-hob", "tas"}});
+//   bool ok = route->MayReach(regions.RegionOf(endpoint.data_center));
+class DataCenterRegions {
+ public:
+  DataCenterRegions() = default;
+  // Pairs of a data centre and its region.
+  explicit DataCenterRegions(
+      const std::vector<std::pair<std::string, std::string>>& regions)
+      : regions_(regions.begin(), regions.end()) {}
+
+  // Returns an empty text for a data centre without a known region.
+  std::string_view RegionOf(std::string_view data_center) const;
+
+ private:
+  std::map<std::string, std::string, std::less<>> regions_;
+};
+
 struct FlowRoute {
   // The services of this route, each with the cumulative weight up to and
   // including it. Not empty; no weight is zero.
   std::vector<std::pair<ServiceId, std::uint64_t>> shares;
   ClassId work_class;
   Duration timeout{};  // The caller gives up after this time.
+  // The regions in which the route is at home. Empty: everywhere.
+  std::vector<std::string> regions;
+
+  // True if flows of this route may reach the endpoints of a data centre in
+  // `region`. A restricted route reaches none in an unknown region (an empty
+  // text).
+  bool MayReach(std::string_view region) const;
+  // True if an opening packet, which contains a request's body, may be sent to
+  // a VM in `region`: the route's flows may reach the region, or it is that of
+  // the caller, which is the region of the ingress.
+  bool MayCarry(std::string_view region, std::string_view caller_region) const;
 
   // Selects a service by weight. The result depends only on the flow id and the
   // weights, so that it is the same for every packet of a flow and on every VM.
--- a/src/packetflow/route_table.cc
+++ b/src/packetflow/route_table.cc
@@ -32,6 +32,23 @@
       ->first;
 }
 
+std::string_view DataCenterRegions::RegionOf(
+    std::string_view data_center) const {
+  const auto it = regions_.find(data_center);
+  return it == regions_.end() ? std::string_view() : it->second;
+}
+
+bool FlowRoute::MayReach(std::string_view region) const {
+  return regions.empty() ||
+         (!region.empty() &&
+          std::find(regions.begin(), regions.end(), region) != regions.end());
+}
+
+bool FlowRoute::MayCarry(std::string_view region,
+                         std::string_view caller_region) const {
+  return MayReach(region) || (!region.empty() && region == caller_region);
+}
+
 RouteTable RouteTable::From(const pb::FlowTable& table) {
   RouteTable result;
   std::set<ServiceId> services;
@@ -53,6 +70,7 @@
     ClassTarget target = TargetOf(it);
     route.work_class = target.id;
     route.timeout = std::chrono::milliseconds(it.timeout_ms());
+    route.regions.assign(it.regions().begin(), it.regions().end());
     if (classes.insert(target.id).second) {
       result.classes_.push_back(std::move(target));
     }
--- a/src/packetflow/tables_test.cc
+++ b/src/packetflow/tables_test.cc
@@ -208,5 +208,49 @@
   CHECK(routes.services().size() == 2);
 }
 
+// Guards against a request whose body leaves the regions that its route allows,
+// and against a route without regions that loses its endpoints because regions
+// are not known.
+TEST_CASE("a route reaches only the data centres in its regions") {
+  struct Row {
+    std::vector<std::string> regions;
+    const char* data_center;
+    const char* ingress;  // Data centre of the caller.
+    bool reaches;
+    bool carries;
+  };
+  const Row row = GENERATE(
+      Row{{}, "a1", "b1", true, true}, Row{{}, "unknown", "b1", true, true},
+      Row{{"a"}, "a1", "b1", true, true}, Row{{"a"}, "a2", "b1", true, true},
+      Row{{"a"}, "b1", "a1", false, false}, Row{{"a"}, "b1", "b2", false, true},
+      Row{{"a"}, "c1", "b1", false, false},
+      Row{{"c", "b"}, "b1", "a1", true, true},
+      Row{{"a"}, "unknown", "unknown", false, false},
+      Row{{"a"}, "unset", "unset", false, false},
+      // A region without endpoints, and one that can't be read.
+      Row{{"d"}, "a1", "b1", false, false}, Row{{""}, "a1", "b1", false, false},
+      Row{{""}, "unset", "unset", false, false});
+  CAPTURE(row.regions, row.data_center, row.ingress);
+  const DataCenterRegions regions({{"a1", "a"},
+                                   {"a2", "a"},
+                                   {"b1", "b"},
+                                   {"b2", "b"},
+                                   {"c1", "c"},
+                                   {"unset", ""}});
+  pb::FlowTable table;
+  pb::FlowRoute& route = *table.add_routes();
+  route.set_ip(1);
+  route.set_port(2);
+  route.add_shares()->set_service("s");
+  route.mutable_shares(0)->set_weight(1);
+  route.mutable_regions()->Add(row.regions.begin(), row.regions.end());
+  const RouteTable routes = RouteTable::From(table);
+  const FlowRoute* found = routes.Find({1, 2});
+  REQUIRE(found != nullptr);
+  const std::string_view region = regions.RegionOf(row.data_center);
+  CHECK(found->MayReach(region) == row.reaches);
+  CHECK(found->MayCarry(region, regions.RegionOf(row.ingress)) == row.carries);
+}
+
 }  // namespace
 }  // namespace vanillalatch
