--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -155,6 +155,8 @@
   status.set_term(replica_->term().value());
   status.set_committed_index(replica_->commit_index().value());
   status.set_revision(state_.catalog().revision());
+  status.set_evacuations(
+      static_cast<std::uint32_t>(state_.catalog().evacuations_size()));
   return status;
 }
 
@@ -164,6 +166,12 @@
   if (disk_failed_) {
     throw Error(ErrorKind::kStorage, "the disk has failed before");
   }
+  if (expected_wake_ != kNever &&
+      now > expected_wake_ + options_.election_timeout) {
+    // This VM was frozen. Orders that it reads now may be older than opposite
+    // ones that another leader has committed meanwhile.
+    orders_from_ = now + options_.election_timeout;
+  }
   ExecuteReplicaActions(replica_->TakeActions());
   AdvanceApplies(now);
   AdvanceReads(now);
@@ -175,6 +183,7 @@
   AdvanceSyncs(now);
   AdvanceStatuses(now);
   CompactIfDue();
+  expected_wake_ = std::max(now, NextWake());
 }
 
 void ControlNodeImpl::ExecuteReplicaActions(ReplicaActions actions) {
@@ -196,7 +205,14 @@
 
 void ControlNodeImpl::ApplyEntry(const pb::LogEntry& entry) {
   if (entry.has_change()) {
-    state_.Apply(entry.change());
+    const pb::ChangeOutcome outcome = state_.Apply(entry.change());
+    for (ApplyCall& it : applies_) {
+      if (entry.change().has_evacuation() &&
+          it.index.value() == entry.index() &&
+          it.term.value() == entry.term()) {
+        it.outcome = outcome;
+      }
+    }
   }
   applied_index_ = LogIndex(entry.index());
   applied_term_ = Term(entry.term());
