Place no new work in evacuated data centres

An operator empties a data centre before work on it. SlotScheduler gets the evacuated data centres; an endpoint in one of them is not in service: it takes no unpinned work, no probe and no try_first, and its slots do not count. Queued work is refused with no_endpoint where nothing else is in service. Pinned work continues.

--- a/include/vanillalatch/placement/slot_scheduler.h
+++ b/include/vanillalatch/placement/slot_scheduler.h
@@ -107,6 +107,14 @@
   virtual void SetEndpoints(TimePoint now,
                             std::span<const Endpoint> endpoints) = 0;
 
+  // Replaces the data centres that are evacuated. An endpoint in one of them
+  // gets no new unpinned work, also not as a probe or by Work::try_first, and
+  // its slots are not usable; requests that run there continue. Waiting work is
+  // refused with kNoEndpoint by the next call if no endpoint elsewhere is in
+  // service.
+  virtual void SetEvacuated(TimePoint now,
+                            std::span<const std::string> data_centers) = 0;
+
   // Places, queues or refuses a request. Appends its verdict to `verdicts`, or
   // none if the request waits in the queue; a later call then appends it. May
   // also append verdicts on other requests. No effect if the request already
--- a/src/placement/endpoint_pool.cc
+++ b/src/placement/endpoint_pool.cc
@@ -28,12 +28,20 @@
     if (!added) {
       tracked->second.Update(it);
     }
+    tracked->second.SetEvacuated(evacuated_.contains(it.data_center));
   }
   std::erase_if(endpoints_, [](const auto& it) {
     return !it.second.present() && it.second.busy() == 0;
   });
 }
 
+void EndpointPool::SetEvacuated(std::span<const std::string> data_centers) {
+  evacuated_ = {data_centers.begin(), data_centers.end()};
+  for (auto& [id, it] : endpoints_) {
+    it.SetEvacuated(evacuated_.contains(it.endpoint().data_center));
+  }
+}
+
 void EndpointPool::Advance(TimePoint now) {
   for (auto& [id, it] : endpoints_) {
     it.Advance(now);
--- a/src/placement/endpoint_pool.h
+++ b/src/placement/endpoint_pool.h
@@ -11,9 +11,12 @@
 #define VANILLALATCH_PLACEMENT_ENDPOINT_POOL_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <random>
+#include <set>
 #include <span>
+#include <string>
 #include <tuple>
 #include <vector>
 
@@ -52,6 +55,9 @@
   // overlap_percent, rounded up. An endpoint that is not listed gets no new
   // work and is removed when no request runs there.
   void Set(TimePoint now, std::span<const Endpoint> endpoints);
+  // Replaces the evacuated data centres. An endpoint in one of them is not in
+  // service.
+  void SetEvacuated(std::span<const std::string> data_centers);
   // Applies what is due by time: cold-start ramps, back-offs, slot limits and
   // the median answer time.
   void Advance(TimePoint now);
@@ -116,6 +122,7 @@
   std::uint32_t overlap_percent_;
   std::mt19937_64 random_;
   std::map<EndpointId, TrackedEndpoint> endpoints_;
+  std::set<std::string, std::less<>> evacuated_;  // Data centres.
   Duration median_answer_time_{};
   TimePoint median_updated_at_;
   TimePoint back_offs_skipped_at_;
--- a/src/placement/slot_scheduler.cc
+++ b/src/placement/slot_scheduler.cc
@@ -51,6 +51,13 @@
     }
   }
 
+  void SetEvacuated(TimePoint now,
+                    std::span<const std::string> data_centers) override {
+    last_event_at_ = now;
+    pool_.SetEvacuated(data_centers);
+    endpoints_changed_ = true;
+  }
+
   void Submit(TimePoint now, const Work& work,
               std::vector<Verdict>& verdicts) override;
   void AddRunning(TimePoint now, const Work& work,
--- a/src/placement/tracked_endpoint.cc
+++ b/src/placement/tracked_endpoint.cc
@@ -208,6 +208,9 @@
 }
 
 std::string_view TrackedEndpoint::StateName() const {
+  if (evacuated_ && present_) {
+    return "evacuated";
+  }
   if (!IsInService()) {
     return "leaving";
   }
--- a/src/placement/tracked_endpoint.h
+++ b/src/placement/tracked_endpoint.h
@@ -80,10 +80,11 @@
 
   // True if the endpoint is in the latest list of endpoints.
   bool present() const { return present_; }
-  // Present and not leaving.
+  // Present, not leaving, and not in an evacuated data centre.
   bool IsInService() const {
-    return present_ && endpoint_.state == EndpointState::kReady;
+    return present_ && !evacuated_ && endpoint_.state == EndpointState::kReady;
   }
+  void SetEvacuated(bool evacuated) { evacuated_ = evacuated; }
   // True if the endpoint may get unpinned work other than probes.
   bool TakesNewWork() const {
     return IsInService() &&
@@ -125,7 +126,7 @@
   // Number of ejections. Returns zero when the endpoint has been in use for
   // kEjectionCountLifetime since it recovered.
   std::uint32_t RecentEjections(TimePoint now) const;
-  // warming, ready, ejected, probing or leaving.
+  // warming, ready, ejected, probing, evacuated or leaving.
   std::string_view StateName() const;
 
  private:
@@ -139,6 +140,7 @@
   Duration ramp_;
   bool present_ = true;
   bool is_silent_ = false;
+  bool evacuated_ = false;  // Its data centre is evacuated.
   HealthState health_;
 
   std::uint32_t busy_ = 0;
