Bound new work at cold endpoints by a stated rate

Repetitions take a token; a VM that is not the dispatcher uses cold endpoints only without a warm one; with only cold endpoints the forecast uses the sum of the rates. Endpoints of a data centre whose evacuation ended are cold until a heartbeat received later: the registry gives the time of the last renewal, and a renewal may extend the warm-up.

--- a/include/vanillalatch/placement/slot_scheduler.h
+++ b/include/vanillalatch/placement/slot_scheduler.h
@@ -48,6 +48,31 @@
   std::string data_center{};
 };
 
+// How long the endpoints of a service are cold after their start, and how much
+// new work per second a cold one bears. A rate of zero states no bound.
+struct WarmUp {
+  Duration duration{};
+  double per_second = 0;
+  friend bool operator==(const WarmUp&, const WarmUp&) = default;
+};
+
+// What this VM may give to cold endpoints of a service that states a rate.
+struct ColdUse {
+  double share = 1;  // Part of the stated rate.
+  // Only while no warm endpoint takes new work. Set on a VM that is not the
+  // service's dispatcher.
+  bool only_without_warm = false;
+  TimePoint from = TimePoint::min();  // Nothing before this time.
+  friend bool operator==(const ColdUse&, const ColdUse&) = default;
+};
+
+// Whether the first packet of work that runs may be sent to its endpoint again.
+enum class Resend : std::uint8_t {
+  kSend,
+  kWait,  // The endpoint is cold and has received as much as it bears.
+  kMove   // The endpoint is evacuated.
+};
+
 // How a request that had a slot ended, as the dispatcher observed it.
 enum class WorkOutcome : std::uint8_t {
   kAnswered,   // The endpoint sent a complete answer that is no server error.
@@ -115,6 +140,14 @@
   virtual void SetEvacuated(TimePoint now,
                             std::span<const std::string> data_centers) = 0;
 
+  // Sets the bound for cold endpoints.
+  virtual void SetWarmUp(TimePoint now, const WarmUp& warm_up) = 0;
+  // Sets this VM's part of that bound. If it changes the role or the start, the
+  // token buckets of all cold endpoints become empty.
+  virtual void SetColdUse(TimePoint now, const ColdUse& use) = 0;
+  // Decides on a repetition to `endpoint`, and counts it if it is sent.
+  virtual Resend TryResend(TimePoint now, EndpointId endpoint) = 0;
+
   // Places, queues or refuses a request. Appends its verdict to `verdicts`, or
   // none if the request waits in the queue; a later call then appends it. May
   // also append verdicts on other requests. No effect if the request already
--- a/include/vanillalatch/registry/registry.h
+++ b/include/vanillalatch/registry/registry.h
@@ -42,6 +42,7 @@
   TimePoint registered;            // Start of its cold-start ramp; see
                                    // SlotSchedulerOptions.
   TimePoint expires;               // End of its lease.
+  TimePoint renewed;               // Last renewal of its lease, at any VM.
   std::uint32_t load_percent = 0;  // As it reports; a hint that may be wrong.
   TimePoint load_reported;         // When it reported load_percent.
   std::uint64_t epoch = 0;         // See Registration.
--- a/src/placement/admission_gate.cc
+++ b/src/placement/admission_gate.cc
@@ -85,6 +85,10 @@
 
 void AdmissionGate::PredictUnpinned(TimePoint now, const Work& work,
                                     Forecast& forecast) {
+  if (const double rate = pool_.BoundedRate(now); rate > 0) {
+    PredictCold(now, work, rate, forecast);
+    return;
+  }
   const ClassState& state = classes_.GetOrCreate(work.work_class);
   const double slots = std::max(1U, pool_.UsableSlots(now));
   const double available_slots = classes_.AvailableSlots(now, state, slots);
@@ -113,6 +117,29 @@
   estimate.Fill(forecast);
 }
 
+// Work starts at the rate that the cold endpoints bear together, class after
+// class.
+void AdmissionGate::PredictCold(TimePoint now, const Work& work, double rate,
+                                Forecast& forecast) {
+  forecast.slot_interval = Scale(std::chrono::seconds(1), 1 / rate);
+  if (queue_.size() == 0 && pool_.FreeSlots(now) > 0) {
+    return;
+  }
+  std::size_t ahead = 1;
+  for (const ClassState* it : classes_.by_priority()) {
+    ahead += queue_.SizeOf(it->target.id);
+    if (it->target.id == work.work_class) {
+      break;
+    }
+  }
+  WaitEstimate estimate;
+  estimate.Add(forecast.slot_interval, static_cast<double>(ahead));
+  estimate.Fill(forecast);
+  const Duration hold = std::max(pool_.cold_use_from(), now) - now;
+  forecast.mean_wait += hold;
+  forecast.max_wait += hold;
+}
+
 std::optional<ErrorKind> AdmissionGate::Check(TimePoint now, const Work& work,
                                               const Forecast& forecast) {
   if (now >= work.deadline) {
--- a/src/placement/admission_gate.h
+++ b/src/placement/admission_gate.h
@@ -57,6 +57,10 @@
   // times if the class has no recent sample.
   Duration AnswerTimeOf(TimePoint now, const ClassState& state) const;
   void PredictPinned(TimePoint now, const Work& work, Forecast& forecast);
+  // Predicts the wait while all endpoints are cold and bounded; `rate`: work
+  // that starts per second.
+  void PredictCold(TimePoint now, const Work& work, double rate,
+                   Forecast& forecast);
   void PredictUnpinned(TimePoint now, const Work& work, Forecast& forecast);
 
   const WaitQueue& queue_;
--- a/src/placement/endpoint_pool.cc
+++ b/src/placement/endpoint_pool.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace vanillalatch::internal {
 namespace {
@@ -23,22 +24,62 @@
   for (Endpoint it : endpoints) {
     it.slots =
         (it.slots * overlap_percent_ + kHundredPercent - 1) / kHundredPercent;
-    const auto [tracked, added] =
-        endpoints_.try_emplace(it.id, TrackedEndpoint(now, it, ramp_));
+    const auto [tracked, added] = Add(now, it);
     if (!added) {
-      tracked->second.Update(it);
+      tracked->Update(now, it);
     }
-    tracked->second.SetEvacuated(evacuated_.contains(it.data_center));
+    tracked->SetEvacuated(evacuated_.contains(it.data_center));
   }
   std::erase_if(endpoints_, [](const auto& it) {
     return !it.second.present() && it.second.busy() == 0;
   });
 }
 
-void EndpointPool::SetEvacuated(std::span<const std::string> data_centers) {
-  evacuated_ = {data_centers.begin(), data_centers.end()};
+std::pair<TrackedEndpoint*, bool> EndpointPool::Add(TimePoint now,
+                                                    const Endpoint& endpoint) {
+  const auto [entry, added] = endpoints_.try_emplace(
+      endpoint.id, TrackedEndpoint(now, endpoint, ramp_));
+  if (added) {
+    ColdStart& cold = entry->second.cold();
+    cold.SetWarmUp(now, warm_up_);
+    cold.SetUse(now, cold_use_);
+    const auto ended = evacuation_ended_.find(endpoint.data_center);
+    if (ended != evacuation_ended_.end()) {
+      cold.OnEvacuationEnded(now, ended->second);
+    }
+  }
+  return {&entry->second, added};
+}
+
+void EndpointPool::SetEvacuated(TimePoint now,
+                                std::span<const std::string> data_centers) {
+  const auto before =
+      std::exchange(evacuated_, {data_centers.begin(), data_centers.end()});
+  for (const std::string& it : before) {
+    if (!evacuated_.contains(it)) {
+      evacuation_ended_[it] = now;
+    }
+  }
+  for (auto& [id, it] : endpoints_) {
+    const std::string& data_center = it.endpoint().data_center;
+    it.SetEvacuated(evacuated_.contains(data_center));
+    if (before.contains(data_center) && !evacuated_.contains(data_center)) {
+      it.cold().OnEvacuationEnded(now, now);
+    }
+  }
+}
+
+void EndpointPool::SetWarmUp(TimePoint now, const WarmUp& warm_up) {
+  warm_up_ = warm_up;
+  for (auto& [id, it] : endpoints_) {
+    it.cold().SetWarmUp(now, warm_up);
+  }
+}
+
+void EndpointPool::SetColdUse(TimePoint now, const ColdUse& use) {
+  cold_use_ = use;
   for (auto& [id, it] : endpoints_) {
-    it.SetEvacuated(evacuated_.contains(it.endpoint().data_center));
+    it.cold().SetUse(now, use);
   }
 }
 
@@ -92,7 +133,7 @@
                                       TimePoint latest_finish, bool may_probe) {
   if (work.try_first) {
     TrackedEndpoint* it = Find(*work.try_first);
-    if (it != nullptr && it->HasFreeSlot(now)) {
+    if (it != nullptr && it->HasFreeSlot(now) && MayUseCold(now, *it)) {
       return it;
     }
   }
@@ -104,7 +145,7 @@
   TrackedEndpoint* best = nullptr;
   std::optional<Rank> best_rank;
   for (auto& [id, it] : endpoints_) {
-    if (!it.HasFreeSlot(now) ||
+    if (!it.HasFreeSlot(now) || !MayUseCold(now, it) ||
         (work.avoid == id && AnyOtherTakesNewWork(id))) {
       continue;
     }
@@ -130,9 +171,38 @@
   });
 }
 
+bool EndpointPool::AnyWarm(TimePoint now) const {
+  return std::any_of(endpoints_.begin(), endpoints_.end(), [&](const auto& it) {
+    return it.second.TakesNewWork() && !it.second.is_silent() &&
+           !it.second.cold().IsCold(now);
+  });
+}
+
+bool EndpointPool::MayUseCold(TimePoint now,
+                              const TrackedEndpoint& tracked) const {
+  return !tracked.cold().IsBounded(now) ||
+         (tracked.cold().MayStart(now) &&
+          !(cold_use_.only_without_warm && AnyWarm(now)));
+}
+
+double EndpointPool::BoundedRate(TimePoint now) const {
+  double rate = 0;
+  const bool any_responsive = AnyResponsive();
+  for (const auto& [id, it] : endpoints_) {
+    if (!it.TakesNewWork() || (it.is_silent() && any_responsive)) {
+      continue;
+    }
+    if (!it.cold().IsBounded(now)) {
+      return 0;
+    }
+    rate += it.cold().Rate();
+  }
+  return rate;
+}
+
 TrackedEndpoint* EndpointPool::SelectForProbe(TimePoint now, const Work& work) {
   for (auto& [id, it] : endpoints_) {
-    if (it.IsProbeDue(now) && work.avoid != id) {
+    if (it.IsProbeDue(now) && work.avoid != id && MayUseCold(now, it)) {
       return &it;
     }
   }
@@ -163,7 +233,8 @@
       !work.data_center.empty() && work.data_center != endpoint.data_center;
   return {impairment,
           is_full,
-          now < endpoint.warm_at,
+          tracked.cold().IsCold(now),
+          tracked.cold().IsBounded(now) ? -tracked.cold().Tokens(now) : 0.0,
           is_remote,
           share,
           uses_reported_load ? endpoint.load_percent : 0.0,
@@ -195,9 +266,7 @@
   }
   Endpoint endpoint;
   endpoint.id = id;
-  TrackedEndpoint& tracked =
-      endpoints_.try_emplace(id, TrackedEndpoint(now, endpoint, ramp_))
-          .first->second;
+  TrackedEndpoint& tracked = *Add(now, endpoint).first;
   tracked.SetMissing();
   return tracked;
 }
@@ -271,15 +340,42 @@
 }
 
 bool EndpointPool::AnyProbeDue(TimePoint now) const {
-  return std::any_of(endpoints_.begin(), endpoints_.end(),
-                     [&](const auto& it) { return it.second.IsProbeDue(now); });
+  return std::any_of(endpoints_.begin(), endpoints_.end(), [&](const auto& it) {
+    return it.second.IsProbeDue(now) && MayUseCold(now, it.second);
+  });
+}
+
+std::uint32_t EndpointPool::UsableSlotsOf(
+    TimePoint now, const TrackedEndpoint& tracked) const {
+  const std::uint32_t slots = tracked.UsableSlots(now);
+  if (!tracked.cold().IsBounded(now)) {
+    return slots;
+  }
+  const double busy =
+      tracked.cold().Rate() *
+      std::chrono::duration<double>(median_answer_time_).count();
+  const auto kept_busy =
+      static_cast<std::uint32_t>(std::min<double>(busy, slots));
+  return std::max(kept_busy, FreeSlotsOf(now, tracked));
+}
+
+std::uint32_t EndpointPool::FreeSlotsOf(TimePoint now,
+                                        const TrackedEndpoint& tracked) const {
+  if (!tracked.HasFreeSlot(now) || !MayUseCold(now, tracked)) {
+    return 0;
+  }
+  const std::uint32_t free = tracked.UsableSlots(now) - tracked.busy();
+  return tracked.cold().IsBounded(now)
+             ? std::min(free, std::max(1U, static_cast<std::uint32_t>(
+                                               tracked.cold().Tokens(now))))
+             : free;
 }
 
 std::uint32_t EndpointPool::UsableSlots(TimePoint now) const {
   std::uint32_t slots = 0;
   const bool any_responsive = AnyResponsive();
   for (const auto& [id, it] : endpoints_) {
-    slots += it.is_silent() && any_responsive ? 0 : it.UsableSlots(now);
+    slots += it.is_silent() && any_responsive ? 0 : UsableSlotsOf(now, it);
   }
   return slots;
 }
@@ -288,9 +384,7 @@
   std::uint32_t slots = 0;
   const bool any_responsive = AnyResponsive();
   for (const auto& [id, it] : endpoints_) {
-    const std::uint32_t usable =
-        it.is_silent() && any_responsive ? 0 : it.UsableSlots(now);
-    slots += usable - std::min(usable, it.busy());
+    slots += it.is_silent() && any_responsive ? 0 : FreeSlotsOf(now, it);
   }
   return slots;
 }
--- a/src/placement/endpoint_pool.h
+++ b/src/placement/endpoint_pool.h
@@ -18,6 +18,7 @@
 #include <span>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "src/placement/tracked_endpoint.h"
@@ -57,7 +58,10 @@
   void Set(TimePoint now, std::span<const Endpoint> endpoints);
   // Replaces the evacuated data centres. An endpoint in one of them is not in
   // service.
-  void SetEvacuated(std::span<const std::string> data_centers);
+  void SetEvacuated(TimePoint now, std::span<const std::string> data_centers);
+  // See SlotScheduler.
+  void SetWarmUp(TimePoint now, const WarmUp& warm_up);
+  void SetColdUse(TimePoint now, const ColdUse& use);
   // Applies what is due by time: cold-start ramps, back-offs, slot limits and
   // the median answer time.
   void Advance(TimePoint now);
@@ -80,6 +84,11 @@
   void Finish(TimePoint now, EndpointId id, WorkOutcome outcome,
               Duration slot_time);
 
+  // If all endpoints that take new work are cold and bounded: how much new work
+  // per second this VM may start on them together. Otherwise zero.
+  double BoundedRate(TimePoint now) const;
+  // When this VM may start work on cold endpoints at the earliest.
+  TimePoint cold_use_from() const { return cold_use_.from; }
   // True if some endpoint takes unpinned work now or after a back-off.
   bool AnyInService() const;
   // Number of slots, free or not, that unpinned work may use.
@@ -98,14 +107,30 @@
 
  private:
   // Sort key of an endpoint, lower is better: impairment, all slots in use, not
-  // warmed up, in another data centre, busy share of the slots, reported load,
-  // time of the last start.
-  using Rank = std::tuple<int, bool, bool, bool, double, double, TimePoint>;
+  // warmed up, missing tokens if it is bounded, in another data centre, busy
+  // share of the slots, reported load, time of the last start.
+  using Rank =
+      std::tuple<int, bool, bool, double, bool, double, double, TimePoint>;
 
   Rank RankOf(TimePoint now, const Work& work,
               const TrackedEndpoint& tracked) const;
   bool IsSlow(TimePoint now, const TrackedEndpoint& tracked) const;
   TrackedEndpoint* SelectForProbe(TimePoint now, const Work& work);
+  // Adds an endpoint to the pool unless it has it. Returns it, and whether it
+  // was added.
+  std::pair<TrackedEndpoint*, bool> Add(TimePoint now,
+                                        const Endpoint& endpoint);
+  // True if some endpoint takes new work, is not silent and is warm.
+  bool AnyWarm(TimePoint now) const;
+  // True if new work may start at the endpoint as far as its being cold is
+  // concerned.
+  bool MayUseCold(TimePoint now, const TrackedEndpoint& tracked) const;
+  // Slots of an endpoint that unpinned work may use, and those that are free. A
+  // bounded endpoint counts as many as its rate keeps busy.
+  std::uint32_t UsableSlotsOf(TimePoint now,
+                              const TrackedEndpoint& tracked) const;
+  std::uint32_t FreeSlotsOf(TimePoint now,
+                            const TrackedEndpoint& tracked) const;
   // True if some endpoint takes new work and is not silent.
   bool AnyResponsive() const;
   // True if some endpoint other than `id` takes new work.
@@ -123,6 +148,10 @@
   std::mt19937_64 random_;
   std::map<EndpointId, TrackedEndpoint> endpoints_;
   std::set<std::string, std::less<>> evacuated_;  // Data centres.
+  // When the last evacuation of a data centre ended.
+  std::map<std::string, TimePoint, std::less<>> evacuation_ended_;
+  WarmUp warm_up_;
+  ColdUse cold_use_;
   Duration median_answer_time_{};
   TimePoint median_updated_at_;
   TimePoint back_offs_skipped_at_;
--- a/src/placement/slot_scheduler.cc
+++ b/src/placement/slot_scheduler.cc
@@ -54,10 +54,20 @@
   void SetEvacuated(TimePoint now,
                     std::span<const std::string> data_centers) override {
     last_event_at_ = now;
-    pool_.SetEvacuated(data_centers);
+    pool_.SetEvacuated(now, data_centers);
     endpoints_changed_ = true;
   }
 
+  void SetWarmUp(TimePoint now, const WarmUp& warm_up) override {
+    pool_.SetWarmUp(now, warm_up);
+  }
+
+  void SetColdUse(TimePoint now, const ColdUse& use) override {
+    pool_.SetColdUse(now, use);
+  }
+
+  Resend TryResend(TimePoint now, EndpointId endpoint) override;
+
   void Submit(TimePoint now, const Work& work,
               std::vector<Verdict>& verdicts) override;
   void AddRunning(TimePoint now, const Work& work,
@@ -148,6 +158,21 @@
   StartWaitingRequests(now, verdicts);
 }
 
+Resend CentralScheduler::TryResend(TimePoint now, EndpointId endpoint) {
+  TrackedEndpoint* tracked = pool_.Find(endpoint);
+  if (tracked == nullptr) {
+    return Resend::kSend;
+  }
+  if (tracked->is_evacuated()) {
+    return Resend::kMove;
+  }
+  if (!tracked->cold().MayStart(now)) {
+    return Resend::kWait;
+  }
+  tracked->cold().TakeToken(now);
+  return Resend::kSend;
+}
+
 void CentralScheduler::AddRunning(TimePoint now, const Work& work,
                                   EndpointId endpoint) {
   last_event_at_ = now;
@@ -341,6 +366,9 @@
   const RequestId request = waiting.work.request;
   const ClassId id = waiting.work.work_class;
   const EndpointId endpoint = tracked.endpoint().id;
+  if (!waiting.work.pinned) {
+    tracked.cold().TakeToken(now);
+  }
   tracked.Start(now);
   classes_.GetOrCreate(id).slot_use.Start(now);
   running_.emplace(request,
--- a/src/placement/tracked_endpoint.cc
+++ b/src/placement/tracked_endpoint.cc
@@ -35,7 +35,7 @@
 TrackedEndpoint::TrackedEndpoint(TimePoint now, const Endpoint& endpoint,
                                  Duration ramp)
     : endpoint_(endpoint),
-      ramp_(ramp),
+      cold_(now, endpoint, ramp),
       health_(HealthChart().initial()),
       busy_time_updated_at_(now),
       last_progress_at_(now),
@@ -44,7 +44,8 @@
   Advance(now);
 }
 
-void TrackedEndpoint::Update(const Endpoint& endpoint) {
+void TrackedEndpoint::Update(TimePoint now, const Endpoint& endpoint) {
+  cold_.Update(now, endpoint);
   if (endpoint.slots != endpoint_.slots) {
     slot_limit_ = endpoint.slots;
   }
@@ -116,7 +117,7 @@
 }
 
 void TrackedEndpoint::Advance(TimePoint now) {
-  if (health_ == HealthState::kWarming && now - endpoint_.registered >= ramp_) {
+  if (health_ == HealthState::kWarming && cold_.IsRampOver(now)) {
     Apply(HealthEvent::kWarm);
   }
   if (health_ == HealthState::kEjected && now >= retry_at_) {
@@ -136,13 +137,10 @@
 
 TimePoint TrackedEndpoint::NextWake(TimePoint now) const {
   TimePoint wake = kNever;
-  if (health_ == HealthState::kWarming && endpoint_.slots > 1) {
-    const Duration step = ramp_ / (endpoint_.slots - 1);
-    const auto steps = (now - endpoint_.registered) / step;
-    wake = std::min(wake, endpoint_.registered + step * (steps + 1));
-  } else if (health_ == HealthState::kWarming) {
-    wake = std::min(wake, endpoint_.registered + ramp_);
+  if (health_ == HealthState::kWarming) {
+    wake = std::min(wake, cold_.NextRampStep(now, endpoint_.slots));
   }
+  wake = std::min(wake, cold_.NextStart(now));
   if (health_ == HealthState::kEjected) {
     wake = std::min(wake, retry_at_);
   }
@@ -188,11 +186,8 @@
     return 0;
   }
   std::uint32_t usable = endpoint_.slots;
-  if (health_ == HealthState::kWarming && now < endpoint_.registered + ramp_) {
-    const auto age = std::max(now - endpoint_.registered, Duration::zero());
-    usable =
-        1 + static_cast<std::uint32_t>((endpoint_.slots - 1) *
-                                       (age.count() * 1.0) / ramp_.count());
+  if (health_ == HealthState::kWarming) {
+    usable = cold_.RampSlots(now, endpoint_.slots);
   }
   return std::min(usable, slot_limit_);
 }
--- a/src/placement/tracked_endpoint.h
+++ b/src/placement/tracked_endpoint.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <string_view>
 
+#include "src/placement/cold_start.h"
 #include "vanillalatch/admission/answer_time.h"
 #include "vanillalatch/placement/slot_scheduler.h"
 
@@ -53,7 +54,7 @@
   TrackedEndpoint(TimePoint now, const Endpoint& endpoint, Duration ramp);
 
   // Replaces the registered data of the endpoint and marks it as present.
-  void Update(const Endpoint& endpoint);
+  void Update(TimePoint now, const Endpoint& endpoint);
   // Marks the endpoint as missing in the latest list: it gets no new work.
   void SetMissing() { present_ = false; }
 
@@ -85,6 +86,7 @@
     return present_ && !evacuated_ && endpoint_.state == EndpointState::kReady;
   }
   void SetEvacuated(bool evacuated) { evacuated_ = evacuated; }
+  bool is_evacuated() const { return evacuated_; }
   // True if the endpoint may get unpinned work other than probes.
   bool TakesNewWork() const {
     return IsInService() &&
@@ -95,8 +97,10 @@
   // Slots that unpinned work may use.
   std::uint32_t UsableSlots(TimePoint now) const;
   bool HasFreeSlot(TimePoint now) const {
-    return TakesNewWork() && busy_ < UsableSlots(now);
+    return TakesNewWork() && busy_ < UsableSlots(now) && cold_.MayStart(now);
   }
+  ColdStart& cold() { return cold_; }
+  const ColdStart& cold() const { return cold_; }
   // True if a slot is free for pinned work. Pinned work may use all registered
   // slots of an endpoint, also while it is leaving, ramping up or ejected.
   bool HasFreePinnedSlot() const { return present_ && busy_ < endpoint_.slots; }
@@ -137,7 +141,7 @@
   void RecordShed(TimePoint now);
 
   Endpoint endpoint_;
-  Duration ramp_;
+  ColdStart cold_;
   bool present_ = true;
   bool is_silent_ = false;
   bool evacuated_ = false;  // Its data centre is evacuated.
--- a/src/registry/lease_store.cc
+++ b/src/registry/lease_store.cc
@@ -131,6 +131,7 @@
   }
   Endpoint endpoint = lease.endpoint;
   endpoint.expires = lease.expires();
+  endpoint.renewed = lease.renewed_at;
   endpoint.state = unverified || lease.state == LeaseState::kLeaving
                        ? EndpointState::kLeaving
                        : EndpointState::kReady;
--- a/src/registry/registry.cc
+++ b/src/registry/registry.cc
@@ -13,6 +13,9 @@
 namespace internal {
 namespace {
 
+// A renewal may extend the time until an endpoint is warm by more than this, as
+// after a pause of its data centre. Smaller differences are delays of messages.
+constexpr Duration kMinWarmUpGain = std::chrono::seconds(1);
 constexpr Duration kMinLifetime = std::chrono::seconds(1);
 constexpr Duration kMaxLifetime = std::chrono::hours(24);
 
@@ -80,8 +83,14 @@
     return Error(ErrorKind::kConflict,
                  "the address of " + registration.name + " was reused");
   }
+  const bool cold_again =
+      registration.warm_in > Duration::zero() &&
+      now + registration.warm_in > endpoint.warm_at + kMinWarmUpGain;
   const bool changed = endpoint.slots != registration.slots ||
-                       lease.lifetime != registration.lifetime;
+                       lease.lifetime != registration.lifetime || cold_again;
+  if (cold_again) {
+    endpoint.warm_at = now + registration.warm_in;
+  }
   endpoint.slots = registration.slots;
   endpoint.load_percent = registration.load_percent;
   endpoint.load_reported = now;
--- a/src/registry/registry_merge.cc
+++ b/src/registry/registry_merge.cc
@@ -42,6 +42,7 @@
   if (incoming.endpoint.version > lease.endpoint.version) {
     lease.endpoint.version = incoming.endpoint.version;
     lease.endpoint.slots = incoming.endpoint.slots;
+    lease.endpoint.warm_at = incoming.endpoint.warm_at;
     lease.lifetime = incoming.lifetime;
     is_new = true;
   }
