Pass evacuations on between VMs in probes and acks

A VM that is cut off from the control VMs would place new flows in a data centre that is evacuated. Invalid and older notices change nothing.

--- a/include/vanillalatch/membership/member_list.h
+++ b/include/vanillalatch/membership/member_list.h
@@ -31,6 +31,13 @@
 // which two VMs find out whether they have the same leases.
 using BucketMask = std::uint32_t;
 
+// The evacuated data centres, as of a catalog revision. VMs pass them on in
+// probes and acks, so that one that is cut off from the control VMs has them.
+struct EvacuationState {
+  std::uint64_t revision = 0;  // 0: none known.
+  std::vector<std::string> data_centers;
+};
+
 // Source and receiver of the endpoint leases that are piggybacked; implemented
 // by Registry. `max_bytes` is the maximum size of the whole message, not only
 // of what is added.
@@ -115,6 +122,12 @@
   // Announces that this VM is stopping, so that others send it no new work.
   virtual void Leave(TimePoint now, LeaseExchange& leases, Outbox& out) = 0;
 
+  // Sets the evacuations of this VM's catalog. Replaces what peers sent, unless
+  // theirs has a higher revision.
+  virtual void SetEvacuations(TimePoint now, EvacuationState state) = 0;
+  // The evacuations with the highest revision, from the catalog or from a peer.
+  virtual const EvacuationState& evacuations() const = 0;
+
   virtual NodeId self() const = 0;
   // All members, including this VM and members that are dead, ordered by id.
   // Until this VM has joined, only the VM itself. Valid until the next call of
--- a/src/membership/member_list_impl.h
+++ b/src/membership/member_list_impl.h
@@ -8,9 +8,11 @@
 #include <optional>
 #include <random>
 #include <span>
+#include <utility>
 #include <vector>
 
 #include "peer.pb.h"
+#include "src/membership/evacuation_board.h"
 #include "src/membership/member_table.h"
 #include "src/membership/send_budget.h"
 #include "src/membership/update_queue.h"
@@ -29,6 +31,13 @@
   TimePoint NextWake() const override;
   void Leave(TimePoint now, LeaseExchange& leases, Outbox& out) override;
 
+  void SetEvacuations(TimePoint now, EvacuationState state) override {
+    evacuations_.Set(now, std::move(state));
+  }
+  const EvacuationState& evacuations() const override {
+    return evacuations_.state();
+  }
+
   NodeId self() const override { return self_.id; }
   std::span<const Member> members() const override { return view_; }
   std::uint64_t version() const override { return version_; }
@@ -153,6 +162,7 @@
   Member self_;
   std::mt19937_64 rng_;
   MemberTable table_;
+  EvacuationBoard evacuations_;
   UpdateQueue updates_;
   SendBudget budget_;
   std::vector<Member> all_;   // By id, this VM included.
--- a/src/membership/member_send.cc
+++ b/src/membership/member_send.cc
@@ -73,6 +73,10 @@
   if (message.ByteSizeLong() > AvailableBytes(event.now, 0)) {
     return false;
   }
+  if (message.kind() == pb::MembershipMessage::PING ||
+      message.kind() == pb::MembershipMessage::ACK) {
+    evacuations_.Append(event.now, AvailableBytes(event.now, 0), message);
+  }
   AppendUpdates(AvailableBytes(event.now, kUpdatesReserveBytes), message);
   event.leases.AppendLeases(event.now, true, SendsPerUpdate(),
                             AvailableBytes(event.now, kDeparturesReserveBytes),
