Keep new flows out of evacuated data centres on the packet door

FlowNode passes the evacuations of its catalog, or of a peer's newer notice, to all schedulers. A retransmitted opening packet moves a flow that its evacuated endpoint has not accepted; accepted flows stay. FlowNode also sets the bound for cold endpoints: a new dispatcher gives them nothing for a second, and its share is the part of the entry VMs that it sees, as in a partition both sides have a dispatcher. While a service states a rate, endpoints are read again every 100 ms, as a renewal alone says that an endpoint is warm.

A thousand random runs found two faults, mended here: a renewal that extended the warm-up by less than 1 s was ignored (now 50 ms), and an endpoint that answered after a restart got its full load until its new registration arrived, up to 0.6 s later.

--- a/include/vanillalatch/packetflow/flow_dispatcher.h
+++ b/include/vanillalatch/packetflow/flow_dispatcher.h
@@ -138,6 +138,10 @@
   std::uint64_t placed = 0;    // Includes flows that were placed again.
   std::uint64_t repeated = 0;  // Retransmissions sent to the same endpoint.
   std::uint64_t moved = 0;  // Flows taken from an endpoint that did not answer.
+  std::uint64_t moved_from_evacuated = 0;  // Included in `moved`.
+  // Retransmissions not sent, as the endpoint is cold and has received as many
+  // opening packets as it bears.
+  std::uint64_t withheld_from_cold = 0;
   std::uint64_t refused = 0;
   std::uint64_t ended = 0;    // Ended or given up by the caller.
   std::uint64_t expired = 0;  // Timed out without a report of their end.
@@ -182,6 +186,19 @@
                             std::span<const Endpoint> endpoints,
                             FlowActions& actions) = 0;
 
+  // Replaces the data centres that are evacuated: their endpoints get no new
+  // flows. A flow that its endpoint has not accepted moves when its opening
+  // packet is retransmitted; accepted flows stay.
+  virtual void SetEvacuated(TimePoint now,
+                            std::span<const std::string> data_centers,
+                            FlowActions& actions) = 0;
+  // Sets the bound for cold endpoints of a service, and this VM's part of it.
+  // See SlotScheduler.
+  virtual void SetWarmUp(TimePoint now, ServiceId service,
+                         const WarmUp& warm_up) = 0;
+  virtual void SetColdUse(TimePoint now, ServiceId service,
+                          const ColdUse& use) = 0;
+
   // Processes an opening packet: places, queues or refuses a new flow. A
   // retransmission goes to the same endpoint or moves the flow to another one
   // (see kFirstMovedCopy); it opens nothing if the flow has ended, and is
--- a/include/vanillalatch/packetflow/flow_node.h
+++ b/include/vanillalatch/packetflow/flow_node.h
@@ -72,6 +72,14 @@
   NodeId dispatcher;  // 0: the packet was not handed over to any VM.
 };
 
+// This VM starts or ends to treat a data centre as evacuated.
+struct EvacuationEvent {
+  std::string data_center;
+  bool evacuated = false;
+  std::uint64_t revision = 0;  // Of the catalog that contains the change.
+  bool from_peer = false;      // By a peer's notice; the catalog is older.
+};
+
 // What the owner of a FlowNode has to do.
 struct FlowNodeActions {
   std::vector<FlowEvent> flow_events;
@@ -84,6 +92,7 @@
   std::vector<Placement> placements;
   std::vector<FlowRefusal> refusals;
   std::vector<EndpointSilence> silences;
+  std::vector<EvacuationEvent> evacuation_events;
 };
 
 // Totals since the node was created.
@@ -152,6 +161,8 @@
   // flows to other VMs. The node still processes packets.
   virtual void BeginStop(TimePoint now, Outbox& out) = 0;
 
+  // The evacuated data centres that this VM applies.
+  virtual const EvacuationState& evacuations() const = 0;
   // Number of endpoints to which packets can be forwarded.
   virtual std::size_t endpoints() const = 0;
   virtual const PeerNode& peers() const = 0;
--- a/include/vanillalatch/packetflow/peer_node.h
+++ b/include/vanillalatch/packetflow/peer_node.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <utility>
 
 #include "peer.pb.h"
 #include "vanillalatch/base/outbox.h"
@@ -54,6 +55,11 @@
   // Announces to the peers that this VM stops.
   void Leave(TimePoint now, Outbox& out);
 
+  // See MemberList.
+  void SetEvacuations(TimePoint now, EvacuationState state) {
+    members_->SetEvacuations(now, std::move(state));
+  }
+
   Registry& registry() { return *registry_; }
   const Registry& registry() const { return *registry_; }
   const MemberList& members() const { return *members_; }
--- a/include/vanillalatch/packetflow/route_table.h
+++ b/include/vanillalatch/packetflow/route_table.h
@@ -16,6 +16,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "catalog.pb.h"
 #include "vanillalatch/admission/class_target.h"
+#include "vanillalatch/membership/member_list.h"
 #include "vanillalatch/packetflow/packet.h"
 
 namespace vanillalatch {
@@ -37,6 +38,9 @@
   ServiceId ServiceFor(FlowId id) const;
 };
 
+// The evacuations of a catalog.
+EvacuationState EvacuationsOf(const pb::Catalog& catalog);
+
 class RouteTable {
  public:
   // Builds the table from a catalog's flow table. Shares of weight zero are
--- a/src/packetflow/flow_dispatcher.cc
+++ b/src/packetflow/flow_dispatcher.cc
@@ -18,6 +18,7 @@
         SlotScheduler::Create(options, StableHash(seed_, service.value()))
             .value();
     scheduler->SetClasses(classes_);
+    scheduler->SetEvacuated(TimePoint{}, evacuated_);
   }
   return *scheduler;
 }
@@ -92,9 +93,19 @@
     // been processed.
     return;
   }
+  const Resend resend =
+      SchedulerOf(flow.opening.service).TryResend(now, flow.endpoint);
   flow.opening.copy = opening.copy;
-  flow.sent_at = now;
+  if (resend == Resend::kMove) {
+    MoveFromEvacuated(now, flow, actions);
+    return;
+  }
   if (opening.copy < kFirstMovedCopy) {
+    if (resend == Resend::kWait) {
+      ++counters_.withheld_from_cold;
+      return;
+    }
+    flow.sent_at = now;
     ++counters_.repeated;
     actions.placements.push_back({flow.endpoint, flow.opening.packet});
     return;
@@ -105,6 +116,18 @@
   Submit(now, flow, silent, actions);
 }
 
+void FlowDispatcherImpl::MoveFromEvacuated(TimePoint now, Flow& flow,
+                                           FlowActions& actions) {
+  if (flow.accepted) {
+    return;  // A late copy: the caller has continued.
+  }
+  ++counters_.moved;
+  ++counters_.moved_from_evacuated;
+  const EndpointId evacuated = flow.endpoint;
+  Release(now, flow, WorkOutcome::kCancelled);
+  Submit(now, flow, evacuated, actions);
+}
+
 void FlowDispatcherImpl::Release(TimePoint now, const Flow& flow,
                                  WorkOutcome outcome) {
   if (flow.idle) {
--- a/src/packetflow/flow_dispatcher_impl.h
+++ b/src/packetflow/flow_dispatcher_impl.h
@@ -37,6 +37,24 @@
     ApplyVerdicts(now, actions);
   }
 
+  void SetEvacuated(TimePoint now, std::span<const std::string> data_centers,
+                    FlowActions& actions) override {
+    evacuated_.assign(data_centers.begin(), data_centers.end());
+    for (auto& [id, it] : schedulers_) {
+      it->SetEvacuated(now, evacuated_);
+      it->OnTick(now, verdicts_);
+    }
+    ApplyVerdicts(now, actions);
+  }
+  void SetWarmUp(TimePoint now, ServiceId service,
+                 const WarmUp& warm_up) override {
+    SchedulerOf(service).SetWarmUp(now, warm_up);
+  }
+  void SetColdUse(TimePoint now, ServiceId service,
+                  const ColdUse& use) override {
+    SchedulerOf(service).SetColdUse(now, use);
+  }
+
   void Open(TimePoint now, FlowOpening opening, FlowActions& actions) override;
   void OnFlowUpdate(TimePoint now, const FlowUpdate& update,
                     const EstablishedFlow& flow, FlowActions& actions) override;
@@ -98,6 +116,9 @@
   // sends it to the flow's endpoint again, or moves the flow to another one.
   void OnRetransmission(TimePoint now, Flow& flow, const FlowOpening& opening,
                         FlowActions& actions);
+  // Moves a flow whose opening packet was retransmitted to an endpoint outside
+  // the evacuated data centres.
+  void MoveFromEvacuated(TimePoint now, Flow& flow, FlowActions& actions);
   // Frees the slot of a placed flow, or removes a waiting flow from the queue.
   void Release(TimePoint now, const Flow& flow, WorkOutcome outcome);
   // Turns the verdicts of the schedulers into placements and refusals.
@@ -122,6 +143,7 @@
   FlowDispatcherOptions options_;
   std::uint64_t seed_;
   std::vector<ClassTarget> classes_;
+  std::vector<std::string> evacuated_;  // Data centres.
   std::map<ServiceId, std::unique_ptr<SlotScheduler>> schedulers_;
   absl::flat_hash_map<FlowId, Flow> flows_;
   absl::flat_hash_map<FlowId, Closed> closed_;
--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -31,6 +31,9 @@
   routes_ = RouteTable::From(catalog.flows());
   dispatcher_->SetClasses(routes_.classes());
   endpoint_versions_.clear();
+  ApplyWarmUps(now, catalog);
+  peers_->SetEvacuations(now, EvacuationsOf(catalog));
+  UpdateEvacuations(now);
   UpdateEndpoints(now);
 }
 
@@ -150,6 +153,7 @@
 void FlowNodeImpl::OnPeer(TimePoint now, SocketAddress from, ByteSpan bytes,
                           Outbox& out) {
   const pb::FlowMessage* message = peers_->OnDatagram(now, from, bytes, out);
+  UpdateEvacuations(now);
   const NodeId sender = peers_->sender();
   dispatcher_selector_.OnContact(sender);
   if (message != nullptr) {
@@ -187,14 +191,16 @@
 
 void FlowNodeImpl::OnTick(TimePoint now, Outbox& out) {
   peers_->OnTick(now, out);
+  UpdateEvacuations(now);
   UpdateEndpoints(now);
   if (peers_->members().version() != members_version_) {
     members_version_ = peers_->members().version();
     UpdateFirstDispatchers(now);
     HandOverWaiting(now);
   }
-  PlaceTimedOutHandovers(now);
   UpdateSettled(now);
+  UpdateColdUse(now);
+  PlaceTimedOutHandovers(now);
   DispatchParked(now);
   dispatcher_->OnTick(now, actions_);
   if (now >= lost_endpoint_check_due_) {
@@ -209,6 +215,9 @@
 
 void FlowNodeImpl::UpdateEndpoints(TimePoint now) {
   const Registry& registry = peers_->registry();
+  if (TakeEndpointRefresh(now)) {
+    endpoint_versions_.clear();
+  }
   for (const ServiceId it : routes_.services()) {
     const std::uint64_t version = registry.VersionOf(it);
     const auto [entry, added] = endpoint_versions_.try_emplace(it, version);
@@ -275,6 +284,7 @@
   timings_.insert(timings_.end(), actions_.timings.begin(),
                   actions_.timings.end());
   actions.ingress_events = std::exchange(ingress_events_, {});
+  actions.evacuation_events = std::exchange(evacuation_events_, {});
   actions_ = {};
   return actions;
 }
--- a/src/packetflow/flow_node_impl.h
+++ b/src/packetflow/flow_node_impl.h
@@ -1,5 +1,6 @@
-// Implements FlowNode in two files: flow_node.cc (packets, peers, endpoints,
-// timers) and flow_node_openings.cc (which VM places an opening packet).
+// Implements FlowNode in three files: flow_node.cc (packets, peers, endpoints,
+// timers), flow_node_openings.cc (which VM places an opening packet) and
+// flow_node_evacuation.cc (evacuated data centres and cold endpoints).
 #ifndef VANILLALATCH_SRC_PACKETFLOW_FLOW_NODE_IMPL_H_
 #define VANILLALATCH_SRC_PACKETFLOW_FLOW_NODE_IMPL_H_
 
@@ -41,6 +42,7 @@
   }
   bool Ready() const override { return settled_; }
   void BeginStop(TimePoint now, Outbox& out) override;
+  const EvacuationState& evacuations() const override { return evacuations_; }
   std::size_t endpoints() const override { return endpoints_.size(); }
   const PeerNode& peers() const override { return *peers_; }
   const FlowNodeCounters& counters() const override { return counters_; }
@@ -116,6 +118,16 @@
   void UpdateEndpoints(TimePoint now);
   // Notifies dispatcher_ of the services whose first-ranked VM has changed.
   void UpdateFirstDispatchers(TimePoint now);
+  // Applies the evacuations of the catalog or of a peer's notice.
+  void UpdateEvacuations(TimePoint now);
+  // Applies the bounds of the catalog for cold endpoints.
+  void ApplyWarmUps(TimePoint now, const pb::Catalog& catalog);
+  // Sets what this VM may give to cold endpoints of services that state a rate.
+  void UpdateColdUse(TimePoint now);
+  // True if the endpoints of all services are to be read again, because
+  // renewals alone tell whether the endpoints of a returned data centre are
+  // cold.
+  bool TakeEndpointRefresh(TimePoint now);
   // Hands over the waiting flows of services whose dispatcher is another VM.
   void HandOverWaiting(TimePoint now);
   NodeId self() const { return peers_->members().self(); }
@@ -146,6 +158,18 @@
   TimePoint lost_endpoint_check_due_{};
   FlowActions actions_;
   std::vector<IngressEvent> ingress_events_;
+  std::vector<EvacuationEvent> evacuation_events_;
+  EvacuationState evacuations_;  // As applied.
+  // Until when, and when next, endpoints are read again after an evacuation.
+  TimePoint refresh_until_{};
+  TimePoint refresh_due_{};
+  std::map<ServiceId, WarmUp> warm_ups_;  // Of services that state a rate.
+  struct DispatcherRole {
+    bool is_dispatcher = false;
+    TimePoint since{};
+    std::optional<ColdUse> use;  // As passed to dispatcher_.
+  };
+  std::map<ServiceId, DispatcherRole> roles_;  // By the last UpdateColdUse().
   // TakeTimings() is called once per second; this is enough for three timings
   // per flow of the busiest service.
   static constexpr std::size_t kMaxTimings = 10'000;
--- a/src/packetflow/flow_world.h
+++ b/src/packetflow/flow_world.h
@@ -37,11 +37,14 @@
     Duration work = std::chrono::milliseconds(20);  // Mean time per request.
     bool silent = false;                            // Ignores every packet.
     bool leaving = false;                           // Registered as leaving.
+    TimePoint warm_at{};                            // As its heartbeats say.
     std::size_t running = 0;   // Requests that occupy a slot.
     std::size_t openings = 0;  // Opening packets received.
-    std::size_t served = 0;    // Requests completed.
-    std::queue<int> waiting;   // Flows whose request waits for a slot.
-    std::set<int> flows;       // Flows whose request was received.
+    // When each of them was received, and the VM that sent it.
+    std::vector<std::pair<TimePoint, std::size_t>> arrivals;
+    std::size_t served = 0;   // Requests completed.
+    std::queue<int> waiting;  // Flows whose request waits for a slot.
+    std::set<int> flows;      // Flows whose request was received.
   };
   struct Flow {
     FlowPacket packet;
@@ -70,6 +73,10 @@
   void SetRoutes(std::uint64_t version,
                  const std::vector<std::string>& services,
                  std::uint32_t latency_ms);
+  // Bounds the flows of a service's cold endpoints in later catalogs.
+  void SetWarmUp(const std::string& service, Duration duration, double rate);
+  // Creates a catalog of the next revision with these data centres evacuated.
+  void SetEvacuated(const std::vector<std::string>& data_centers);
   // Sends the last catalog to one VM, or to all.
   void Publish(std::optional<std::size_t> vm = std::nullopt);
   // Sends the endpoints that the control VM has registered to one VM.
@@ -78,6 +85,8 @@
   FakeEndpoint& AddEndpoint(const std::string& name, const std::string& service,
                             const std::string& data_center);
   FakeEndpoint& At(const std::string& name) { return endpoints_.at(name); }
+  // Renews the leases of all endpoints that are not silent.
+  void RegisterEndpoints();
   // Registers an endpoint as leaving.
   void Leave(const std::string& name);
   // Drops the datagrams between VM `a` and VM `b`; the control VM is -1.
@@ -100,6 +109,8 @@
   void Run(Duration time);
   TimePoint now() const { return now_; }
   FlowNode& Vm(std::size_t n) { return *vms_[n]; }
+  bool IsRunning(std::size_t n) const { return vms_[n] != nullptr; }
+  const pb::Catalog& catalog() const { return catalog_; }
   // Index of the VM that is the dispatcher of a service.
   std::size_t DispatcherIndex(const std::string& service) const;
   // While set, answers of endpoints do not reach their callers.
@@ -125,7 +136,9 @@
   void PerformActions(std::size_t vm);
   void SendOpening(int flow, std::uint32_t copy);
   void SendPacket(int flow, bool ends);
-  void DeliverToEndpoint(const std::string& name, FlowPacket packet, int flow);
+  // `vm`: the VM that sent the packet.
+  void DeliverToEndpoint(const std::string& name, FlowPacket packet, int flow,
+                         std::size_t vm);
   void Serve(FakeEndpoint& endpoint);
   void Reset(int flow);
   static int ParseFlowNumber(const std::string& packet) {
--- a/src/packetflow/flow_world_test.cc
+++ b/src/packetflow/flow_world_test.cc
@@ -100,6 +100,24 @@
   catalog_.set_revision(version);
 }
 
+void FlowWorld::SetWarmUp(const std::string& service, Duration duration,
+                          double rate) {
+  pb::FlowServiceWarmUp& it = *catalog_.mutable_flows()->add_warm_ups();
+  it.set_service(service);
+  it.set_duration_ms(static_cast<std::uint32_t>(ToMilliseconds(duration)));
+  it.set_flows_per_second(rate);
+}
+
+void FlowWorld::SetEvacuated(const std::vector<std::string>& data_centers) {
+  catalog_.set_revision(catalog_.revision() + 1);
+  catalog_.clear_evacuations();
+  for (const std::string& it : data_centers) {
+    pb::Evacuation& evacuation = *catalog_.add_evacuations();
+    evacuation.set_data_center(it);
+    evacuation.set_revision(catalog_.revision());
+  }
+}
+
 void FlowWorld::Publish(std::optional<std::size_t> vm) {
   for (std::size_t n = 0; n < vms_.size(); ++n) {
     if (vms_[n] != nullptr && (!vm || *vm == n)) {
@@ -128,10 +146,15 @@
 
 void FlowWorld::Leave(const std::string& name) {
   At(name).leaving = true;
-  RenewLeases();
+  RegisterEndpoints();
 }
 
 void FlowWorld::RenewLeases() {
+  RegisterEndpoints();
+  After(kLeaseRenewInterval, [this] { RenewLeases(); });
+}
+
+void FlowWorld::RegisterEndpoints() {
   for (const auto& [name, it] : endpoints_) {
     if (it.silent) {
       continue;
@@ -144,13 +167,13 @@
     registration.slots = it.slots;
     registration.lifetime = 10 * kLeaseRenewInterval;
     registration.epoch = it.epoch;
+    registration.warm_in = std::max(it.warm_at - now_, Duration::zero());
     const Result<EndpointId> id =
         control_->registry().Register(now_, registration);
     if (id.ok() && it.leaving) {
       control_->registry().BeginLeave(now_, *id).value();
     }
   }
-  After(kLeaseRenewInterval, [this] { RenewLeases(); });
 }
 
 void FlowWorld::After(Duration delay, Callback run) {
@@ -212,8 +235,8 @@
     FlowPacket packet = flows_.at(flow).packet;
     packet.opens = true;
     const std::string name = FormatInstanceName(it.target.instance);
-    After(kDelayToEndpoint, [this, name, packet, flow] {
-      DeliverToEndpoint(name, packet, flow);
+    After(kDelayToEndpoint, [this, name, packet, flow, vm] {
+      DeliverToEndpoint(name, packet, flow, vm);
     });
   }
   for (const FlowRefusal& it : actions.refusals) {
@@ -268,7 +291,7 @@
 }
 
 void FlowWorld::DeliverToEndpoint(const std::string& name, FlowPacket packet,
-                                  int id) {
+                                  int id, std::size_t vm) {
   const auto it = endpoints_.find(name);
   if (it == endpoints_.end() || it->second.silent) {
     return;
@@ -276,6 +299,7 @@
   FakeEndpoint& endpoint = it->second;
   if (packet.opens) {
     ++endpoint.openings;
+    endpoint.arrivals.emplace_back(now_, vm);
     After(kDelayToCaller, [this, name, id] {
       Flow& flow = flows_[id];
       flow.accepted_by.insert(name);
@@ -328,8 +352,9 @@
   const FlowVerdict verdict = vms_[flow.vm]->OnPacket(now_, packet, {});
   if (verdict.kind == FlowVerdict::Kind::kForward) {
     const std::string name = FormatInstanceName(verdict.target->instance);
-    After(kDelayToEndpoint,
-          [this, name, packet, id] { DeliverToEndpoint(name, packet, id); });
+    After(kDelayToEndpoint, [this, name, packet, id, vm = flow.vm] {
+      DeliverToEndpoint(name, packet, id, vm);
+    });
   }
   PerformActions(flow.vm);
 }
--- a/src/packetflow/route_table.cc
+++ b/src/packetflow/route_table.cc
@@ -22,6 +22,15 @@
   return ServiceId(static_cast<std::uint32_t>(StableHash(name)));
 }
 
+EvacuationState EvacuationsOf(const pb::Catalog& catalog) {
+  EvacuationState state;
+  state.revision = catalog.revision();
+  for (const pb::Evacuation& it : catalog.evacuations()) {
+    state.data_centers.push_back(it.data_center());
+  }
+  return state;
+}
+
 ServiceId FlowRoute::ServiceFor(FlowId id) const {
   const std::uint64_t total = shares.back().second;
   // Other code selects entry VMs by the bits of the id. Hashing the id again
--- a/src/placement/cold_start.h
+++ b/src/placement/cold_start.h
@@ -39,6 +39,15 @@
   // cold until a heartbeat received later says otherwise.
   void OnEvacuationEnded(TimePoint now, TimePoint ended);
 
+  // The endpoint answers after a silence in which it may have started again. If
+  // the service states a rate, it counts as cold until a later heartbeat says
+  // otherwise.
+  void OnPossibleRestart(TimePoint now) {
+    if (warm_up_.per_second > 0) {
+      OnEvacuationEnded(now, now);
+    }
+  }
+
   // When the endpoint is warm: by its own report, by the time that the service
   // states, or after an evacuation; the latest counts.
   TimePoint WarmAt() const;
@@ -82,6 +91,7 @@
   TimePoint registered_;
   TimePoint reported_warm_at_;
   TimePoint renewed_;  // When the last heartbeat was received.
+  // End of an evacuation or of a silence; min(): none.
   TimePoint evacuation_ended_ = TimePoint::min();
   WarmUp warm_up_;
   ColdUse use_;
--- a/src/placement/slot_scheduler.cc
+++ b/src/placement/slot_scheduler.cc
@@ -86,7 +86,7 @@
 
   void SetSilent(EndpointId endpoint, bool silent) override {
     if (TrackedEndpoint* it = pool_.Find(endpoint)) {
-      it->SetSilent(silent);
+      it->SetSilent(last_event_at_, silent);
     }
   }
 
--- a/src/placement/tracked_endpoint.cc
+++ b/src/placement/tracked_endpoint.cc
@@ -17,6 +17,10 @@
 // An endpoint counts as warm if its mean answer time is at most the median
 // times this factor.
 constexpr double kMaxWarmFactor = 1.5;
+// An endpoint that was silent for this long may have started again. Its new
+// registration can arrive half a second after its first answer. A silence that
+// only the network caused mostly ends with the first probe, after 0.5 s.
+constexpr Duration kMinRestartSilence = std::chrono::milliseconds(700);
 // Earlier ejections no longer count when the endpoint has been in use for this
 // long since it recovered.
 constexpr Duration kEjectionCountLifetime = std::chrono::seconds(30);
@@ -53,6 +57,16 @@
   present_ = true;
 }
 
+void TrackedEndpoint::SetSilent(TimePoint now, bool silent) {
+  if (silent && !is_silent_) {
+    silent_since_ = now;
+  } else if (!silent && is_silent_ &&
+             now - silent_since_ >= kMinRestartSilence) {
+    cold_.OnPossibleRestart(now);
+  }
+  is_silent_ = silent;
+}
+
 void TrackedEndpoint::Start(TimePoint now) {
   busy_time_ = BusyTime(now);
   busy_time_updated_at_ = now;
--- a/src/placement/tracked_endpoint.h
+++ b/src/placement/tracked_endpoint.h
@@ -106,7 +106,7 @@
   bool HasFreePinnedSlot() const { return present_ && busy_ < endpoint_.slots; }
   bool IsUnhealthy() const { return failure_score_ > kUnhealthyScore; }
   bool IsDegraded() const { return failure_score_ > kDegradedScore; }
-  void SetSilent(bool silent) { is_silent_ = silent; }
+  void SetSilent(TimePoint now, bool silent);
   bool is_silent() const { return is_silent_; }
   // True if the endpoint gets only probes and pinned work because of its
   // health.
@@ -144,6 +144,7 @@
   ColdStart cold_;
   bool present_ = true;
   bool is_silent_ = false;
+  TimePoint silent_since_;  // Valid if is_silent_.
   bool evacuated_ = false;  // Its data centre is evacuated.
   HealthState health_;
 
--- a/src/registry/registry.cc
+++ b/src/registry/registry.cc
@@ -15,7 +15,7 @@
 
 // A renewal may extend the time until an endpoint is warm by more than this, as
 // after a pause of its data centre. Smaller differences are delays of messages.
-constexpr Duration kMinWarmUpGain = std::chrono::seconds(1);
+constexpr Duration kMinWarmUpGain = std::chrono::milliseconds(50);
 constexpr Duration kMinLifetime = std::chrono::seconds(1);
 constexpr Duration kMaxLifetime = std::chrono::hours(24);
 
