Log when an entry VM applies an evacuation

evacuation_applied says from when on a VM sends no new flow to a data centre, and whether it follows a neighbour. Flow events count the flows moved from evacuated endpoints, and the retransmissions withheld from cold ones.

--- a/src/runtime/flow_log.cc
+++ b/src/runtime/flow_log.cc
@@ -103,6 +103,15 @@
        {"left_out", silence_limiter_.TakeLeftOutCount()}});
 }
 
+void FlowLog::LogEvacuation(const EvacuationEvent& event) {
+  LogEvent(LogLevel::kWarn, "evacuation_applied",
+           {{"data_center", event.data_center},
+            {"evacuated", event.evacuated},
+            {"in_force_since", event.revision},
+            {"from_peer", event.from_peer},
+            {"revision", node_.revision()}});
+}
+
 void FlowLog::LogSummaryIfDue(bool ready) {
   const TimePoint now = Now();
   if (now < summary_due_) {
--- a/src/runtime/flow_log.h
+++ b/src/runtime/flow_log.h
@@ -36,6 +36,8 @@
   void LogIngress(const IngressEvent& event);
   // Logs that an endpoint became silent, or answers again.
   void LogSilence(const EndpointSilence& silence);
+  // Logs that this VM starts or ends to treat a data centre as evacuated.
+  void LogEvacuation(const EvacuationEvent& event);
   // Logs the totals if kSummaryInterval has passed. `ready`: callers may send
   // packets to this VM.
   void LogSummaryIfDue(bool ready);
--- a/src/runtime/flow_shell.cc
+++ b/src/runtime/flow_shell.cc
@@ -160,6 +160,9 @@
   for (const EndpointSilence& it : actions.silences) {
     internals_->log.LogSilence(it);
   }
+  for (const EvacuationEvent& it : actions.evacuation_events) {
+    internals_->log.LogEvacuation(it);
+  }
   for (const FlowEvent& it : actions.flow_events) {
     internals_->log.LogFlow(it);
   }
--- a/src/runtime/publisher.cc
+++ b/src/runtime/publisher.cc
@@ -127,6 +127,8 @@
       {"placed", placed.placed},
       {"repeated", placed.repeated},
       {"moved", placed.moved},
+      {"moved_from_evacuated", placed.moved_from_evacuated},
+      {"withheld_from_cold", placed.withheld_from_cold},
       {"refused", placed.refused},
       {"ended", placed.ended},
       {"expired", placed.expired},
--- a/src/telemetry/log_events.cc
+++ b/src/telemetry/log_events.cc
@@ -118,6 +118,14 @@
     {"endpoint_answers", "warn", "entry (dispatcher)",
      "endpoint, address, data_center, left_out",
      "a silent endpoint answers again", "nothing"},
+    {"evacuation_applied", "warn", "entry",
+     "data_center, evacuated, in_force_since, from_peer, revision",
+     "evacuated true: from now on this VM sends no new flow to endpoints of "
+     "the "
+     "data centre; false: it uses them again, as cold ones first; from_peer: a "
+     "neighbour's notice said so, and this VM has no such catalog yet; "
+     "in_force_since: the revision of the order's catalog; revision: this VM's",
+     "if from_peer stays true: check the way from this VM to the control VMs"},
     {"flows_summary", "info", "entry",
      "ready, revision, endpoints, members_alive, packets, unknown_endpoint, "
      "placed_alone, declined, placed, moved, refused, expired",
