Keep new requests out of evacuated data centres on the CoAP door

The entry node passes the evacuations to its schedulers and placers. A request that waits with a pin, or was about to be sent to an evacuated endpoint, selects its endpoint again. A session moves to another endpoint if there is one; if not, its requests are refused with no_endpoint and it continues after the return. A later block of an answer can't come from another endpoint and is refused as answer_broken. The bound for cold endpoints comes from the service.

entry_tests: the scenarios passed, with two new ones.

--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -103,12 +103,16 @@
     members_version_ = members_->version();
     OnMembersChanged();
   }
+  UpdateEvacuations();
+  const bool refresh = now_ < refresh_until_ && now_ >= refresh_due_;
+  if (refresh) {
+    refresh_due_ = now_ + kEndpointRefreshInterval;
+  }
   for (auto& [id, service] : services_) {
     const std::uint64_t version = registry_->VersionOf(id);
-    if (version != service.endpoints_version) {
+    if (refresh || version != service.endpoints_version) {
       service.endpoints_version = version;
-      service.scheduler->SetEndpoints(now_, registry_->EndpointsOf(id));
-      service.placer->SetEndpoints(now_, registry_->EndpointsOf(id));
+      SetEndpoints(service);
       service.scheduler->OnTick(now_, verdicts_);
       ApplyVerdicts();
     }
--- a/src/entry/entry_node_impl.h
+++ b/src/entry/entry_node_impl.h
@@ -69,6 +69,11 @@
 inline constexpr Duration kLeaveGossipTime = std::chrono::seconds(1);
 // A caller may pause this long between two blocks of a blockwise answer: its
 // endpoint is stored this long after the latest block that was not the last.
+// How often, and for how long at least, endpoints are read again after the end
+// of an evacuation.
+inline constexpr Duration kEndpointRefreshInterval =
+    std::chrono::milliseconds(100);
+inline constexpr Duration kMinEndpointRefreshTime = std::chrono::seconds(6);
 inline constexpr Duration kBlockPinIdleTimeout = std::chrono::seconds(30);
 // Capacity for the contents of one datagram between peers.
 inline constexpr std::size_t kPeerPayloadBytes = 1200;
@@ -137,6 +142,20 @@
   // Returns the error kind of a request whose deadline has passed.
   static ErrorKind TimeoutErrorKind(const RequestRecord& record);
 
+  // evacuation.cc
+  // Applies the evacuations of the catalog or of a peer's notice.
+  void UpdateEvacuations();
+  // Puts back the requests that were about to be sent to an endpoint in an
+  // evacuated data centre.
+  void ParkWorkOfEvacuated();
+  // The evacuated data centres, as the schedulers' endpoints name them.
+  std::vector<std::string> EvacuatedNames() const;
+  bool IsEvacuated(EndpointId endpoint) const;
+  // Sets what this VM may give to cold endpoints of the service.
+  void UpdateColdUse(ServiceState& service);
+  // Passes the endpoints of a service to its scheduler and its placer.
+  void SetEndpoints(ServiceState& service);
+
   // services.cc
   ServiceState* FindService(ServiceId id);
   ServiceState* FindService(std::string_view name);
@@ -348,6 +367,11 @@
   std::uint16_t next_message_id_;
   std::uint64_t next_sequence_;  // Of collections and transfer parts.
 
+  EvacuationState evacuations_;  // As applied.
+  // Until when, and when next, endpoints are read again after an evacuation, as
+  // their renewals say whether they are cold.
+  TimePoint refresh_until_{};
+  TimePoint refresh_due_{};
   std::uint64_t members_version_ = 0;
   std::map<NodeId, std::uint64_t> peer_instances_;
   std::map<NodeId, MemberState> member_states_;
--- a/src/entry/entry_world.h
+++ b/src/entry/entry_world.h
@@ -108,6 +108,7 @@
   // entry_world_test.cc
   void CreateVms(const scenario::Step& step);
   void AddService(const scenario::Step& step);
+  void Evacuate(const scenario::Step& step);
   void ApplyCatalog();
   void StartVm(std::size_t n);
   void ChangeVm(const scenario::Step& step);
--- a/src/entry/entry_world_test.cc
+++ b/src/entry/entry_world_test.cc
@@ -45,6 +45,8 @@
       kVerbs = {{"vms", &EntryWorld::CreateVms},
                 {"service", &EntryWorld::AddService},
                 {"delete", &EntryWorld::AddService},
+                {"evacuate", &EntryWorld::Evacuate},
+                {"return", &EntryWorld::Evacuate},
                 {"backend", &EntryWorld::AddBackend},
                 {"set", &EntryWorld::ChangeBackend},
                 {"leave", &EntryWorld::ChangeBackend},
@@ -136,6 +138,28 @@
   ApplyCatalog();
 }
 
+// evacuate DATACENTER [to=VM], return DATACENTER [to=VM]; to: only this VM gets
+// the catalog.
+void EntryWorld::Evacuate(const scenario::Step& step) {
+  Log(step.text);
+  catalog_.set_revision(catalog_.revision() + 1);
+  catalog_.clear_evacuations();
+  if (step.verb == "evacuate") {
+    pb::Evacuation& evacuation = *catalog_.add_evacuations();
+    evacuation.set_data_center(step.Word(0));
+    evacuation.set_revision(catalog_.revision());
+  }
+  const std::string to = step.Named("to", "");
+  if (to.empty()) {
+    ApplyCatalog();
+    return;
+  }
+  const std::size_t n = VmIndex(to);
+  Outbox out;
+  vms_[n].node->OnCatalog(now_, catalog_, out);
+  TransmitAll(n, out);
+}
+
 void EntryWorld::ApplyCatalog() {
   for (std::size_t n = 0; n < vms_.size(); ++n) {
     if (vms_[n].node != nullptr) {
--- a/src/entry/pinning.cc
+++ b/src/entry/pinning.cc
@@ -17,10 +17,16 @@
   }
   const std::optional<EndpointId> pinned_to =
       service.pins.Touch(record.caller, now_);
-  if (pinned_to && IsLiveEndpointOf(*pinned_to, service)) {
+  const bool live = pinned_to && IsLiveEndpointOf(*pinned_to, service);
+  if (live && !IsEvacuated(*pinned_to)) {
     work.pinned = pinned_to;
     return true;
   }
+  if (live && !service.placer->SelectEndpoint(now_)) {
+    // The session continues at its endpoint after the evacuation.
+    GiveUp(record, ErrorKind::kNoEndpoint, kRetryAfter);
+    return false;
+  }
   if (pinned_to) {
     service.pins.Remove(record.caller);
     service.placer->Close(*pinned_to);
@@ -78,7 +84,8 @@
     Park(record, kParkedRetryInterval);
     return false;
   }
-  if (!found || !IsLiveEndpointOf(it->second.endpoint, service)) {
+  if (!found || !IsLiveEndpointOf(it->second.endpoint, service) ||
+      IsEvacuated(it->second.endpoint)) {
     GiveUp(record, ErrorKind::kAnswerBroken, kRetryAfter);
     return false;
   }
--- a/src/entry/service_state.h
+++ b/src/entry/service_state.h
@@ -93,6 +93,10 @@
   absl::flat_hash_map<std::uint64_t, BlockPin> blocks;  // By answer key.
   std::uint64_t endpoints_version = 0;
 
+  // Role and share of this VM as passed to the scheduler.
+  bool uses_cold_as_dispatcher = false;
+  std::optional<ColdUse> cold_use;
+
   bool dispatches = false;  // This VM has rank 0.
   bool ready = false;       // As dispatcher, this VM has ended its collection.
   NodeId dispatcher;        // Rank 0 of the member list; 0: none.
--- a/src/entry/services.cc
+++ b/src/entry/services.cc
@@ -32,6 +32,12 @@
     UpdateService(it, !first);
   }
   DropServicesExcept(current);
+  EvacuationState evacuations;
+  evacuations.revision = catalog.revision();
+  for (const pb::Evacuation& it : catalog.evacuations()) {
+    evacuations.data_centers.push_back(it.data_center());
+  }
+  members_->SetEvacuations(now_, std::move(evacuations));
   const auto& draining = catalog.draining_vms();
   const bool drain = std::find(draining.begin(), draining.end(),
                                options_.membership.name) != draining.end();
@@ -54,6 +60,7 @@
     it->second.created_while_running = created_while_running;
     it->second.scheduler =
         SlotScheduler::Create({}, seed_ ^ config.id()).value();
+    it->second.scheduler->SetEvacuated(now_, EvacuatedNames());
     it->second.placer = SessionPlacer::Create(seed_ ^ config.id()).value();
     // Differs from the registry's version, so that AfterEvent() sets the
     // endpoints.
@@ -68,7 +75,11 @@
                        each.success_permille(), each.share_percent()});
   }
   service.scheduler->SetClasses(classes);
+  service.scheduler->SetWarmUp(now_,
+                               {std::chrono::milliseconds(config.warm_up_ms()),
+                                config.warm_up_per_second()});
   UpdateRoles(service);
+  UpdateColdUse(service);
 }
 
 // Gives up the requests of deleted services immediately. A request that was
--- a/src/entry/takeover.cc
+++ b/src/entry/takeover.cc
@@ -21,6 +21,7 @@
   TrackFailures();
   for (auto& [id, service] : services_) {
     UpdateRoles(service);
+    UpdateColdUse(service);
     RemoveFailedSources(service);
   }
   ReevaluateRecords(NodeId{});
