--- a/src/catalog/catalog_file.cc
+++ b/src/catalog/catalog_file.cc
@@ -14,8 +14,6 @@
 constexpr Duration kMaxLatency = std::chrono::hours(1);
 constexpr std::uint32_t kMaxPermille = 1000;
 constexpr std::uint32_t kPermillePerPercent = 10;
-constexpr Duration kMaxWarmUp = std::chrono::minutes(10);
-constexpr std::int64_t kMaxWarmUpPerSecond = 1'000'000;
 constexpr std::size_t kMaxPathBytes = 255;
 
 std::string ReadPath(const JsonValue& value) {
@@ -88,7 +86,7 @@
 };
 
 pb::Service ReadService(const JsonValue& value) {
-  value.CheckKeys({"name", "work", "classes", "warm_up", "warm_up_per_second"});
+  value.CheckKeys({"name", "work", "classes"});
   pb::Service service;
   service.set_name(value.At("name").Name());
   if (const JsonValue* it = value.Find("work")) {
@@ -96,14 +94,6 @@
                          ? pb::WORK_REQUESTS
                          : pb::WORK_SESSIONS);
   }
-  if (const JsonValue* it = value.Find("warm_up")) {
-    service.set_warm_up_ms(static_cast<std::uint32_t>(
-        ToMilliseconds(it->Time(Duration::zero(), kMaxWarmUp))));
-  }
-  if (const JsonValue* it = value.Find("warm_up_per_second")) {
-    service.set_warm_up_per_second(
-        static_cast<double>(it->Integer(0, kMaxWarmUpPerSecond)));
-  }
   ClassListValidator validator;
   for (const JsonValue& it : value.At("classes").Items()) {
     const pb::ClassTarget target = ReadClass(it);
@@ -160,17 +150,9 @@
       target["share"] = internal::FormatShare(it);
       classes.push_back(std::move(target));
     }
-    Json entry = {{"name", service.name()},
-                  {"work", internal::FormatWork(service)},
-                  {"classes", std::move(classes)}};
-    if (service.warm_up_ms() > 0) {
-      entry["warm_up"] = internal::FormatWarmUp(service);
-    }
-    if (service.warm_up_per_second() > 0) {
-      entry["warm_up_per_second"] =
-          static_cast<std::int64_t>(service.warm_up_per_second());
-    }
-    services.push_back(std::move(entry));
+    services.push_back({{"name", service.name()},
+                        {"work", internal::FormatWork(service)},
+                        {"classes", std::move(classes)}});
   }
   const Json root = {{"services", std::move(services)}};
   return "// Revision " + std::to_string(catalog.revision()) + "\n" +
--- a/src/catalog/catalog_file_difference.cc
+++ b/src/catalog/catalog_file_difference.cc
@@ -38,10 +38,6 @@
   return service.work() == pb::WORK_SESSIONS ? "sessions" : "requests";
 }
 
-std::string FormatWarmUp(const pb::Service& service) {
-  return FormatDuration(std::chrono::milliseconds(service.warm_up_ms()));
-}
-
 }  // namespace internal
 
 namespace {
@@ -82,13 +78,6 @@
                      const pb::Service& after, Lines& lines) {
   AddFieldDifference(subject, "work", internal::FormatWork(before),
                      internal::FormatWork(after), lines);
-  AddFieldDifference(subject, "warm_up", internal::FormatWarmUp(before),
-                     internal::FormatWarmUp(after), lines);
-  AddFieldDifference(
-      subject, "warm_up_per_second",
-      std::to_string(static_cast<std::int64_t>(before.warm_up_per_second())),
-      std::to_string(static_cast<std::int64_t>(after.warm_up_per_second())),
-      lines);
   for (const pb::ClassTarget& it : after.classes()) {
     const std::string class_subject = subject + ": class " + it.name();
     const pb::ClassTarget* old = FindByName(before.classes(), it.name());
--- a/src/catalog/catalog_text.h
+++ b/src/catalog/catalog_text.h
@@ -13,7 +13,6 @@
 std::string FormatShare(const pb::ClassTarget& target);    // "60%"
 std::string FormatPaths(const pb::ClassTarget& target);    // "/a, /b"
 std::string FormatWork(const pb::Service& service);        // "requests"
-std::string FormatWarmUp(const pb::Service& service);      // "8s"
 
 }  // namespace vanillalatch::internal
 
--- a/src/catalog/state_machine.cc
+++ b/src/catalog/state_machine.cc
@@ -11,8 +11,6 @@
 
 constexpr std::uint32_t kMaxPercent = 100;
 constexpr std::uint32_t kMaxPermille = 1000;
-constexpr std::uint32_t kMaxWarmUpMs = 10 * 60 * 1000;
-constexpr double kMaxWarmUpPerSecond = 1'000'000;
 
 std::string FindClassError(const pb::Service& service,
                            const pb::ClassTarget& target) {
@@ -62,15 +60,6 @@
   if (service.name().empty()) {
     return "a service has no name";
   }
-  if (service.warm_up_ms() > kMaxWarmUpMs) {
-    return "service " + service.name() + ": warm_up is above 10 minutes";
-  }
-  // Written so that a value that is no number is refused, too.
-  if (!(service.warm_up_per_second() >= 0 &&
-        service.warm_up_per_second() <= kMaxWarmUpPerSecond)) {
-    return "service " + service.name() +
-           ": warm_up_per_second is not between 0 and 1,000,000";
-  }
   for (const pb::ClassTarget& it : service.classes()) {
     if (std::string error = FindClassError(service, it); !error.empty()) {
       return error;
