--- a/src/packetflow/flow_node_test.cc
+++ b/src/packetflow/flow_node_test.cc
@@ -438,7 +438,7 @@
     return flows;
   };
   CHECK(reported() == 0);  // Nothing is evacuated.
-  world.AddEvacuation("north");
+  world.SetEvacuated({"north"});
   world.Publish();
   CHECK(reported() == open);
   world.set_hold_answers(false);
