Count the bytes that a dispatcher exchanges for each flow

The simulated callers can send several requests on a flow and acknowledge answers; the VMs of the test world have incarnations of the size of a start time.

--- a/src/packetflow/flow_world.h
+++ b/src/packetflow/flow_world.h
@@ -50,6 +50,9 @@
     std::optional<TimePoint> answered;  // When the caller received the answer.
     std::set<std::string> accepted_by;  // Endpoints that accepted the flow.
     std::string endpoint;               // The first of them.
+    std::size_t requests = 1;           // That the caller still sends.
+    Duration gap{};             // Between an answer and the next request.
+    bool acknowledges = false;  // The caller sends OpenLong()'s extra packets.
     bool reset = false;   // The caller was notified that it is not opened.
     bool failed = false;  // No endpoint accepted it, and it was not reset.
   };
@@ -91,6 +94,11 @@
   // the flow, the caller retransmits the opening packet; then it sends one
   // request, and ends the flow after the answer.
   int Open(const std::string& service, std::size_t vm);
+  // Opens a flow on which the caller sends `requests` requests, each `gap`
+  // after the answer to the previous one. As transports do, the caller
+  // acknowledges the handshake and each answer with a packet of its own.
+  int OpenLong(const std::string& service, std::size_t vm, std::size_t requests,
+               Duration gap);
   // Makes the flow's further packets reach another VM.
   void Reroute(int flow, std::size_t vm) { flows_[flow].vm = vm; }
   const Flow& FlowOf(int flow) const { return flows_.at(flow); }
@@ -104,6 +112,12 @@
   std::size_t DispatcherIndex(const std::string& service) const;
   // While set, answers of endpoints do not reach their callers.
   void set_hold_answers(bool hold) { hold_answers_ = hold; }
+  // Sets the size of opening packets; the default is a few bytes.
+  void set_opening_bytes(std::size_t n) { opening_bytes_ = n; }
+  // Called for each datagram that a VM sends to another one. The control VM has
+  // the index -1.
+  using Tap = std::function<void(int from, int to, ByteSpan bytes)>;
+  void set_tap(Tap tap) { tap_ = std::move(tap); }
 
  private:
   using Callback = std::function<void()>;
@@ -124,7 +138,10 @@
   void Deliver(int from, Outbox& out);
   void PerformActions(std::size_t vm);
   void SendOpening(int flow, std::uint32_t copy);
-  void SendPacket(int flow, bool ends);
+  void SendPacket(int flow, bool carries_data, bool ends);
+  // Has the caller send its next request, or end the flow after the last one.
+  void Continue(int flow);
+  void OnAnswer(int flow);
   void DeliverToEndpoint(const std::string& name, FlowPacket packet, int flow);
   void Serve(FakeEndpoint& endpoint);
   void Reset(int flow);
@@ -145,6 +162,8 @@
   int next_flow_ = 0;
   std::set<std::pair<int, int>> disconnected_;
   bool hold_answers_ = false;
+  std::size_t opening_bytes_ = 0;
+  Tap tap_;
 };
 
 }  // namespace vanillalatch
--- a/src/packetflow/flow_world_test.cc
+++ b/src/packetflow/flow_world_test.cc
@@ -20,6 +20,13 @@
 constexpr Duration kDelayToEndpoint = microseconds(300);
 constexpr Duration kDelayToCaller = milliseconds(3);
 constexpr Duration kDelayBetweenVms = microseconds(400);
+// The size of a start time in milliseconds, which VMs use as incarnation.
+constexpr std::uint64_t kFirstIncarnation = 1'700'000'000'000;
+// Between two packets that a caller sends at once: they reach the entry VM in
+// different batches.
+constexpr Duration kDelayBetweenPackets = microseconds(100);
+// Only has to be positive: an acknowledgement shows that an answer has begun.
+constexpr std::uint32_t kAnswerBytes = 1000;
 // When a caller sends the opening packet and its retransmissions, counted from
 // Open().
 constexpr Duration kOpeningDelays[] = {milliseconds(0), milliseconds(200),
@@ -64,7 +71,7 @@
   options.members.data_center = "fleet";
   options.members.peer = PeerOf(static_cast<int>(n));
   options.members.seeds = {PeerOf(kControl)};
-  options.members.incarnation = ++starts_ * 1000;
+  options.members.incarnation = kFirstIncarnation + ++starts_ * 1000;
   options.data_center = n % 2 == 0 ? "north" : "south";
   vms_[n] = FlowNode::Create(options, random_()).value();
   if (catalog_.revision() > 0) {
@@ -190,6 +197,9 @@
       continue;
     }
     const ByteSpan span = out.Bytes(it);
+    if (tap_) {
+      tap_(from, to, span);
+    }
     std::vector<std::uint8_t> bytes(span.begin(), span.end());
     After(kDelayBetweenVms, [this, from, to, bytes = std::move(bytes)] {
       Outbox answers;
@@ -243,6 +253,16 @@
   return id;
 }
 
+int FlowWorld::OpenLong(const std::string& service, std::size_t vm,
+                        std::size_t requests, Duration gap) {
+  const int id = Open(service, vm);
+  Flow& flow = flows_[id];
+  flow.requests = requests;
+  flow.gap = gap;
+  flow.acknowledges = true;
+  return id;
+}
+
 void FlowWorld::SendOpening(int id, std::uint32_t copy) {
   const Flow& flow = flows_[id];
   if (!flow.endpoint.empty() || flow.reset || vms_[flow.vm] == nullptr) {
@@ -251,7 +271,8 @@
   FlowPacket packet = flow.packet;
   packet.opens = true;
   packet.copy = copy;
-  const std::string bytes = std::to_string(id);
+  std::string bytes = std::to_string(id);
+  bytes.resize(std::max(bytes.size(), opening_bytes_));
   const FlowVerdict verdict = vms_[flow.vm]->OnPacket(
       now_, packet,
       {reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size()});
@@ -282,12 +303,19 @@
       if (flow.endpoint.empty() && !flow.reset) {
         flow.endpoint = name;
         flow.packet.cookie = CookieOf(*ParseInstanceName(name));
-        After(kDelayToCaller, [this, id] { SendPacket(id, false); });
+        After(kDelayToCaller, [this, id] {
+          if (!flows_[id].acknowledges) {
+            Continue(id);
+            return;
+          }
+          SendPacket(id, false, false);
+          After(kDelayBetweenPackets, [this, id] { Continue(id); });
+        });
       }
     });
     return;
   }
-  if (packet.ends || !endpoint.flows.insert(id).second) {
+  if (!packet.carries_data || !endpoint.flows.insert(id).second) {
     return;
   }
   endpoint.waiting.push(id);
@@ -307,24 +335,42 @@
       --endpoint.running;
       ++endpoint.served;
       if (!hold_answers_) {
-        After(kDelayToCaller, [this, id] {
-          flows_[id].answered = now_;
-          After(kDelayToCaller, [this, id] { SendPacket(id, true); });
-        });
+        After(kDelayToCaller, [this, id] { OnAnswer(id); });
       }
       Serve(endpoint);
     });
   }
 }
 
-void FlowWorld::SendPacket(int id, bool ends) {
+void FlowWorld::OnAnswer(int id) {
+  Flow& flow = flows_[id];
+  flow.answered = now_;
+  flow.packet.acknowledged += kAnswerBytes;
+  if (flow.acknowledges) {
+    After(kDelayToCaller, [this, id] { SendPacket(id, false, false); });
+  }
+  After(kDelayToCaller + flow.gap, [this, id] { Continue(id); });
+}
+
+void FlowWorld::Continue(int id) {
+  Flow& flow = flows_[id];
+  if (flow.requests == 0) {
+    SendPacket(id, false, true);
+    return;
+  }
+  --flow.requests;
+  At(flow.endpoint).flows.erase(id);
+  SendPacket(id, true, false);
+}
+
+void FlowWorld::SendPacket(int id, bool carries_data, bool ends) {
   const Flow& flow = flows_[id];
   if (vms_[flow.vm] == nullptr) {
     return;
   }
   FlowPacket packet = flow.packet;
   packet.ends = ends;
-  packet.carries_data = !ends;
+  packet.carries_data = carries_data;
   const FlowVerdict verdict = vms_[flow.vm]->OnPacket(now_, packet, {});
   if (verdict.kind == FlowVerdict::Kind::kForward) {
     const std::string name = FormatInstanceName(verdict.target->instance);
