Leave the incarnation out of datagrams with flow messages

A flow costs 361.6 bytes received in place of 396.6, a later request 126.7 in place of 140.7.

packetflow_tests: all pass.

--- a/include/vanillalatch/packetflow/peer_node.h
+++ b/include/vanillalatch/packetflow/peer_node.h
@@ -65,13 +65,10 @@
   std::uint64_t malformed() const { return malformed_; }
 
  private:
-  PeerNode(std::uint64_t incarnation, std::unique_ptr<MemberList> members,
+  PeerNode(std::unique_ptr<MemberList> members,
            std::unique_ptr<Registry> registry)
-      : incarnation_(incarnation),
-        members_(std::move(members)),
-        registry_(std::move(registry)) {}
+      : members_(std::move(members)), registry_(std::move(registry)) {}
 
-  std::uint64_t incarnation_;
   std::unique_ptr<MemberList> members_;
   std::unique_ptr<Registry> registry_;
   pb::PeerDatagram incoming_;
--- a/src/packetflow/dispatcher_bytes_test.cc
+++ b/src/packetflow/dispatcher_bytes_test.cc
@@ -136,8 +136,8 @@
     double max_request_bytes;
   };
   const Row row =
-      GENERATE(Row{"alone", milliseconds(300), 410, 145},
-               Row{"100 flows a second", milliseconds(10), 410, 145});
+      GENERATE(Row{"alone", milliseconds(300), 365, 130},
+               Row{"100 flows a second", milliseconds(10), 365, 130});
   constexpr int kFlows = 100;
   constexpr std::size_t kRequests = 11;
   const Exchange one = Measure(1, kFlows, row.interval);
--- a/src/packetflow/peer_node.cc
+++ b/src/packetflow/peer_node.cc
@@ -24,7 +24,6 @@
   RegistryOptions registry;
   registry.epochs_are_start_times = true;
   registry.contact_timeout = kDoubtDisabled;
-  const std::uint64_t incarnation = members.incarnation;
   Result<std::unique_ptr<MemberList>> list =
       MemberList::Create(std::move(members), seed);
   if (!list.ok()) {
@@ -36,7 +35,7 @@
     return leases.error();
   }
   return std::unique_ptr<PeerNode>(
-      new PeerNode(incarnation, std::move(*list), std::move(*leases)));
+      new PeerNode(std::move(*list), std::move(*leases)));
 }
 
 const pb::FlowMessage* PeerNode::OnDatagram(TimePoint now, SocketAddress from,
@@ -107,7 +106,6 @@
       it == all.end() ? unknown_sender->second : it->peer;
   pb::PeerDatagram datagram;
   datagram.set_from(members_->self().value());
-  datagram.set_incarnation(incarnation_);
   *datagram.mutable_flow() = message;
   const std::size_t n = datagram.ByteSizeLong();
   datagram.SerializeWithCachedSizesToArray(
