Let reports of handshakes, answers and ends share datagrams

Each report took a datagram of its own, of which 67 bytes are headers and the sender. Where the rate of the link is stated, they now wait up to 5 ms, or until an opening, an acknowledgement or a request is sent to the same VM. Their age is in the message, and measured handshake and answer times exclude it. A request replaces the waiting report of its flow's handshake.

--- a/include/vanillalatch/packetflow/flow_dispatcher.h
+++ b/include/vanillalatch/packetflow/flow_dispatcher.h
@@ -202,8 +202,8 @@
   // Stops using the service's present flows as evidence of silence: another VM
   // is its dispatcher now and receives the reports of their progress.
   virtual void StopSilenceDetection(ServiceId service) = 0;
-  // Processes the end of a flow: the caller ended it, or gave it up.
-  virtual void End(TimePoint now, FlowId id, bool given_up,
+  // Processes the end of a flow: the caller ended it, or gave it up, `age` ago.
+  virtual void End(TimePoint now, FlowId id, bool given_up, Duration age,
                    FlowActions& actions) = 0;
   // True if the flow waits for a slot here, or occupied one here, and has
   // neither ended nor expired.
--- a/include/vanillalatch/packetflow/flow_node.h
+++ b/include/vanillalatch/packetflow/flow_node.h
@@ -39,6 +39,9 @@
   // Flows that arrive through this VM prefer endpoints in this data centre.
   std::string data_center;
   FlowDispatcherOptions dispatcher;
+  // Rate of this VM's link in each direction; 0 if unknown. If it is known,
+  // reports of progress wait up to 5 ms to share datagrams.
+  std::uint64_t link_bytes_per_second = 0;
 };
 
 // What is to be done with a packet.
@@ -137,7 +140,8 @@
   virtual void OnTick(TimePoint now, Outbox& out) = 0;
   // The time at which OnTick() has to be called next.
   virtual TimePoint NextWake() const = 0;
-  // Sends the messages to other VMs that have accumulated since the last call.
+  // Sends the messages to other VMs that are due. Those that are not due yet
+  // count for NextWake().
   virtual void Flush(TimePoint now, Outbox& out) = 0;
   // Returns and clears the accumulated actions.
   virtual FlowNodeActions TakeActions() = 0;
--- a/include/vanillalatch/packetflow/flow_tracker.h
+++ b/include/vanillalatch/packetflow/flow_tracker.h
@@ -15,6 +15,7 @@
 #include <optional>
 
 #include "absl/container/flat_hash_map.h"
+#include "vanillalatch/base/time.h"
 #include "vanillalatch/packetflow/packet.h"
 
 namespace vanillalatch {
@@ -25,6 +26,8 @@
   FlowId id;
   bool request_sent = false;    // The packet contains data of a request.
   bool answer_started = false;  // The caller has received part of the answer.
+  // How long ago the caller's packet arrived. Set by the receiver of a report.
+  Duration age{};
 };
 
 class FlowTracker {
--- a/include/vanillalatch/placement/slot_scheduler.h
+++ b/include/vanillalatch/placement/slot_scheduler.h
@@ -119,9 +119,14 @@
   virtual void AddRunning(TimePoint now, const Work& work,
                           EndpointId endpoint) = 0;
   // Frees the request's slot, if it has one, and starts waiting requests.
-  // Appends verdicts on waiting requests only.
+  // Appends verdicts on waiting requests only. `report_age`: how long ago the
+  // request ended; measured answer times exclude it.
   virtual void Finish(TimePoint now, RequestId request, WorkOutcome outcome,
-                      std::vector<Verdict>& verdicts) = 0;
+                      Duration report_age, std::vector<Verdict>& verdicts) = 0;
+  void Finish(TimePoint now, RequestId request, WorkOutcome outcome,
+              std::vector<Verdict>& verdicts) {
+    Finish(now, request, outcome, Duration::zero(), verdicts);
+  }
   // Removes a request from the queue. Returns false if it does not wait there.
   virtual bool Cancel(TimePoint now, RequestId request) = 0;
   // Applies what is due by time: starts waiting requests on slots that became
--- a/src/packetflow/dispatcher_bytes_test.cc
+++ b/src/packetflow/dispatcher_bytes_test.cc
@@ -21,6 +21,7 @@
 // An opening packet without a payload.
 constexpr std::size_t kOpeningBytes = 32;
 constexpr std::size_t kVms = 10;
+constexpr std::uint64_t kLinkBytesPerSecond = 250'000;
 
 struct Traffic {
   double datagrams = 0;
@@ -97,6 +98,7 @@
 
 Exchange Measure(std::size_t requests, int flows, Duration interval) {
   FlowWorld world(1);
+  world.set_link_rate(kLinkBytesPerSecond);
   world.AddVms(kVms);
   world.set_opening_bytes(kOpeningBytes);
   for (int n = 0; n < 16; ++n) {
@@ -136,8 +138,8 @@
     double max_request_bytes;
   };
   const Row row =
-      GENERATE(Row{"alone", milliseconds(300), 365, 130},
-               Row{"100 flows a second", milliseconds(10), 365, 130});
+      GENERATE(Row{"alone", milliseconds(300), 320, 130},
+               Row{"100 flows a second", milliseconds(10), 320, 103});
   constexpr int kFlows = 100;
   constexpr std::size_t kRequests = 11;
   const Exchange one = Measure(1, kFlows, row.interval);
--- a/src/packetflow/flow_dispatcher.cc
+++ b/src/packetflow/flow_dispatcher.cc
@@ -106,14 +106,14 @@
 }
 
 void FlowDispatcherImpl::Release(TimePoint now, const Flow& flow,
-                                 WorkOutcome outcome) {
+                                 WorkOutcome outcome, Duration age) {
   if (flow.idle) {
     return;
   }
   flow_by_work_.erase(flow.work);
   SlotScheduler& scheduler = SchedulerOf(flow.opening.service);
   if (flow.placed) {
-    scheduler.Finish(now, flow.work, outcome, verdicts_);
+    scheduler.Finish(now, flow.work, outcome, age, verdicts_);
   } else {
     scheduler.Cancel(now, flow.work);
   }
@@ -175,18 +175,18 @@
   }
   if (!std::exchange(flow.accepted, true)) {
     flow.accepted_at = now;
-    silence_detector_.OnHandshake(now, now - flow.sent_at);
-    actions.timings.push_back(
-        {FlowTiming::Part::kHandshake, now - flow.sent_at});
+    const Duration handshake = now - update.age - flow.sent_at;
+    silence_detector_.OnHandshake(now, handshake);
+    actions.timings.push_back({FlowTiming::Part::kHandshake, handshake});
     OnEndpointAnswered(flow, actions);
   }
   flow.request_sent |= update.request_sent;
   if (update.answer_started && !flow.idle) {
     if (!std::exchange(flow.has_answer, true)) {
       actions.timings.push_back(
-          {FlowTiming::Part::kAnswer, now - flow.sent_at});
+          {FlowTiming::Part::kAnswer, now - update.age - flow.sent_at});
     }
-    MarkIdle(now, flow, WorkOutcome::kAnswered);
+    MarkIdle(now, flow, WorkOutcome::kAnswered, update.age);
     ApplyVerdicts(now, actions);
   } else if (update.request_sent && flow.idle) {
     TakeSlot(now, flow);
@@ -194,8 +194,8 @@
 }
 
 void FlowDispatcherImpl::MarkIdle(TimePoint now, Flow& flow,
-                                  WorkOutcome outcome) {
-  Release(now, flow, outcome);
+                                  WorkOutcome outcome, Duration age) {
+  Release(now, flow, outcome, age);
   flow.idle = true;
   flow.opening.packet.clear();
   flow.expires = now + kIdleFlowRetention;
@@ -221,7 +221,7 @@
 }
 
 void FlowDispatcherImpl::End(TimePoint now, FlowId id, bool given_up,
-                             FlowActions& actions) {
+                             Duration age, FlowActions& actions) {
   const auto it = flows_.find(id);
   if (it == flows_.end()) {
     return;
@@ -238,7 +238,7 @@
              now - (flow.placed ? flow.sent_at : flow.submitted_at), actions);
   }
   Release(now, flow,
-          given_up ? WorkOutcome::kCancelled : WorkOutcome::kAnswered);
+          given_up ? WorkOutcome::kCancelled : WorkOutcome::kAnswered, age);
   ApplyVerdicts(now, actions);
 }
 
--- a/src/packetflow/flow_dispatcher_impl.h
+++ b/src/packetflow/flow_dispatcher_impl.h
@@ -44,7 +44,7 @@
     silence_detector_.OnDispatcherChanged(now, service);
   }
   void StopSilenceDetection(ServiceId service) override;
-  void End(TimePoint now, FlowId id, bool given_up,
+  void End(TimePoint now, FlowId id, bool given_up, Duration age,
            FlowActions& actions) override;
   bool Contains(FlowId id) const override { return flows_.contains(id); }
   std::vector<FlowOpening> TakeWaiting(TimePoint now,
@@ -99,11 +99,14 @@
   void OnRetransmission(TimePoint now, Flow& flow, const FlowOpening& opening,
                         FlowActions& actions);
   // Frees the slot of a placed flow, or removes a waiting flow from the queue.
-  void Release(TimePoint now, const Flow& flow, WorkOutcome outcome);
+  // `age`: how long ago it ended.
+  void Release(TimePoint now, const Flow& flow, WorkOutcome outcome,
+               Duration age = Duration::zero());
   // Turns the verdicts of the schedulers into placements and refusals.
   void ApplyVerdicts(TimePoint now, FlowActions& actions);
   // Frees the flow's slot; the flow stays open.
-  void MarkIdle(TimePoint now, Flow& flow, WorkOutcome outcome);
+  void MarkIdle(TimePoint now, Flow& flow, WorkOutcome outcome,
+                Duration age = Duration::zero());
   // Makes an idle flow occupy a slot of its endpoint again, as its caller has
   // sent another request.
   void TakeSlot(TimePoint now, Flow& flow);
--- a/src/packetflow/flow_dispatcher_test.cc
+++ b/src/packetflow/flow_dispatcher_test.cc
@@ -72,7 +72,7 @@
 
   void End(std::uint64_t id, bool given_up = false) {
     actions_ = {};
-    dispatcher_->End(now_, FlowId(id), given_up, actions_);
+    dispatcher_->End(now_, FlowId(id), given_up, {}, actions_);
   }
 
   void RemoveEndpoint() {
--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -91,7 +91,7 @@
     dispatcher_->OnFlowUpdate(now, *update, established, actions_);
     return;
   }
-  pb::FlowSeen& message = *PendingMessageTo(to).add_seen();
+  pb::FlowSeen message;
   message.set_id(update->id.value());
   message.set_requests(update->request_sent);
   message.set_answered(update->answer_started);
@@ -102,6 +102,7 @@
     message.set_timeout_ms(
         static_cast<std::uint32_t>(ToMilliseconds(route.timeout)));
   }
+  PendingMessageTo(to).AddSeen(now, std::move(message));
 }
 
 NodeId FlowNodeImpl::PlacerOf(TimePoint now, FlowId id,
@@ -117,7 +118,7 @@
 
 void FlowNodeImpl::OnSeen(TimePoint now, const pb::FlowSeen& message) {
   const FlowUpdate update{FlowId(message.id()), message.requests(),
-                          message.answered()};
+                          message.answered(), DecodeAge(message.age())};
   const FlowTarget* target = endpoints_.Find(FlowCookie(message.cookie()));
   if (target == nullptr && !dispatcher_->Contains(update.id)) {
     return;
@@ -137,13 +138,14 @@
   const NodeId to = PlacerOf(now, id, service);
   flow_tracker_.Erase(id);
   if (dispatcher_->Contains(id)) {
-    dispatcher_->End(now, id, packet.aborts, actions_);
+    dispatcher_->End(now, id, packet.aborts, {}, actions_);
     return;
   }
   if (to != self()) {
-    pb::FlowEnd& message = *PendingMessageTo(to).add_ends();
+    pb::FlowEnd message;
     message.set_id(id.value());
     message.set_given_up(packet.aborts);
+    PendingMessageTo(to).AddEnd(now, std::move(message));
   }
 }
 
@@ -163,7 +165,8 @@
       OnSeen(now, it);
     }
     for (const pb::FlowEnd& it : message->ends()) {
-      dispatcher_->End(now, FlowId(it.id()), it.given_up(), actions_);
+      dispatcher_->End(now, FlowId(it.id()), it.given_up(), DecodeAge(it.age()),
+                       actions_);
     }
   }
 }
@@ -247,16 +250,24 @@
   for (const auto& [id, it] : parked_) {
     wake = std::min(wake, it.due);
   }
+  for (const auto& [to, it] : messages_) {
+    wake = std::min(wake, it.due());
+  }
   return wake;
 }
 
 void FlowNodeImpl::Flush(TimePoint now, Outbox& out) {
-  for (auto& [to, message] : messages_) {
-    for (const pb::FlowMessage& it : SplitIntoDatagrams(std::move(message))) {
-      peers_->Send(to, it, out);
+  for (auto it = messages_.begin(); it != messages_.end();) {
+    if (now < it->second.due()) {
+      ++it;
+      continue;
+    }
+    for (const pb::FlowMessage& message :
+         SplitIntoDatagrams(it->second.Take(now))) {
+      peers_->Send(it->first, message, out);
     }
+    it = messages_.erase(it);
   }
-  messages_.clear();
 }
 
 FlowNodeActions FlowNodeImpl::TakeActions() {
@@ -301,8 +312,8 @@
     return peers.error();
   }
   return std::unique_ptr<FlowNode>(std::make_unique<internal::FlowNodeImpl>(
-      std::move(options.data_center), std::move(*peers),
-      std::move(*dispatcher)));
+      std::move(options.data_center), options.link_bytes_per_second,
+      std::move(*peers), std::move(*dispatcher)));
 }
 
 }  // namespace vanillalatch
--- a/src/packetflow/flow_node_impl.h
+++ b/src/packetflow/flow_node_impl.h
@@ -11,15 +11,19 @@
 #include <vector>
 
 #include "src/packetflow/dispatcher_selector.h"
+#include "src/packetflow/pending_message.h"
 #include "vanillalatch/packetflow/flow_node.h"
 
 namespace vanillalatch::internal {
 
 class FlowNodeImpl final : public FlowNode {
  public:
-  FlowNodeImpl(std::string data_center, std::unique_ptr<PeerNode> peers,
+  FlowNodeImpl(std::string data_center, std::uint64_t link_bytes_per_second,
+               std::unique_ptr<PeerNode> peers,
                std::unique_ptr<FlowDispatcher> dispatcher)
       : data_center_(std::move(data_center)),
+        report_wait_(link_bytes_per_second == 0 ? Duration::zero()
+                                                : kReportWait),
         peers_(std::move(peers)),
         dispatcher_(std::move(dispatcher)) {}
 
@@ -120,9 +124,17 @@
   void HandOverWaiting(TimePoint now);
   NodeId self() const { return peers_->members().self(); }
   // The message to a VM that the next Flush() sends.
-  pb::FlowMessage& PendingMessageTo(NodeId to) { return messages_[to]; }
+  PendingMessage& PendingMessageTo(NodeId to) {
+    return messages_.try_emplace(to, report_wait_).first->second;
+  }
+
+  // How long reports wait to share a datagram where the rate of the link is
+  // known: a tenth of the work of a typical request (50 ms), during which
+  // another flow's work can use the slot (see overlap_percent).
+  static constexpr Duration kReportWait = std::chrono::milliseconds(5);
 
   std::string data_center_;
+  Duration report_wait_;
   std::unique_ptr<PeerNode> peers_;
   std::unique_ptr<FlowDispatcher> dispatcher_;
   std::uint64_t revision_ = 0;
@@ -140,7 +152,7 @@
   std::optional<TimePoint> endpoints_present_since_;
   // This VM's data about endpoints is considered complete.
   bool settled_ = false;
-  std::map<NodeId, pb::FlowMessage> messages_;
+  std::map<NodeId, PendingMessage> messages_;
   FlowTracker flow_tracker_;
   TimePoint generation_due_{};
   TimePoint lost_endpoint_check_due_{};
--- a/src/packetflow/flow_node_openings.cc
+++ b/src/packetflow/flow_node_openings.cc
@@ -74,7 +74,8 @@
 
 void FlowNodeImpl::HandOver(TimePoint now, FlowOpening opening, NodeId to) {
   ++counters_.handed_over;
-  pb::FlowOpening& message = *PendingMessageTo(to).add_openings();
+  pb::FlowOpening& message =
+      PendingMessageTo(to).AddOpening(opening.id.value());
   message = ToMessage(opening, revision_);
   message.set_settled(settled_);
   const FlowId id = opening.id;
@@ -92,7 +93,7 @@
   // and placing the flow by the older one would reverse that.
   const bool catalog_is_older =
       message.revision() > revision_ && !HasSameRoute(message);
-  pb::FlowTaken& taken = *PendingMessageTo(from).add_taken();
+  pb::FlowTaken& taken = PendingMessageTo(from).AddTaken();
   taken.set_id(message.id());
   // If neither VM has complete data about endpoints, it is better that one VM
   // places the flows of all than that each VM places its own.
--- a/src/packetflow/flow_world.h
+++ b/src/packetflow/flow_world.h
@@ -114,6 +114,8 @@
   void set_hold_answers(bool hold) { hold_answers_ = hold; }
   // Sets the size of opening packets; the default is a few bytes.
   void set_opening_bytes(std::size_t n) { opening_bytes_ = n; }
+  // Sets FlowNodeOptions::link_bytes_per_second of the VMs started from now on.
+  void set_link_rate(std::uint64_t rate) { link_rate_ = rate; }
   // Called for each datagram that a VM sends to another one. The control VM has
   // the index -1.
   using Tap = std::function<void(int from, int to, ByteSpan bytes)>;
@@ -163,6 +165,7 @@
   std::set<std::pair<int, int>> disconnected_;
   bool hold_answers_ = false;
   std::size_t opening_bytes_ = 0;
+  std::uint64_t link_rate_ = 0;
   Tap tap_;
 };
 
--- a/src/packetflow/flow_world_test.cc
+++ b/src/packetflow/flow_world_test.cc
@@ -72,6 +72,7 @@
   options.members.peer = PeerOf(static_cast<int>(n));
   options.members.seeds = {PeerOf(kControl)};
   options.members.incarnation = kFirstIncarnation + ++starts_ * 1000;
+  options.link_bytes_per_second = link_rate_;
   options.data_center = n % 2 == 0 ? "north" : "south";
   vms_[n] = FlowNode::Create(options, random_()).value();
   if (catalog_.revision() > 0) {
--- a/src/placement/slot_scheduler.cc
+++ b/src/placement/slot_scheduler.cc
@@ -56,7 +56,7 @@
   void AddRunning(TimePoint now, const Work& work,
                   EndpointId endpoint) override;
   void Finish(TimePoint now, RequestId request, WorkOutcome outcome,
-              std::vector<Verdict>& verdicts) override;
+              Duration report_age, std::vector<Verdict>& verdicts) override;
 
   bool Cancel(TimePoint now, RequestId request) override {
     return queue_.Remove(request).has_value();
@@ -153,7 +153,7 @@
 }
 
 void CentralScheduler::Finish(TimePoint now, RequestId request,
-                              WorkOutcome outcome,
+                              WorkOutcome outcome, Duration report_age,
                               std::vector<Verdict>& verdicts) {
   const auto it = running_.find(request);
   if (it != running_.end()) {
@@ -161,16 +161,17 @@
     running_.erase(it);
     ClassState& state = classes_.GetOrCreate(running.work_class);
     state.slot_use.Stop(now);
+    const TimePoint ended = std::max(now - report_age, running.started);
     if (outcome == WorkOutcome::kAnswered) {
-      state.answer_time.Add(now, now - running.started);
-      state.stats.OnAnswered(now, now - running.submitted,
+      state.answer_time.Add(now, ended - running.started);
+      state.stats.OnAnswered(now, ended - running.submitted,
                              state.target.latency);
     } else if (outcome == WorkOutcome::kRefused) {
       state.stats.OnRefused();
     } else if (outcome != WorkOutcome::kCancelled) {
       state.stats.OnFailed();
     }
-    pool_.Finish(now, running.endpoint, outcome, now - running.started);
+    pool_.Finish(now, running.endpoint, outcome, ended - running.started);
   }
   Advance(now, verdicts);
   StartWaitingRequests(now, verdicts);
