Count no silence while this VM's link is full

Lateness was taken for silence: a dispatcher behind a full link marked answering endpoints as silent, and ingresses replaced an answering dispatcher. Where the rate of the link is known, the shell reports to the node what the sockets received and sent. While LinkMeter finds the link late, flows do not become overdue, and a handover waits for up to 400 ms and does not make its dispatcher silent. The limit of handovers to a VM follows the measured round trip, between 100 and 400 ms; late acknowledgements are measured as well. Log event link_late.

--- a/include/vanillalatch/packetflow/flow_dispatcher.h
+++ b/include/vanillalatch/packetflow/flow_dispatcher.h
@@ -199,6 +199,9 @@
   // service. Flows sent before the change or shortly afterwards are no evidence
   // of silence, as some VMs may report their progress to another VM.
   virtual void OnDispatcherChanged(TimePoint now, ServiceId service) = 0;
+  // Records that this VM's link is late. Has to be called before each OnTick()
+  // while it is; the time that flows wait for an answer counts from then on.
+  virtual void OnLinkLate(TimePoint now) = 0;
   // Stops using the service's present flows as evidence of silence: another VM
   // is its dispatcher now and receives the reports of their progress.
   virtual void StopSilenceDetection(ServiceId service) = 0;
--- a/include/vanillalatch/packetflow/flow_node.h
+++ b/include/vanillalatch/packetflow/flow_node.h
@@ -40,7 +40,9 @@
   std::string data_center;
   FlowDispatcherOptions dispatcher;
   // Rate of this VM's link in each direction; 0 if unknown. If it is known,
-  // reports of progress wait up to 5 ms to share datagrams.
+  // reports of progress wait up to 5 ms to share datagrams, and a missing
+  // answer is no evidence of silence while the link is full or if the round
+  // trip to the dispatcher has become longer.
   std::uint64_t link_bytes_per_second = 0;
 };
 
@@ -75,6 +77,13 @@
   NodeId dispatcher;  // 0: the packet was not handed over to any VM.
 };
 
+// This VM's link became full: datagrams wait in a queue, in front of it or
+// behind it. Missing answers are no evidence of silence meanwhile.
+struct LinkLate {
+  Duration receive_queue{};  // How long a datagram waits, as estimated.
+  Duration send_queue{};
+};
+
 // What the owner of a FlowNode has to do.
 struct FlowNodeActions {
   std::vector<FlowEvent> flow_events;
@@ -87,6 +96,7 @@
   std::vector<Placement> placements;
   std::vector<FlowRefusal> refusals;
   std::vector<EndpointSilence> silences;
+  std::vector<LinkLate> link_events;
 };
 
 // Totals since the node was created.
@@ -136,6 +146,11 @@
   // Processes a datagram from another VM.
   virtual void OnPeer(TimePoint now, SocketAddress from, ByteSpan bytes,
                       Outbox& out) = 0;
+  // Records what this VM's sockets have received and sent since the previous
+  // call, in bytes with the headers of the datagrams. No effect if the rate of
+  // the link is unknown.
+  virtual void OnTraffic(TimePoint now, std::uint64_t received,
+                         std::uint64_t sent) = 0;
   // Processes timeouts and sends membership messages that are due.
   virtual void OnTick(TimePoint now, Outbox& out) = 0;
   // The time at which OnTick() has to be called next.
--- a/include/vanillalatch/runtime/flow_shell.h
+++ b/include/vanillalatch/runtime/flow_shell.h
@@ -102,6 +102,8 @@
   // Carries out the node's pending actions: sends packets and peer messages,
   // and logs events.
   void Flush();
+  // Reports to the node what the sockets received and sent since the last call.
+  void ReportTraffic(TimePoint now);
 
   Sockets sockets_;
   std::unique_ptr<FlowNode> node_;
@@ -111,6 +113,9 @@
   std::uint16_t packet_port_;
   Duration drain_limit_;
   Outbox out_;
+  // As of the last ReportTraffic().
+  std::uint64_t bytes_received_ = 0;
+  std::uint64_t bytes_sent_ = 0;
   std::atomic<bool> ready_ = false;
   // A planned stop has begun: Ready() is false, but packets are still
   // forwarded.
--- a/include/vanillalatch/runtime/udp_socket.h
+++ b/include/vanillalatch/runtime/udp_socket.h
@@ -27,6 +27,8 @@
   static constexpr std::size_t kDatagramBufferBytes = 2048;
   // Space in front of each received datagram that the handler may overwrite.
   static constexpr std::size_t kHeadroomBytes = 8;
+  // IPv4 and UDP headers of a datagram.
+  static constexpr std::size_t kHeaderBytes = 28;
 
   // Creates a non-blocking socket bound to `address`. Errors: kInvalidArgument
   // if the address can't be bound, kInternal if no socket can be created.
@@ -63,6 +65,9 @@
   // guarantee delivery.
   void Flush();
 
+  // Totals in bytes, with the headers of the datagrams.
+  std::uint64_t bytes_received() const { return bytes_received_; }
+  std::uint64_t bytes_sent() const { return bytes_sent_; }
   // The number of datagrams that the kernel refused to send.
   std::uint64_t send_drops() const { return send_drops_; }
 
@@ -82,6 +87,8 @@
   Batch receive_;
   Batch send_;
   std::size_t queued_ = 0;
+  std::uint64_t bytes_received_ = 0;
+  std::uint64_t bytes_sent_ = 0;
   std::uint64_t send_drops_ = 0;
 };
 
--- a/src/packetflow/flow_dispatcher_impl.h
+++ b/src/packetflow/flow_dispatcher_impl.h
@@ -43,6 +43,7 @@
   void OnDispatcherChanged(TimePoint now, ServiceId service) override {
     silence_detector_.OnDispatcherChanged(now, service);
   }
+  void OnLinkLate(TimePoint now) override { silence_detector_.OnLinkLate(now); }
   void StopSilenceDetection(ServiceId service) override;
   void End(TimePoint now, FlowId id, bool given_up, Duration age,
            FlowActions& actions) override;
--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -196,6 +196,7 @@
     UpdateFirstDispatchers(now);
     HandOverWaiting(now);
   }
+  UpdateLinkLate(now);
   PlaceTimedOutHandovers(now);
   UpdateSettled(now);
   DispatchParked(now);
@@ -210,6 +211,18 @@
   }
 }
 
+void FlowNodeImpl::UpdateLinkLate(TimePoint now) {
+  const bool was_late = std::exchange(link_late_, link_meter_.WasLate(now));
+  if (!link_late_) {
+    return;
+  }
+  dispatcher_->OnLinkLate(now);
+  if (!was_late) {
+    link_events_.push_back(
+        {link_meter_.ReceiveQueue(now), link_meter_.SendQueue(now)});
+  }
+}
+
 void FlowNodeImpl::UpdateEndpoints(TimePoint now) {
   const Registry& registry = peers_->registry();
   for (const ServiceId it : routes_.services()) {
@@ -286,6 +299,7 @@
   timings_.insert(timings_.end(), actions_.timings.begin(),
                   actions_.timings.end());
   actions.ingress_events = std::exchange(ingress_events_, {});
+  actions.link_events = std::exchange(link_events_, {});
   actions_ = {};
   return actions;
 }
--- a/src/packetflow/flow_node_impl.h
+++ b/src/packetflow/flow_node_impl.h
@@ -11,7 +11,9 @@
 #include <vector>
 
 #include "src/packetflow/dispatcher_selector.h"
+#include "src/packetflow/link_meter.h"
 #include "src/packetflow/pending_message.h"
+#include "src/packetflow/round_trip.h"
 #include "vanillalatch/packetflow/flow_node.h"
 
 namespace vanillalatch::internal {
@@ -24,6 +26,7 @@
       : data_center_(std::move(data_center)),
         report_wait_(link_bytes_per_second == 0 ? Duration::zero()
                                                 : kReportWait),
+        link_meter_(link_bytes_per_second),
         peers_(std::move(peers)),
         dispatcher_(std::move(dispatcher)) {}
 
@@ -36,6 +39,10 @@
   void OnMalformed() override { ++counters_.malformed; }
   void OnPeer(TimePoint now, SocketAddress from, ByteSpan bytes,
               Outbox& out) override;
+  void OnTraffic(TimePoint now, std::uint64_t received,
+                 std::uint64_t sent) override {
+    link_meter_.OnTraffic(now, received, sent);
+  }
   void OnTick(TimePoint now, Outbox& out) override;
   TimePoint NextWake() const override;
   void Flush(TimePoint now, Outbox& out) override;
@@ -57,9 +64,16 @@
   struct PendingHandover {
     FlowOpening opening;
     NodeId dispatcher;
+    TimePoint sent_at;
     TimePoint due;  // When this VM places the flow itself.
   };
 
+  // A handover whose acknowledgement did not arrive in time but still may.
+  struct LateHandover {
+    NodeId dispatcher;
+    TimePoint sent_at;
+  };
+
   // An opening packet that waits until the endpoints are known.
   struct Parked {
     FlowOpening opening;
@@ -108,6 +122,12 @@
   // if that is newer than the sender's; returns nullopt if it has no such
   // route.
   std::optional<FlowOpening> ResolveOpening(const pb::FlowOpening& message);
+  // How long a handover to a VM may remain without acknowledgement.
+  Duration HandoverTimeout(NodeId to) const;
+  // Records the round trip of a handover that was acknowledged.
+  void RecordRoundTrip(TimePoint now, NodeId from, FlowId id);
+  // Reports that the link has become late, and has the dispatcher wait longer.
+  void UpdateLinkLate(TimePoint now);
   // Places the flows whose handover was not acknowledged in time.
   void PlaceTimedOutHandovers(TimePoint now);
   // Processes the answer of a VM to which an opening packet was handed over.
@@ -135,6 +155,7 @@
 
   std::string data_center_;
   Duration report_wait_;
+  LinkMeter link_meter_;
   std::unique_ptr<PeerNode> peers_;
   std::unique_ptr<FlowDispatcher> dispatcher_;
   std::uint64_t revision_ = 0;
@@ -144,6 +165,10 @@
   std::map<ServiceId, std::uint64_t> endpoint_versions_;
   std::uint64_t members_version_ = 0;
   std::map<FlowId, PendingHandover> pending_handovers_;
+  std::map<FlowId, LateHandover> late_handovers_;
+  std::map<NodeId, RoundTrip> round_trips_;
+  bool link_late_ = false;  // As of the last UpdateLinkLate().
+  std::vector<LinkLate> link_events_;
   std::map<FlowId, Parked> parked_;
   DispatcherSelector dispatcher_selector_;
   // The VM of rank 0 for each service, as of the last UpdateFirstDispatchers().
--- a/src/packetflow/flow_node_openings.cc
+++ b/src/packetflow/flow_node_openings.cc
@@ -1,5 +1,6 @@
 // Opening packets in FlowNodeImpl: selects the VM that places each one, and
 // processes those that other VMs hand over.
+#include <algorithm>
 #include <utility>
 
 #include "src/packetflow/flow_messages.h"
@@ -11,6 +12,15 @@
 // A healthy dispatcher acknowledges within two hops of 0.5 ms each and the time
 // until its VM gets a processor, which may take 75 ms.
 constexpr Duration kHandoverTimeout = std::chrono::milliseconds(100);
+// Limit of the timeout if the round trip is longer or this VM's link is late.
+// Callers wait 1.4 s; the rest is left for placing the flow without the
+// dispatcher, and for a retransmission.
+constexpr Duration kMaxHandoverTimeout = std::chrono::milliseconds(400);
+// How often a handover that is overdue while the link is late is examined.
+constexpr Duration kLateCheckInterval = std::chrono::milliseconds(10);
+// How long after a handover an acknowledgement counts for the round trip: a
+// full link delays it by its queue, which holds a second at most.
+constexpr Duration kLateHandoverRetention = std::chrono::seconds(2);
 // An opening packet that arrives before the endpoints are known waits for this
 // time or half of its caller's timeout, whichever is shorter. Callers wait
 // 1.4 s for an answer; the rest of that time is left for the endpoint.
@@ -79,7 +89,8 @@
   message = ToMessage(opening, revision_);
   message.set_settled(settled_);
   const FlowId id = opening.id;
-  pending_handovers_[id] = {std::move(opening), to, now + kHandoverTimeout};
+  pending_handovers_[id] = {std::move(opening), to, now,
+                            now + HandoverTimeout(to)};
 }
 
 void FlowNodeImpl::Place(TimePoint now, FlowOpening opening) {
@@ -123,6 +134,7 @@
 
 void FlowNodeImpl::OnTaken(TimePoint now, NodeId from,
                            const pb::FlowTaken& message) {
+  RecordRoundTrip(now, from, FlowId(message.id()));
   const auto it = pending_handovers_.find(FlowId(message.id()));
   if (it == pending_handovers_.end()) {
     return;
@@ -153,16 +165,57 @@
   return opening;
 }
 
+Duration FlowNodeImpl::HandoverTimeout(NodeId to) const {
+  const auto it = round_trips_.find(to);
+  return it == round_trips_.end()
+             ? kHandoverTimeout
+             : std::clamp(it->second.Limit(), kHandoverTimeout,
+                          kMaxHandoverTimeout);
+}
+
+void FlowNodeImpl::RecordRoundTrip(TimePoint now, NodeId from, FlowId id) {
+  if (!link_meter_.enabled()) {
+    return;
+  }
+  const auto pending = pending_handovers_.find(id);
+  if (pending != pending_handovers_.end() &&
+      pending->second.dispatcher == from) {
+    round_trips_[from].Add(now - pending->second.sent_at);
+    return;
+  }
+  const auto late = late_handovers_.find(id);
+  if (late != late_handovers_.end() && late->second.dispatcher == from) {
+    round_trips_[from].Add(now - late->second.sent_at);
+    late_handovers_.erase(late);
+  }
+}
+
 void FlowNodeImpl::PlaceTimedOutHandovers(TimePoint now) {
+  std::erase_if(late_handovers_, [&](const auto& it) {
+    return now >= it.second.sent_at + kLateHandoverRetention;
+  });
   std::vector<FlowOpening> overdue;
   for (auto it = pending_handovers_.begin(); it != pending_handovers_.end();) {
     if (now < it->second.due) {
       ++it;
       continue;
     }
-    dispatcher_selector_.OnTimeout(it->second.dispatcher);
-    AddEvent(IngressEvent::Kind::kDispatcherSilent, it->second.opening,
-             it->second.dispatcher);
+    PendingHandover& handover = it->second;
+    const TimePoint limit = handover.sent_at + kMaxHandoverTimeout;
+    if (link_late_ && now < limit) {
+      // The acknowledgement may still wait in front of this VM's link.
+      handover.due = std::min(now + kLateCheckInterval, limit);
+      ++it;
+      continue;
+    }
+    if (!link_late_) {
+      dispatcher_selector_.OnTimeout(handover.dispatcher);
+      AddEvent(IngressEvent::Kind::kDispatcherSilent, handover.opening,
+               handover.dispatcher);
+    }
+    if (link_meter_.enabled()) {
+      late_handovers_[it->first] = {handover.dispatcher, handover.sent_at};
+    }
     overdue.push_back(std::move(it->second.opening));
     it = pending_handovers_.erase(it);
   }
--- a/src/packetflow/link_meter.cc
+++ b/src/packetflow/link_meter.cc
@@ -19,7 +19,7 @@
 
 void LinkMeter::OnTraffic(TimePoint now, std::uint64_t received,
                           std::uint64_t sent) {
-  if (bytes_per_second_ == 0) {
+  if (!enabled()) {
     return;
   }
   // A queue that was late until it drained counts until then.
--- a/src/packetflow/link_meter.h
+++ b/src/packetflow/link_meter.h
@@ -35,6 +35,8 @@
   explicit LinkMeter(std::uint64_t bytes_per_second)
       : bytes_per_second_(static_cast<double>(bytes_per_second)) {}
 
+  bool enabled() const { return bytes_per_second_ > 0; }
+
   // Records what was received and sent since the previous call, including the
   // headers of the datagrams.
   void OnTraffic(TimePoint now, std::uint64_t received, std::uint64_t sent);
--- a/src/packetflow/silence_detector.h
+++ b/src/packetflow/silence_detector.h
@@ -37,6 +37,9 @@
   // Detects pauses of this VM by the time between two calls. The time that a
   // flow waits is counted from the end of the last pause.
   void OnTick(TimePoint now);
+  // Records that this VM's link is late. This counts as a pause: reports of
+  // progress may still wait in front of the link.
+  void OnLinkLate(TimePoint now) { running_since_ = now; }
   // Records that this VM, or another one, has become the dispatcher of the
   // service. Until all VMs have received this change, some of them report the
   // progress of flows that this VM placed to another VM.
@@ -97,7 +100,8 @@
   std::map<ServiceId, TimePoint> inconclusive_until_;
   AnswerTime handshake_time_{kHandshakeSmoothing};
   TimePoint last_tick_{};
-  TimePoint running_since_{};  // End of the last pause of this VM.
+  // End of the last pause of this VM or lateness of its link.
+  TimePoint running_since_{};
 };
 
 }  // namespace vanillalatch::internal
--- a/src/runtime/flow_log.cc
+++ b/src/runtime/flow_log.cc
@@ -103,6 +103,15 @@
        {"left_out", silence_limiter_.TakeLeftOutCount()}});
 }
 
+void FlowLog::LogLinkLate(const LinkLate& event) {
+  if (link_limiter_.TryAcquire(Now())) {
+    LogEvent(LogLevel::kWarn, "link_late",
+             {{"receive_queue_ms", ToMilliseconds(event.receive_queue)},
+              {"send_queue_ms", ToMilliseconds(event.send_queue)},
+              {"left_out", link_limiter_.TakeLeftOutCount()}});
+  }
+}
+
 void FlowLog::LogSummaryIfDue(bool ready) {
   const TimePoint now = Now();
   if (now < summary_due_) {
--- a/src/runtime/flow_log.h
+++ b/src/runtime/flow_log.h
@@ -36,6 +36,8 @@
   void LogIngress(const IngressEvent& event);
   // Logs that an endpoint became silent, or answers again.
   void LogSilence(const EndpointSilence& silence);
+  // Logs that the link of this VM became full.
+  void LogLinkLate(const LinkLate& event);
   // Logs the totals if kSummaryInterval has passed. `ready`: callers may send
   // packets to this VM.
   void LogSummaryIfDue(bool ready);
@@ -57,6 +59,8 @@
   static constexpr std::uint32_t kMaxMalformedLinesPerSecond = 1;
   // All endpoints of a data centre may become silent at the same time.
   static constexpr std::uint32_t kMaxSilenceLinesPerSecond = 20;
+  // A link that is full at times becomes late several times a second.
+  static constexpr std::uint32_t kMaxLinkLinesPerSecond = 1;
   // Short enough to see in a log when a problem began.
   static constexpr Duration kSummaryInterval = std::chrono::seconds(5);
 
@@ -85,6 +89,7 @@
   LogRateLimiter dropped_limiter_{kMaxDroppedLinesPerSecond};
   LogRateLimiter malformed_limiter_{kMaxMalformedLinesPerSecond};
   LogRateLimiter silence_limiter_{kMaxSilenceLinesPerSecond};
+  LogRateLimiter link_limiter_{kMaxLinkLinesPerSecond};
 };
 
 }  // namespace vanillalatch
--- a/src/runtime/flow_shell.cc
+++ b/src/runtime/flow_shell.cc
@@ -166,11 +166,24 @@
   for (const IngressEvent& it : actions.ingress_events) {
     internals_->log.LogIngress(it);
   }
+  for (const LinkLate& it : actions.link_events) {
+    internals_->log.LogLinkLate(it);
+  }
   sockets_.packets.Flush();
   node_->Flush(now, out_);
   sockets_.peers.SendAll(out_);
+  ReportTraffic(now);
   ready_ = !stopping_ && node_->Ready();
   internals_->wakeup.BringForward(node_->NextWake());
 }
 
+void FlowShellCore::ReportTraffic(TimePoint now) {
+  const std::uint64_t received =
+      sockets_.packets.bytes_received() + sockets_.peers.bytes_received();
+  const std::uint64_t sent =
+      sockets_.packets.bytes_sent() + sockets_.peers.bytes_sent();
+  node_->OnTraffic(now, received - std::exchange(bytes_received_, received),
+                   sent - std::exchange(bytes_sent_, sent));
+}
+
 }  // namespace vanillalatch
--- a/src/runtime/udp_socket.cc
+++ b/src/runtime/udp_socket.cc
@@ -53,6 +53,8 @@
       receive_(std::move(other.receive_)),
       send_(std::move(other.send_)),
       queued_(std::exchange(other.queued_, 0)),
+      bytes_received_(other.bytes_received_),
+      bytes_sent_(other.bytes_sent_),
       send_drops_(other.send_drops_) {}
 
 UdpSocket::~UdpSocket() {
@@ -75,6 +77,10 @@
   }
   const int n = recvmmsg(fd_, receive_.messages.data(), kBatchDatagrams,
                          MSG_DONTWAIT, nullptr);
+  for (int i = 0; i < n; ++i) {
+    bytes_received_ +=
+        receive_.messages[static_cast<std::size_t>(i)].msg_len + kHeaderBytes;
+  }
   return n > 0 ? static_cast<std::size_t>(n) : 0;
 }
 
@@ -112,7 +118,10 @@
     const int n = sendmmsg(fd_, send_.messages.data() + sent,
                            static_cast<unsigned>(queued_ - sent), 0);
     if (n > 0) {
-      sent += static_cast<std::size_t>(n);
+      for (const std::size_t end = sent + static_cast<std::size_t>(n);
+           sent < end; ++sent) {
+        bytes_sent_ += send_.iovecs[sent].iov_len + kHeaderBytes;
+      }
       continue;
     }
     if (errno != EINTR) {
--- a/src/telemetry/log_events.cc
+++ b/src/telemetry/log_events.cc
@@ -118,6 +118,11 @@
     {"endpoint_answers", "warn", "entry (dispatcher)",
      "endpoint, address, data_center, left_out",
      "a silent endpoint answers again", "nothing"},
+    {"link_late", "warn", "entry", "receive_queue_ms, send_queue_ms, left_out",
+     "this VM's link is full: by its traffic and the stated rate, datagrams "
+     "wait longer than 20 ms; missing answers do not count as silence "
+     "meanwhile",
+     "if it repeats: see \"An entry VM's link is full\" in docs/OPERATING.md"},
     {"flows_summary", "info", "entry",
      "ready, revision, endpoints, members_alive, packets, unknown_endpoint, "
      "placed_alone, declined, placed, moved, refused, expired",
