Limit the moves of flows from silent endpoints

A wrong verdict of silence moved all open flows of an endpoint, and each move sends packets on the link whose lateness caused the verdict. Where the rate of the link is known, at most a tenth of a service's openings of the last second are moved, and at least 10; a flow beyond that moves with its caller's next retransmission. Flows that were sent before the link was last late are no evidence, as a full link drops reports.

The test world can put the VMs behind links with a rate and a queue of 100 ms.

--- a/include/vanillalatch/packetflow/flow_dispatcher.h
+++ b/include/vanillalatch/packetflow/flow_dispatcher.h
@@ -130,6 +130,10 @@
   // 100, as a flow does not use its slot during its handshake and its close;
   // another flow's work can use it meanwhile.
   std::uint32_t overlap_percent = 150;
+  // Limits the moves of flows from silent endpoints to a tenth of the service's
+  // openings of the last second, but at least 10. Beyond that a flow waits for
+  // its caller's retransmission.
+  bool limit_moves = false;
 };
 
 // Totals since the dispatcher was created.
@@ -138,6 +142,8 @@
   std::uint64_t placed = 0;    // Includes flows that were placed again.
   std::uint64_t repeated = 0;  // Retransmissions sent to the same endpoint.
   std::uint64_t moved = 0;  // Flows taken from an endpoint that did not answer.
+  // Flows not taken from a silent endpoint, as the budget was used up.
+  std::uint64_t moves_refused = 0;
   std::uint64_t refused = 0;
   std::uint64_t ended = 0;    // Ended or given up by the caller.
   std::uint64_t expired = 0;  // Timed out without a report of their end.
@@ -200,7 +206,7 @@
   // of silence, as some VMs may report their progress to another VM.
   virtual void OnDispatcherChanged(TimePoint now, ServiceId service) = 0;
   // Records that this VM's link is late. Has to be called before each OnTick()
-  // while it is; the time that flows wait for an answer counts from then on.
+  // while it is; flows that were sent until then are no evidence of silence.
   virtual void OnLinkLate(TimePoint now) = 0;
   // Stops using the service's present flows as evidence of silence: another VM
   // is its dispatcher now and receives the reports of their progress.
--- a/include/vanillalatch/packetflow/flow_node.h
+++ b/include/vanillalatch/packetflow/flow_node.h
@@ -42,7 +42,7 @@
   // Rate of this VM's link in each direction; 0 if unknown. If it is known,
   // reports of progress wait up to 5 ms to share datagrams, and a missing
   // answer is no evidence of silence while the link is full or if the round
-  // trip to the dispatcher has become longer.
+  // trip to the dispatcher has become longer. Sets dispatcher.limit_moves.
   std::uint64_t link_bytes_per_second = 0;
 };
 
--- a/src/packetflow/flow_dispatcher.cc
+++ b/src/packetflow/flow_dispatcher.cc
@@ -45,6 +45,7 @@
     return;
   }
   ++counters_.opened;
+  move_budgets_[opening.service].OnOpening(now);
   const FlowId id = opening.id;
   Flow& flow = flows_[id];
   flow.opening = std::move(opening);
@@ -64,6 +65,7 @@
                                 std::optional<EndpointId> avoid,
                                 FlowActions& actions) {
   flow.accepted = false;
+  flow.move_refused = false;
   flow.request_sent = false;
   flow.work = RequestId(++last_work_);
   flow.placed = false;
@@ -94,7 +96,7 @@
   }
   flow.opening.copy = opening.copy;
   flow.sent_at = now;
-  if (opening.copy < kFirstMovedCopy) {
+  if (opening.copy < kFirstMovedCopy && !flow.move_refused) {
     ++counters_.repeated;
     actions.placements.push_back({flow.endpoint, flow.opening.packet});
     return;
--- a/src/packetflow/flow_dispatcher_impl.h
+++ b/src/packetflow/flow_dispatcher_impl.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "src/packetflow/move_budget.h"
 #include "src/packetflow/silence_detector.h"
 #include "vanillalatch/packetflow/flow_dispatcher.h"
 
@@ -65,8 +66,11 @@
     EndpointId moved_from;   // 0: it was never moved.
     TimePoint submitted_at;  // When it began to wait for a slot.
     TimePoint sent_at;       // When its opening packet was last sent.
-    bool accepted = false;   // The caller continued after the opening packet.
-    TimePoint accepted_at;   // Valid if accepted.
+    // Its endpoint is silent and the budget for moves was used up: the next
+    // retransmission moves it.
+    bool move_refused = false;
+    bool accepted = false;  // The caller continued after the opening packet.
+    TimePoint accepted_at;  // Valid if accepted.
     bool request_sent = false;  // The caller has sent a request.
     bool has_answer = false;    // At least one answer has begun to arrive.
     bool idle = false;          // Open, but without a slot.
@@ -133,6 +137,7 @@
   std::uint64_t last_work_ = 0;
   TimePoint expire_due_{};
   SilenceDetector silence_detector_;
+  std::map<ServiceId, MoveBudget> move_budgets_;
   TimePoint silence_check_due_{};
   std::vector<Verdict> verdicts_;  // Of the schedulers, not yet applied.
   FlowDispatcherCounters counters_;
--- a/src/packetflow/flow_dispatcher_timers.cc
+++ b/src/packetflow/flow_dispatcher_timers.cc
@@ -51,7 +51,13 @@
   std::sort(moving.begin(), moving.end());
   for (const FlowId& it : moving) {
     const auto flow = flows_.find(it);
-    if (flow == flows_.end()) {
+    if (flow == flows_.end() || flow->second.move_refused) {
+      continue;
+    }
+    if (options_.limit_moves &&
+        !move_budgets_[flow->second.opening.service].TryTake(now)) {
+      ++counters_.moves_refused;
+      flow->second.move_refused = true;
       continue;
     }
     ++counters_.moved;
--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -315,6 +315,7 @@
 
 Result<std::unique_ptr<FlowNode>> FlowNode::Create(FlowNodeOptions options,
                                                    std::uint64_t seed) {
+  options.dispatcher.limit_moves |= options.link_bytes_per_second > 0;
   Result<std::unique_ptr<FlowDispatcher>> dispatcher =
       FlowDispatcher::Create(options.dispatcher, seed);
   if (!dispatcher.ok()) {
--- a/src/packetflow/flow_world.h
+++ b/src/packetflow/flow_world.h
@@ -116,6 +116,9 @@
   void set_opening_bytes(std::size_t n) { opening_bytes_ = n; }
   // Sets FlowNodeOptions::link_bytes_per_second of the VMs started from now on.
   void set_link_rate(std::uint64_t rate) { link_rate_ = rate; }
+  // Connects every VM through a link of this rate in each direction, with a
+  // queue of at most 100 ms; further datagrams are dropped.
+  void SetLinks(std::uint64_t bytes_per_second);
   // Called for each datagram that a VM sends to another one. The control VM has
   // the index -1.
   using Tap = std::function<void(int from, int to, ByteSpan bytes)>;
@@ -123,6 +126,12 @@
 
  private:
   using Callback = std::function<void()>;
+  // One direction of a VM's link.
+  struct Link {
+    std::size_t vm = 0;
+    bool inbound = false;
+    TimePoint free_at;  // When the last datagram in the queue has passed.
+  };
   struct Event {
     TimePoint at;
     std::uint64_t order;  // Orders events of the same time.
@@ -138,9 +147,14 @@
   void Tick();
   void RenewLeases();
   void Deliver(int from, Outbox& out);
+  // Runs `then` when a datagram of `bytes` has passed the link of a VM, or
+  // never if the queue is full. At once without links, and for the control VM.
+  void PassLink(int vm, bool inbound, std::size_t bytes, Callback then);
+  void OnPeerDatagram(int from, int to, const std::vector<std::uint8_t>& bytes);
   void PerformActions(std::size_t vm);
   void SendOpening(int flow, std::uint32_t copy);
   void SendPacket(int flow, bool carries_data, bool ends);
+  void ForwardPacket(int flow, const FlowPacket& packet);
   // Has the caller send its next request, or end the flow after the last one.
   void Continue(int flow);
   void OnAnswer(int flow);
@@ -166,6 +180,8 @@
   bool hold_answers_ = false;
   std::size_t opening_bytes_ = 0;
   std::uint64_t link_rate_ = 0;
+  double link_bytes_per_second_ = 0;
+  std::vector<Link> links_;  // Two for each VM: outbound, inbound.
   Tap tap_;
 };
 
--- a/src/packetflow/flow_world_test.cc
+++ b/src/packetflow/flow_world_test.cc
@@ -15,6 +15,10 @@
 
 // Stands for the control VM where entry VMs have their index.
 constexpr int kControl = -1;
+constexpr std::size_t kHeaderBytes = 28;  // IPv4 and UDP.
+constexpr Duration kMaxLinkQueue = milliseconds(100);
+// A caller's packet without payload.
+constexpr std::size_t kCallerPacketBytes = 32;
 constexpr Duration kTick = milliseconds(1);
 constexpr Duration kLeaseRenewInterval = milliseconds(1200);
 constexpr Duration kDelayToEndpoint = microseconds(300);
@@ -202,20 +206,61 @@
       tap_(from, to, span);
     }
     std::vector<std::uint8_t> bytes(span.begin(), span.end());
-    After(kDelayBetweenVms, [this, from, to, bytes = std::move(bytes)] {
-      Outbox answers;
-      if (to == kControl) {
-        control_->OnDatagram(now_, PeerOf(from), bytes, answers);
-      } else if (vms_[static_cast<std::size_t>(to)] != nullptr) {
-        vms_[static_cast<std::size_t>(to)]->OnPeer(now_, PeerOf(from), bytes,
-                                                   answers);
-        PerformActions(static_cast<std::size_t>(to));
-      }
-      Deliver(to, answers);
+    const std::size_t n = bytes.size();
+    PassLink(from, false, n, [this, from, to, n, bytes = std::move(bytes)] {
+      After(kDelayBetweenVms, [this, from, to, n, bytes] {
+        PassLink(to, true, n,
+                 [this, from, to, bytes] { OnPeerDatagram(from, to, bytes); });
+      });
     });
   }
 }
 
+void FlowWorld::OnPeerDatagram(int from, int to,
+                               const std::vector<std::uint8_t>& bytes) {
+  Outbox answers;
+  if (to == kControl) {
+    control_->OnDatagram(now_, PeerOf(from), bytes, answers);
+  } else if (vms_[static_cast<std::size_t>(to)] != nullptr) {
+    vms_[static_cast<std::size_t>(to)]->OnPeer(now_, PeerOf(from), bytes,
+                                               answers);
+    PerformActions(static_cast<std::size_t>(to));
+  }
+  Deliver(to, answers);
+}
+
+void FlowWorld::SetLinks(std::uint64_t bytes_per_second) {
+  link_bytes_per_second_ = static_cast<double>(bytes_per_second);
+  links_.resize(2 * vms_.size());
+}
+
+void FlowWorld::PassLink(int vm, bool inbound, std::size_t bytes,
+                         Callback then) {
+  if (vm == kControl || links_.empty()) {
+    then();
+    return;
+  }
+  const auto index = static_cast<std::size_t>(vm);
+  const std::size_t n = bytes + kHeaderBytes;
+  Link& link = links_[2 * index + (inbound ? 1 : 0)];
+  if (link.free_at > now_ + kMaxLinkQueue) {
+    return;
+  }
+  const std::chrono::duration<double> time(static_cast<double>(n) /
+                                           link_bytes_per_second_);
+  link.free_at =
+      std::max(link.free_at, now_) + std::chrono::duration_cast<Duration>(time);
+  if (!inbound && vms_[index] != nullptr) {
+    vms_[index]->OnTraffic(now_, 0, n);
+  }
+  After(link.free_at - now_, [this, index, inbound, n, then = std::move(then)] {
+    if (inbound && vms_[index] != nullptr) {
+      vms_[index]->OnTraffic(now_, n, 0);
+    }
+    then();
+  });
+}
+
 void FlowWorld::PerformActions(std::size_t vm) {
   FlowNodeActions actions = vms_[vm]->TakeActions();
   for (const FlowNodeActions::Placement& it : actions.placements) {
@@ -223,9 +268,12 @@
     FlowPacket packet = flows_.at(flow).packet;
     packet.opens = true;
     const std::string name = FormatInstanceName(it.target.instance);
-    After(kDelayToEndpoint, [this, name, packet, flow] {
-      DeliverToEndpoint(name, packet, flow);
-    });
+    PassLink(static_cast<int>(vm), false, it.packet.size(),
+             [this, name, packet, flow] {
+               After(kDelayToEndpoint, [this, name, packet, flow] {
+                 DeliverToEndpoint(name, packet, flow);
+               });
+             });
   }
   for (const FlowRefusal& it : actions.refusals) {
     Reset(ParseFlowNumber(it.packet));
@@ -245,7 +293,13 @@
   flow.packet.route = RouteOf(service);
   flow.packet.sequence = static_cast<std::uint32_t>(random_());
   for (std::uint32_t copy = 0; copy < std::size(kOpeningDelays); ++copy) {
-    After(kOpeningDelays[copy], [this, id, copy] { SendOpening(id, copy); });
+    After(kOpeningDelays[copy], [this, id, copy] {
+      if (!flows_[id].endpoint.empty() || flows_[id].reset) {
+        return;
+      }
+      PassLink(static_cast<int>(flows_[id].vm), true, kCallerPacketBytes,
+               [this, id, copy] { SendOpening(id, copy); });
+    });
   }
   After(kGiveUpDelay, [this, id] {
     Flow& it = flows_[id];
@@ -365,18 +419,27 @@
 }
 
 void FlowWorld::SendPacket(int id, bool carries_data, bool ends) {
+  FlowPacket packet = flows_[id].packet;
+  packet.ends = ends;
+  packet.carries_data = carries_data;
+  PassLink(static_cast<int>(flows_[id].vm), true, kCallerPacketBytes,
+           [this, id, packet] { ForwardPacket(id, packet); });
+}
+
+void FlowWorld::ForwardPacket(int id, const FlowPacket& packet) {
   const Flow& flow = flows_[id];
   if (vms_[flow.vm] == nullptr) {
     return;
   }
-  FlowPacket packet = flow.packet;
-  packet.ends = ends;
-  packet.carries_data = carries_data;
   const FlowVerdict verdict = vms_[flow.vm]->OnPacket(now_, packet, {});
   if (verdict.kind == FlowVerdict::Kind::kForward) {
     const std::string name = FormatInstanceName(verdict.target->instance);
-    After(kDelayToEndpoint,
-          [this, name, packet, id] { DeliverToEndpoint(name, packet, id); });
+    PassLink(static_cast<int>(flow.vm), false, kCallerPacketBytes,
+             [this, name, packet, id] {
+               After(kDelayToEndpoint, [this, name, packet, id] {
+                 DeliverToEndpoint(name, packet, id);
+               });
+             });
   }
   PerformActions(flow.vm);
 }
--- a/src/packetflow/silence_detector.h
+++ b/src/packetflow/silence_detector.h
@@ -37,9 +37,9 @@
   // Detects pauses of this VM by the time between two calls. The time that a
   // flow waits is counted from the end of the last pause.
   void OnTick(TimePoint now);
-  // Records that this VM's link is late. This counts as a pause: reports of
-  // progress may still wait in front of the link.
-  void OnLinkLate(TimePoint now) { running_since_ = now; }
+  // Records that this VM's link is late. Flows that were sent before are no
+  // evidence, as a full link drops reports of progress.
+  void OnLinkLate(TimePoint now) { link_late_at_ = now; }
   // Records that this VM, or another one, has become the dispatcher of the
   // service. Until all VMs have received this change, some of them report the
   // progress of flows that this VM placed to another VM.
@@ -100,8 +100,8 @@
   std::map<ServiceId, TimePoint> inconclusive_until_;
   AnswerTime handshake_time_{kHandshakeSmoothing};
   TimePoint last_tick_{};
-  // End of the last pause of this VM or lateness of its link.
-  TimePoint running_since_{};
+  TimePoint running_since_{};  // End of the last pause of this VM.
+  TimePoint link_late_at_{};   // When the link was last late.
 };
 
 }  // namespace vanillalatch::internal
