Count the bytes between entry VMs by kind of message

vanillalatch_peer_bytes_total{direction,kind} shows what fills the link of a dispatcher, and moves_refused in vanillalatch_flow_events_total counts the flows that were not moved for lack of budget.

--- a/include/vanillalatch/packetflow/flow_node.h
+++ b/include/vanillalatch/packetflow/flow_node.h
@@ -99,6 +99,17 @@
   std::vector<LinkLate> link_events;
 };
 
+// Bytes of the messages between entry VMs, by kind.
+struct PeerTraffic {
+  std::uint64_t openings = 0;
+  std::uint64_t taken = 0;  // Acknowledgements of openings.
+  std::uint64_t seen = 0;   // Reports of progress.
+  std::uint64_t ends = 0;
+  // Membership messages, and what belongs to no item: the headers, including
+  // those of IP and UDP, and the sender.
+  std::uint64_t other = 0;
+};
+
 // Totals since the node was created.
 struct FlowNodeCounters {
   std::uint64_t packets = 0;  // Decoded packets from callers.
@@ -114,6 +125,8 @@
   std::uint64_t declined = 0;   // Opening packets that this VM declined.
   // Opening packets received before the endpoints were known.
   std::uint64_t parked = 0;
+  PeerTraffic received;
+  PeerTraffic sent;
 };
 
 class FlowNode {
--- a/include/vanillalatch/telemetry/metrics.h
+++ b/include/vanillalatch/telemetry/metrics.h
@@ -53,6 +53,7 @@
   kControlCommitted,  // Gauge, log index.
   kControlLeader,     // Gauge, 1 on the leader.
   kFlowEvents,        // Counter; event.
+  kPeerBytes,         // Counter; direction, kind.
   kFlowWait,          // Histogram, seconds.
   kFlowHandshake,     // Histogram, seconds.
   kFlowAnswer,        // Histogram, seconds.
--- a/src/packetflow/flow_messages.cc
+++ b/src/packetflow/flow_messages.cc
@@ -10,6 +10,10 @@
 constexpr std::size_t kMaxMessageBytes = 1100;
 // Maximum size of the tag and the length of one item in the encoded message.
 constexpr std::size_t kItemOverheadBytes = 3;
+// From this size on the length of an item takes two bytes in place of one.
+constexpr std::size_t kMinTwoByteLength = 128;
+// IPv4 and UDP headers of a datagram.
+constexpr std::size_t kHeaderBytes = 28;
 
 }  // namespace
 
@@ -45,6 +49,24 @@
   return opening;
 }
 
+void CountTraffic(const pb::FlowMessage& message, std::size_t bytes,
+                  PeerTraffic& traffic) {
+  std::size_t rest = bytes + kHeaderBytes;
+  const auto count = [&](const auto& items, std::uint64_t& total) {
+    for (const auto& it : items) {
+      const std::size_t size = it.ByteSizeLong();
+      const std::size_t n = size + (size < kMinTwoByteLength ? 2 : 3);
+      total += n;
+      rest -= n;
+    }
+  };
+  count(message.openings(), traffic.openings);
+  count(message.taken(), traffic.taken);
+  count(message.seen(), traffic.seen);
+  count(message.ends(), traffic.ends);
+  traffic.other += rest;
+}
+
 std::vector<pb::FlowMessage> SplitIntoDatagrams(pb::FlowMessage message) {
   std::vector<pb::FlowMessage> parts;
   // Size of the last part. The initial value makes the first item start a part.
--- a/src/packetflow/flow_messages.h
+++ b/src/packetflow/flow_messages.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "flow.pb.h"
-#include "vanillalatch/packetflow/flow_dispatcher.h"
+#include "vanillalatch/packetflow/flow_node.h"
 
 namespace vanillalatch::internal {
 
@@ -22,6 +22,11 @@
 // Converts a message to an opening packet. Does not set `progress_reported`.
 FlowOpening FromMessage(const pb::FlowOpening& message);
 
+// Adds the sizes of the items of a message to `traffic`, and the rest of its
+// datagram of `bytes`.
+void CountTraffic(const pb::FlowMessage& message, std::size_t bytes,
+                  PeerTraffic& traffic);
+
 // Distributes the items of a message over several messages, each of which fits
 // into one datagram. An item that exceeds the limit gets a message of its own.
 std::vector<pb::FlowMessage> SplitIntoDatagrams(pb::FlowMessage message);
--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -151,9 +151,13 @@
 
 void FlowNodeImpl::OnPeer(TimePoint now, SocketAddress from, ByteSpan bytes,
                           Outbox& out) {
+  const std::size_t sent_before = out.items().size();
   const pb::FlowMessage* message = peers_->OnDatagram(now, from, bytes, out);
+  CountMembershipSent(out, sent_before);
   const NodeId sender = peers_->sender();
   dispatcher_selector_.OnContact(sender);
+  CountTraffic(message == nullptr ? pb::FlowMessage() : *message, bytes.size(),
+               counters_.received);
   if (message != nullptr) {
     for (const pb::FlowOpening& it : message->openings()) {
       OnOpening(now, sender, it);
@@ -189,7 +193,9 @@
 }
 
 void FlowNodeImpl::OnTick(TimePoint now, Outbox& out) {
+  const std::size_t sent_before = out.items().size();
   peers_->OnTick(now, out);
+  CountMembershipSent(out, sent_before);
   UpdateEndpoints(now);
   if (peers_->members().version() != members_version_) {
     members_version_ = peers_->members().version();
@@ -211,6 +217,13 @@
   }
 }
 
+void FlowNodeImpl::CountMembershipSent(const Outbox& out,
+                                       std::size_t sent_before) {
+  for (const Outbox::Item& it : out.items().subspan(sent_before)) {
+    CountTraffic({}, it.size, counters_.sent);
+  }
+}
+
 void FlowNodeImpl::UpdateLinkLate(TimePoint now) {
   const bool was_late = std::exchange(link_late_, link_meter_.WasLate(now));
   if (!link_late_) {
@@ -277,7 +290,11 @@
     }
     for (const pb::FlowMessage& message :
          SplitIntoDatagrams(it->second.Take(now))) {
+      const std::size_t before = out.items().size();
       peers_->Send(it->first, message, out);
+      if (out.items().size() > before) {
+        CountTraffic(message, out.items().back().size, counters_.sent);
+      }
     }
     it = messages_.erase(it);
   }
--- a/src/packetflow/flow_node_impl.h
+++ b/src/packetflow/flow_node_impl.h
@@ -128,6 +128,9 @@
   void RecordRoundTrip(TimePoint now, NodeId from, FlowId id);
   // Reports that the link has become late, and has the dispatcher wait longer.
   void UpdateLinkLate(TimePoint now);
+  // Counts the membership messages that were added to `out` after its first
+  // `sent_before` items.
+  void CountMembershipSent(const Outbox& out, std::size_t sent_before);
   // Places the flows whose handover was not acknowledged in time.
   void PlaceTimedOutHandovers(TimePoint now);
   // Processes the answer of a VM to which an opening packet was handed over.
--- a/src/runtime/publisher.cc
+++ b/src/runtime/publisher.cc
@@ -127,6 +127,7 @@
       {"placed", placed.placed},
       {"repeated", placed.repeated},
       {"moved", placed.moved},
+      {"moves_refused", placed.moves_refused},
       {"refused", placed.refused},
       {"ended", placed.ended},
       {"expired", placed.expired},
@@ -136,6 +137,19 @@
     metrics_->SetTotal(Metric::kFlowEvents, {event},
                        static_cast<double>(total));
   }
+  const std::pair<const char*, const PeerTraffic&> directions[] = {
+      {"received", flows.received}, {"sent", flows.sent}};
+  for (const auto& [direction, traffic] : directions) {
+    const std::pair<const char*, std::uint64_t> kinds[] = {
+        {"opening", traffic.openings}, {"taken", traffic.taken},
+        {"seen", traffic.seen},        {"end", traffic.ends},
+        {"other", traffic.other},
+    };
+    for (const auto& [kind, total] : kinds) {
+      metrics_->SetTotal(Metric::kPeerBytes, {direction, kind},
+                         static_cast<double>(total));
+    }
+  }
   metrics_->Set(Metric::kCatalogRevision, {},
                 static_cast<double>(node.revision()));
   metrics_->Clear(Metric::kMembers);
--- a/src/telemetry/metric_rows.cc
+++ b/src/telemetry/metric_rows.cc
@@ -9,6 +9,8 @@
 constexpr std::array<std::string_view, 1> kByKind = {"kind"};
 constexpr std::array<std::string_view, 1> kByState = {"state"};
 constexpr std::array<std::string_view, 1> kByEvent = {"event"};
+constexpr std::array<std::string_view, 2> kByDirectionAndKind = {"direction",
+                                                                 "kind"};
 constexpr std::array<std::string_view, 3> kByClassAndOutcome = {
     "service", "class", "outcome"};
 constexpr std::array<std::string_view, 2> kByClass = {"service", "class"};
@@ -122,6 +124,10 @@
      {}},
     {Metric::kFlowEvents, "vanillalatch_flow_events_total", kCounter,
      "Events in the handling of flows and their packets, by event.", kByEvent},
+    {Metric::kPeerBytes, "vanillalatch_peer_bytes_total", kCounter,
+     "Bytes of datagrams between entry VMs about flows, by direction and kind "
+     "of message.",
+     kByDirectionAndKind},
     {Metric::kFlowWait,
      "vanillalatch_flow_wait_seconds",
      kHistogram,
