--- a/src/packetflow/dispatcher_bytes_test.cc
+++ b/src/packetflow/dispatcher_bytes_test.cc
@@ -127,6 +127,13 @@
   for (const auto& [id, it] : world.flows()) {
     CHECK(it.answered);
   }
+  // The node's own counters, which operators see, agree.
+  const PeerTraffic& counted = world.Vm(dispatcher).counters().received;
+  std::map<std::string, double>& kinds = result.in.bytes_by_kind;
+  CHECK(static_cast<double>(counted.openings) == kinds["opening"]);
+  CHECK(static_cast<double>(counted.ends) == kinds["end"]);
+  CHECK(static_cast<double>(counted.seen) ==
+        kinds["seen handshake"] + kinds["seen request"] + kinds["seen answer"]);
   return result;
 }
 
--- a/src/telemetry/log_events.cc
+++ b/src/telemetry/log_events.cc
@@ -83,8 +83,8 @@
      "run `vanillalatch logs explain`"},
     {"dispatcher_silent", "warn", "entry (ingress)",
      "caller, route, sequence, dispatcher, revision, endpoints, left_out",
-     "the dispatcher did not answer within 0.1 s; this VM placed the flow "
-     "itself",
+     "the dispatcher did not answer within 0.1 s, or up to 0.4 s if its round "
+     "trip is longer; this VM placed the flow itself",
      "check whether the VM in `dispatcher` is dead, partitioned or slow"},
     {"dispatcher_declined", "warn", "entry (ingress)",
      "caller, route, sequence, dispatcher, revision, endpoints, left_out",
