--- a/include/vanillalatch/packetflow/flow_dispatcher.h
+++ b/include/vanillalatch/packetflow/flow_dispatcher.h
@@ -130,6 +130,10 @@
   // 100, as a flow does not use its slot during its handshake and its close;
   // another flow's work can use it meanwhile.
   std::uint32_t overlap_percent = 150;
+  // Limits the moves of flows from silent endpoints to a tenth of the service's
+  // openings of the last second, but at least 10. Beyond that a flow waits for
+  // its caller's retransmission.
+  bool limit_moves = false;
 };
 
 // Totals since the dispatcher was created.
@@ -142,6 +146,8 @@
   // Retransmissions not sent, as the endpoint is cold and has received as many
   // opening packets as it bears.
   std::uint64_t withheld_from_cold = 0;
+  // Flows not taken from a silent endpoint, as the budget was used up.
+  std::uint64_t moves_refused = 0;
   std::uint64_t refused = 0;
   std::uint64_t ended = 0;    // Ended or given up by the caller.
   std::uint64_t expired = 0;  // Timed out without a report of their end.
@@ -216,11 +222,14 @@
   // service. Flows sent before the change or shortly afterwards are no evidence
   // of silence, as some VMs may report their progress to another VM.
   virtual void OnDispatcherChanged(TimePoint now, ServiceId service) = 0;
+  // Records that this VM's link is late. Has to be called before each OnTick()
+  // while it is; flows that were sent until then are no evidence of silence.
+  virtual void OnLinkLate(TimePoint now) = 0;
   // Stops using the service's present flows as evidence of silence: another VM
   // is its dispatcher now and receives the reports of their progress.
   virtual void StopSilenceDetection(ServiceId service) = 0;
-  // Processes the end of a flow: the caller ended it, or gave it up.
-  virtual void End(TimePoint now, FlowId id, bool given_up,
+  // Processes the end of a flow: the caller ended it, or gave it up, `age` ago.
+  virtual void End(TimePoint now, FlowId id, bool given_up, Duration age,
                    FlowActions& actions) = 0;
   // True if the flow waits for a slot here, or occupied one here, and has
   // neither ended nor expired.
--- a/include/vanillalatch/packetflow/flow_node.h
+++ b/include/vanillalatch/packetflow/flow_node.h
@@ -40,6 +40,11 @@
   // Flows that arrive through this VM prefer endpoints in this data centre.
   std::string data_center;
   FlowDispatcherOptions dispatcher;
+  // Rate of this VM's link in each direction; 0 if unknown. If it is known,
+  // reports of progress wait up to 5 ms to share datagrams, and a missing
+  // answer is no evidence of silence while the link is full or if the round
+  // trip to the dispatcher has become longer. Sets dispatcher.limit_moves.
+  std::uint64_t link_bytes_per_second = 0;
 };
 
 // What is to be done with a packet.
@@ -81,6 +86,13 @@
   bool from_peer = false;      // By a peer's notice; the catalog is older.
 };
 
+// This VM's link became full: datagrams wait in a queue, in front of it or
+// behind it. Missing answers are no evidence of silence meanwhile.
+struct LinkLate {
+  Duration receive_queue{};  // How long a datagram waits, as estimated.
+  Duration send_queue{};
+};
+
 // What the owner of a FlowNode has to do.
 struct FlowNodeActions {
   std::vector<FlowEvent> flow_events;
@@ -94,6 +106,18 @@
   std::vector<FlowRefusal> refusals;
   std::vector<EndpointSilence> silences;
   std::vector<EvacuationEvent> evacuation_events;
+  std::vector<LinkLate> link_events;
+};
+
+// Bytes of the messages between entry VMs, by kind.
+struct PeerTraffic {
+  std::uint64_t openings = 0;
+  std::uint64_t taken = 0;  // Acknowledgements of openings.
+  std::uint64_t seen = 0;   // Reports of progress.
+  std::uint64_t ends = 0;
+  // Membership messages, and what belongs to no item: the headers, including
+  // those of IP and UDP, and the sender.
+  std::uint64_t other = 0;
 };
 
 // Totals since the node was created.
@@ -111,6 +135,8 @@
   std::uint64_t declined = 0;   // Opening packets that this VM declined.
   // Opening packets received before the endpoints were known.
   std::uint64_t parked = 0;
+  PeerTraffic received;
+  PeerTraffic sent;
 };
 
 class FlowNode {
@@ -143,11 +169,17 @@
   // Processes a datagram from another VM.
   virtual void OnPeer(TimePoint now, SocketAddress from, ByteSpan bytes,
                       Outbox& out) = 0;
+  // Records what this VM's sockets have received and sent since the previous
+  // call, in bytes with the headers of the datagrams. No effect if the rate of
+  // the link is unknown.
+  virtual void OnTraffic(TimePoint now, std::uint64_t received,
+                         std::uint64_t sent) = 0;
   // Processes timeouts and sends membership messages that are due.
   virtual void OnTick(TimePoint now, Outbox& out) = 0;
   // The time at which OnTick() has to be called next.
   virtual TimePoint NextWake() const = 0;
-  // Sends the messages to other VMs that have accumulated since the last call.
+  // Sends the messages to other VMs that are due. Those that are not due yet
+  // count for NextWake().
   virtual void Flush(TimePoint now, Outbox& out) = 0;
   // Returns and clears the accumulated actions.
   virtual FlowNodeActions TakeActions() = 0;
--- a/src/packetflow/flow_dispatcher_impl.h
+++ b/src/packetflow/flow_dispatcher_impl.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "src/packetflow/move_budget.h"
 #include "src/packetflow/silence_detector.h"
 #include "vanillalatch/packetflow/flow_dispatcher.h"
 
@@ -61,8 +62,9 @@
   void OnDispatcherChanged(TimePoint now, ServiceId service) override {
     silence_detector_.OnDispatcherChanged(now, service);
   }
+  void OnLinkLate(TimePoint now) override { silence_detector_.OnLinkLate(now); }
   void StopSilenceDetection(ServiceId service) override;
-  void End(TimePoint now, FlowId id, bool given_up,
+  void End(TimePoint now, FlowId id, bool given_up, Duration age,
            FlowActions& actions) override;
   bool Contains(FlowId id) const override { return flows_.contains(id); }
   std::vector<FlowOpening> TakeWaiting(TimePoint now,
@@ -91,8 +93,11 @@
     EndpointId moved_from;   // 0: it was never moved.
     TimePoint submitted_at;  // When it began to wait for a slot.
     TimePoint sent_at;       // When its opening packet was last sent.
-    bool accepted = false;   // The caller continued after the opening packet.
-    TimePoint accepted_at;   // Valid if accepted.
+    // Its endpoint is silent and the budget for moves was used up: the next
+    // retransmission moves it.
+    bool move_refused = false;
+    bool accepted = false;  // The caller continued after the opening packet.
+    TimePoint accepted_at;  // Valid if accepted.
     bool request_sent = false;  // The caller has sent a request.
     bool has_answer = false;    // At least one answer has begun to arrive.
     bool idle = false;          // Open, but without a slot.
@@ -129,11 +134,14 @@
   // the evacuated data centres.
   void MoveFromEvacuated(TimePoint now, Flow& flow, FlowActions& actions);
   // Frees the slot of a placed flow, or removes a waiting flow from the queue.
-  void Release(TimePoint now, const Flow& flow, WorkOutcome outcome);
+  // `age`: how long ago it ended.
+  void Release(TimePoint now, const Flow& flow, WorkOutcome outcome,
+               Duration age = Duration::zero());
   // Turns the verdicts of the schedulers into placements and refusals.
   void ApplyVerdicts(TimePoint now, FlowActions& actions);
   // Frees the flow's slot; the flow stays open.
-  void MarkIdle(TimePoint now, Flow& flow, WorkOutcome outcome);
+  void MarkIdle(TimePoint now, Flow& flow, WorkOutcome outcome,
+                Duration age = Duration::zero());
   // Makes an idle flow occupy a slot of its endpoint again, as its caller has
   // sent another request.
   void TakeSlot(TimePoint now, Flow& flow);
@@ -160,6 +168,7 @@
   std::uint64_t last_work_ = 0;
   TimePoint expire_due_{};
   SilenceDetector silence_detector_;
+  std::map<ServiceId, MoveBudget> move_budgets_;
   TimePoint silence_check_due_{};
   std::vector<Verdict> verdicts_;  // Of the schedulers, not yet applied.
   FlowDispatcherCounters counters_;
--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -117,17 +117,20 @@
     dispatcher_->OnFlowUpdate(now, *update, established, actions_);
     return;
   }
-  pb::FlowSeen& message = *PendingMessageTo(to).add_seen();
+  pb::FlowSeen message;
   message.set_id(update->id.value());
   message.set_requests(update->request_sent);
   message.set_answered(update->answer_started);
   if (update->request_sent) {
-    message.set_service(target.service.value());
+    if (FormOf(to) == MessageForm::kFull) {
+      message.set_service(target.service.value());
+    }
     message.set_cookie(target.cookie.value());
     message.set_work_class(route.work_class.value());
     message.set_timeout_ms(
         static_cast<std::uint32_t>(ToMilliseconds(route.timeout)));
   }
+  PendingMessageTo(to).AddSeen(now, std::move(message));
 }
 
 NodeId FlowNodeImpl::PlacerOf(TimePoint now, FlowId id,
@@ -143,16 +146,17 @@
 
 void FlowNodeImpl::OnSeen(TimePoint now, const pb::FlowSeen& message) {
   const FlowUpdate update{FlowId(message.id()), message.requests(),
-                          message.answered()};
+                          message.answered(), DecodeAge(message.age())};
   const FlowTarget* target = endpoints_.Find(FlowCookie(message.cookie()));
   if (target == nullptr && !dispatcher_->Contains(update.id)) {
     return;
   }
   EstablishedFlow established;
   if (target != nullptr) {
-    established = {ServiceId(message.service()), ClassId(message.work_class()),
-                   std::chrono::milliseconds(message.timeout_ms()),
-                   target->endpoint};
+    established = {
+        message.service() == 0 ? target->service : ServiceId(message.service()),
+        ClassId(message.work_class()),
+        std::chrono::milliseconds(message.timeout_ms()), target->endpoint};
   }
   dispatcher_->OnFlowUpdate(now, update, established, actions_);
 }
@@ -163,26 +167,35 @@
   const NodeId to = PlacerOf(now, id, service);
   flow_tracker_.Erase(id);
   if (dispatcher_->Contains(id)) {
-    dispatcher_->End(now, id, packet.aborts, actions_);
+    dispatcher_->End(now, id, packet.aborts, {}, actions_);
     return;
   }
   if (to != self()) {
-    pb::FlowEnd& message = *PendingMessageTo(to).add_ends();
+    pb::FlowEnd message;
     message.set_id(id.value());
     message.set_given_up(packet.aborts);
+    PendingMessageTo(to).AddEnd(now, std::move(message));
   }
 }
 
 void FlowNodeImpl::OnPeer(TimePoint now, SocketAddress from, ByteSpan bytes,
                           Outbox& out) {
+  const std::size_t sent_before = out.items().size();
   const pb::FlowMessage* message = peers_->OnDatagram(now, from, bytes, out);
+  CountMembershipSent(out, sent_before);
   UpdateEvacuations(now);
   const NodeId sender = peers_->sender();
   dispatcher_selector_.OnContact(sender);
+  CountTraffic(message == nullptr ? pb::FlowMessage() : *message, bytes.size(),
+               counters_.received);
   if (message != nullptr) {
     for (const pb::FlowOpening& it : message->openings()) {
       OnOpening(now, sender, it);
     }
+    if (message->taken_size() > 0) {
+      forms_[sender] =
+          message->form() == 0 ? MessageForm::kFull : MessageForm::kCompact;
+    }
     for (const pb::FlowTaken& it : message->taken()) {
       OnTaken(now, sender, it);
     }
@@ -190,7 +203,8 @@
       OnSeen(now, it);
     }
     for (const pb::FlowEnd& it : message->ends()) {
-      dispatcher_->End(now, FlowId(it.id()), it.given_up(), actions_);
+      dispatcher_->End(now, FlowId(it.id()), it.given_up(), DecodeAge(it.age()),
+                       actions_);
     }
   }
 }
@@ -213,7 +227,9 @@
 }
 
 void FlowNodeImpl::OnTick(TimePoint now, Outbox& out) {
+  const std::size_t sent_before = out.items().size();
   peers_->OnTick(now, out);
+  CountMembershipSent(out, sent_before);
   UpdateEvacuations(now);
   UpdateEndpoints(now);
   if (peers_->members().version() != members_version_) {
@@ -221,6 +237,7 @@
     UpdateFirstDispatchers(now);
     HandOverWaiting(now);
   }
+  UpdateLinkLate(now);
   UpdateSettled(now);
   UpdateColdUse(now);
   PlaceTimedOutHandovers(now);
@@ -236,6 +253,25 @@
   }
 }
 
+void FlowNodeImpl::CountMembershipSent(const Outbox& out,
+                                       std::size_t sent_before) {
+  for (const Outbox::Item& it : out.items().subspan(sent_before)) {
+    CountTraffic({}, it.size, counters_.sent);
+  }
+}
+
+void FlowNodeImpl::UpdateLinkLate(TimePoint now) {
+  const bool was_late = std::exchange(link_late_, link_meter_.WasLate(now));
+  if (!link_late_) {
+    return;
+  }
+  dispatcher_->OnLinkLate(now);
+  if (!was_late) {
+    link_events_.push_back(
+        {link_meter_.ReceiveQueue(now), link_meter_.SendQueue(now)});
+  }
+}
+
 void FlowNodeImpl::UpdateEndpoints(TimePoint now) {
   const Registry& registry = peers_->registry();
   if (TakeEndpointRefresh(now)) {
@@ -279,16 +315,28 @@
   for (const auto& [id, it] : parked_) {
     wake = std::min(wake, it.due);
   }
+  for (const auto& [to, it] : messages_) {
+    wake = std::min(wake, it.due());
+  }
   return wake;
 }
 
 void FlowNodeImpl::Flush(TimePoint now, Outbox& out) {
-  for (auto& [to, message] : messages_) {
-    for (const pb::FlowMessage& it : SplitIntoDatagrams(std::move(message))) {
-      peers_->Send(to, it, out);
+  for (auto it = messages_.begin(); it != messages_.end();) {
+    if (now < it->second.due()) {
+      ++it;
+      continue;
+    }
+    for (const pb::FlowMessage& message :
+         SplitIntoDatagrams(it->second.Take(now))) {
+      const std::size_t before = out.items().size();
+      peers_->Send(it->first, message, out);
+      if (out.items().size() > before) {
+        CountTraffic(message, out.items().back().size, counters_.sent);
+      }
     }
+    it = messages_.erase(it);
   }
-  messages_.clear();
 }
 
 FlowNodeActions FlowNodeImpl::TakeActions() {
@@ -308,6 +356,7 @@
                   actions_.timings.end());
   actions.ingress_events = std::exchange(ingress_events_, {});
   actions.evacuation_events = std::exchange(evacuation_events_, {});
+  actions.link_events = std::exchange(link_events_, {});
   actions_ = {};
   return actions;
 }
@@ -323,6 +372,7 @@
 
 Result<std::unique_ptr<FlowNode>> FlowNode::Create(FlowNodeOptions options,
                                                    std::uint64_t seed) {
+  options.dispatcher.limit_moves |= options.link_bytes_per_second > 0;
   Result<std::unique_ptr<FlowDispatcher>> dispatcher =
       FlowDispatcher::Create(options.dispatcher, seed);
   if (!dispatcher.ok()) {
@@ -334,8 +384,8 @@
     return peers.error();
   }
   return std::unique_ptr<FlowNode>(std::make_unique<internal::FlowNodeImpl>(
-      std::move(options.data_center), std::move(*peers),
-      std::move(*dispatcher)));
+      std::move(options.data_center), options.link_bytes_per_second,
+      std::move(*peers), std::move(*dispatcher)));
 }
 
 }  // namespace vanillalatch
--- a/src/packetflow/flow_node_impl.h
+++ b/src/packetflow/flow_node_impl.h
@@ -12,15 +12,23 @@
 #include <vector>
 
 #include "src/packetflow/dispatcher_selector.h"
+#include "src/packetflow/flow_messages.h"
+#include "src/packetflow/link_meter.h"
+#include "src/packetflow/pending_message.h"
+#include "src/packetflow/round_trip.h"
 #include "vanillalatch/packetflow/flow_node.h"
 
 namespace vanillalatch::internal {
 
 class FlowNodeImpl final : public FlowNode {
  public:
-  FlowNodeImpl(std::string data_center, std::unique_ptr<PeerNode> peers,
+  FlowNodeImpl(std::string data_center, std::uint64_t link_bytes_per_second,
+               std::unique_ptr<PeerNode> peers,
                std::unique_ptr<FlowDispatcher> dispatcher)
       : data_center_(std::move(data_center)),
+        report_wait_(link_bytes_per_second == 0 ? Duration::zero()
+                                                : kReportWait),
+        link_meter_(link_bytes_per_second),
         peers_(std::move(peers)),
         dispatcher_(std::move(dispatcher)) {}
 
@@ -33,6 +41,10 @@
   void OnMalformed() override { ++counters_.malformed; }
   void OnPeer(TimePoint now, SocketAddress from, ByteSpan bytes,
               Outbox& out) override;
+  void OnTraffic(TimePoint now, std::uint64_t received,
+                 std::uint64_t sent) override {
+    link_meter_.OnTraffic(now, received, sent);
+  }
   void OnTick(TimePoint now, Outbox& out) override;
   TimePoint NextWake() const override;
   void Flush(TimePoint now, Outbox& out) override;
@@ -56,9 +68,16 @@
   struct PendingHandover {
     FlowOpening opening;
     NodeId dispatcher;
+    TimePoint sent_at;
     TimePoint due;  // When this VM places the flow itself.
   };
 
+  // A handover whose acknowledgement did not arrive in time but still may.
+  struct LateHandover {
+    NodeId dispatcher;
+    TimePoint sent_at;
+  };
+
   // An opening packet that waits until the endpoints are known.
   struct Parked {
     FlowOpening opening;
@@ -107,6 +126,15 @@
   // if that is newer than the sender's; returns nullopt if it has no such
   // route.
   std::optional<FlowOpening> ResolveOpening(const pb::FlowOpening& message);
+  // How long a handover to a VM may remain without acknowledgement.
+  Duration HandoverTimeout(NodeId to) const;
+  // Records the round trip of a handover that was acknowledged.
+  void RecordRoundTrip(TimePoint now, NodeId from, FlowId id);
+  // Reports that the link has become late, and has the dispatcher wait longer.
+  void UpdateLinkLate(TimePoint now);
+  // Counts the membership messages that were added to `out` after its first
+  // `sent_before` items.
+  void CountMembershipSent(const Outbox& out, std::size_t sent_before);
   // Places the flows whose handover was not acknowledged in time.
   void PlaceTimedOutHandovers(TimePoint now);
   // Processes the answer of a VM to which an opening packet was handed over.
@@ -132,10 +160,24 @@
   // Hands over the waiting flows of services whose dispatcher is another VM.
   void HandOverWaiting(TimePoint now);
   NodeId self() const { return peers_->members().self(); }
+  // The form of messages that a VM has stated with its last acknowledgement.
+  MessageForm FormOf(NodeId vm) const {
+    const auto it = forms_.find(vm);
+    return it == forms_.end() ? MessageForm::kFull : it->second;
+  }
   // The message to a VM that the next Flush() sends.
-  pb::FlowMessage& PendingMessageTo(NodeId to) { return messages_[to]; }
+  PendingMessage& PendingMessageTo(NodeId to) {
+    return messages_.try_emplace(to, report_wait_).first->second;
+  }
+
+  // How long reports wait to share a datagram where the rate of the link is
+  // known: a tenth of the work of a typical request (50 ms), during which
+  // another flow's work can use the slot (see overlap_percent).
+  static constexpr Duration kReportWait = std::chrono::milliseconds(5);
 
   std::string data_center_;
+  Duration report_wait_;
+  LinkMeter link_meter_;
   std::unique_ptr<PeerNode> peers_;
   std::unique_ptr<FlowDispatcher> dispatcher_;
   std::uint64_t revision_ = 0;
@@ -147,6 +189,10 @@
   std::map<ServiceId, std::uint64_t> endpoint_versions_;
   std::uint64_t members_version_ = 0;
   std::map<FlowId, PendingHandover> pending_handovers_;
+  std::map<FlowId, LateHandover> late_handovers_;
+  std::map<NodeId, RoundTrip> round_trips_;
+  bool link_late_ = false;  // As of the last UpdateLinkLate().
+  std::vector<LinkLate> link_events_;
   std::map<FlowId, Parked> parked_;
   DispatcherSelector dispatcher_selector_;
   // The VM of rank 0 for each service, as of the last UpdateFirstDispatchers().
@@ -155,7 +201,8 @@
   std::optional<TimePoint> endpoints_present_since_;
   // This VM's data about endpoints is considered complete.
   bool settled_ = false;
-  std::map<NodeId, pb::FlowMessage> messages_;
+  std::map<NodeId, MessageForm> forms_;
+  std::map<NodeId, PendingMessage> messages_;
   FlowTracker flow_tracker_;
   TimePoint generation_due_{};
   TimePoint lost_endpoint_check_due_{};
--- a/src/packetflow/flow_world_test.cc
+++ b/src/packetflow/flow_world_test.cc
@@ -15,11 +15,22 @@
 
 // Stands for the control VM where entry VMs have their index.
 constexpr int kControl = -1;
+constexpr std::size_t kHeaderBytes = 28;  // IPv4 and UDP.
+constexpr Duration kMaxLinkQueue = milliseconds(100);
+// A caller's packet without payload.
+constexpr std::size_t kCallerPacketBytes = 32;
 constexpr Duration kTick = milliseconds(1);
 constexpr Duration kLeaseRenewInterval = milliseconds(1200);
 constexpr Duration kDelayToEndpoint = microseconds(300);
 constexpr Duration kDelayToCaller = milliseconds(3);
 constexpr Duration kDelayBetweenVms = microseconds(400);
+// The size of a start time in milliseconds, which VMs use as incarnation.
+constexpr std::uint64_t kFirstIncarnation = 1'700'000'000'000;
+// Between two packets that a caller sends at once: they reach the entry VM in
+// different batches.
+constexpr Duration kDelayBetweenPackets = microseconds(100);
+// Only has to be positive: an acknowledgement shows that an answer has begun.
+constexpr std::uint32_t kAnswerBytes = 1000;
 // When a caller sends the opening packet and its retransmissions, counted from
 // Open().
 constexpr Duration kOpeningDelays[] = {milliseconds(0), milliseconds(200),
@@ -64,7 +75,8 @@
   options.members.data_center = "fleet";
   options.members.peer = PeerOf(static_cast<int>(n));
   options.members.seeds = {PeerOf(kControl)};
-  options.members.incarnation = ++starts_ * 1000;
+  options.members.incarnation = kFirstIncarnation + ++starts_ * 1000;
+  options.link_bytes_per_second = link_rate_;
   options.data_center = n % 2 == 0 ? "north" : "south";
   vms_[n] = FlowNode::Create(options, random_()).value();
   if (catalog_.revision() > 0) {
@@ -213,21 +225,65 @@
       continue;
     }
     const ByteSpan span = out.Bytes(it);
+    if (tap_) {
+      tap_(from, to, span);
+    }
     std::vector<std::uint8_t> bytes(span.begin(), span.end());
-    After(kDelayBetweenVms, [this, from, to, bytes = std::move(bytes)] {
-      Outbox answers;
-      if (to == kControl) {
-        control_->OnDatagram(now_, PeerOf(from), bytes, answers);
-      } else if (vms_[static_cast<std::size_t>(to)] != nullptr) {
-        vms_[static_cast<std::size_t>(to)]->OnPeer(now_, PeerOf(from), bytes,
-                                                   answers);
-        PerformActions(static_cast<std::size_t>(to));
-      }
-      Deliver(to, answers);
+    const std::size_t n = bytes.size();
+    PassLink(from, false, n, [this, from, to, n, bytes = std::move(bytes)] {
+      After(kDelayBetweenVms, [this, from, to, n, bytes] {
+        PassLink(to, true, n,
+                 [this, from, to, bytes] { OnPeerDatagram(from, to, bytes); });
+      });
     });
   }
 }
 
+void FlowWorld::OnPeerDatagram(int from, int to,
+                               const std::vector<std::uint8_t>& bytes) {
+  Outbox answers;
+  if (to == kControl) {
+    control_->OnDatagram(now_, PeerOf(from), bytes, answers);
+  } else if (vms_[static_cast<std::size_t>(to)] != nullptr) {
+    vms_[static_cast<std::size_t>(to)]->OnPeer(now_, PeerOf(from), bytes,
+                                               answers);
+    PerformActions(static_cast<std::size_t>(to));
+  }
+  Deliver(to, answers);
+}
+
+void FlowWorld::SetLinks(std::uint64_t bytes_per_second) {
+  link_bytes_per_second_ = static_cast<double>(bytes_per_second);
+  links_.resize(2 * vms_.size());
+}
+
+void FlowWorld::PassLink(int vm, bool inbound, std::size_t bytes,
+                         Callback then) {
+  if (vm == kControl || links_.empty()) {
+    then();
+    return;
+  }
+  const auto index = static_cast<std::size_t>(vm);
+  const std::size_t n = bytes + kHeaderBytes;
+  Link& link = links_[2 * index + (inbound ? 1 : 0)];
+  if (link.free_at > now_ + kMaxLinkQueue) {
+    return;
+  }
+  const std::chrono::duration<double> time(static_cast<double>(n) /
+                                           link_bytes_per_second_);
+  link.free_at =
+      std::max(link.free_at, now_) + std::chrono::duration_cast<Duration>(time);
+  if (!inbound && vms_[index] != nullptr) {
+    vms_[index]->OnTraffic(now_, 0, n);
+  }
+  After(link.free_at - now_, [this, index, inbound, n, then = std::move(then)] {
+    if (inbound && vms_[index] != nullptr) {
+      vms_[index]->OnTraffic(now_, n, 0);
+    }
+    then();
+  });
+}
+
 void FlowWorld::PerformActions(std::size_t vm) {
   FlowNodeActions actions = vms_[vm]->TakeActions();
   for (const FlowNodeActions::Placement& it : actions.placements) {
@@ -235,9 +291,12 @@
     FlowPacket packet = flows_.at(flow).packet;
     packet.opens = true;
     const std::string name = FormatInstanceName(it.target.instance);
-    After(kDelayToEndpoint, [this, name, packet, flow, vm] {
-      DeliverToEndpoint(name, packet, flow, vm);
-    });
+    PassLink(static_cast<int>(vm), false, it.packet.size(),
+             [this, name, packet, flow, vm] {
+               After(kDelayToEndpoint, [this, name, packet, flow, vm] {
+                 DeliverToEndpoint(name, packet, flow, vm);
+               });
+             });
   }
   for (const FlowRefusal& it : actions.refusals) {
     Reset(ParseFlowNumber(it.packet));
@@ -257,7 +316,13 @@
   flow.packet.route = RouteOf(service);
   flow.packet.sequence = static_cast<std::uint32_t>(random_());
   for (std::uint32_t copy = 0; copy < std::size(kOpeningDelays); ++copy) {
-    After(kOpeningDelays[copy], [this, id, copy] { SendOpening(id, copy); });
+    After(kOpeningDelays[copy], [this, id, copy] {
+      if (!flows_[id].endpoint.empty() || flows_[id].reset) {
+        return;
+      }
+      PassLink(static_cast<int>(flows_[id].vm), true, kCallerPacketBytes,
+               [this, id, copy] { SendOpening(id, copy); });
+    });
   }
   After(kGiveUpDelay, [this, id] {
     Flow& it = flows_[id];
@@ -266,6 +331,16 @@
   return id;
 }
 
+int FlowWorld::OpenLong(const std::string& service, std::size_t vm,
+                        std::size_t requests, Duration gap) {
+  const int id = Open(service, vm);
+  Flow& flow = flows_[id];
+  flow.requests = requests;
+  flow.gap = gap;
+  flow.acknowledges = true;
+  return id;
+}
+
 void FlowWorld::SendOpening(int id, std::uint32_t copy) {
   const Flow& flow = flows_[id];
   if (!flow.endpoint.empty() || flow.reset || vms_[flow.vm] == nullptr) {
@@ -274,7 +349,8 @@
   FlowPacket packet = flow.packet;
   packet.opens = true;
   packet.copy = copy;
-  const std::string bytes = std::to_string(id);
+  std::string bytes = std::to_string(id);
+  bytes.resize(std::max(bytes.size(), opening_bytes_));
   const FlowVerdict verdict = vms_[flow.vm]->OnPacket(
       now_, packet,
       {reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size()});
@@ -306,12 +382,19 @@
       if (flow.endpoint.empty() && !flow.reset) {
         flow.endpoint = name;
         flow.packet.cookie = CookieOf(*ParseInstanceName(name));
-        After(kDelayToCaller, [this, id] { SendPacket(id, false); });
+        After(kDelayToCaller, [this, id] {
+          if (!flows_[id].acknowledges) {
+            Continue(id);
+            return;
+          }
+          SendPacket(id, false, false);
+          After(kDelayBetweenPackets, [this, id] { Continue(id); });
+        });
       }
     });
     return;
   }
-  if (packet.ends || !endpoint.flows.insert(id).second) {
+  if (!packet.carries_data || !endpoint.flows.insert(id).second) {
     return;
   }
   endpoint.waiting.push(id);
@@ -331,30 +414,57 @@
       --endpoint.running;
       ++endpoint.served;
       if (!hold_answers_) {
-        After(kDelayToCaller, [this, id] {
-          flows_[id].answered = now_;
-          After(kDelayToCaller, [this, id] { SendPacket(id, true); });
-        });
+        After(kDelayToCaller, [this, id] { OnAnswer(id); });
       }
       Serve(endpoint);
     });
   }
 }
 
-void FlowWorld::SendPacket(int id, bool ends) {
+void FlowWorld::OnAnswer(int id) {
+  Flow& flow = flows_[id];
+  flow.answered = now_;
+  flow.packet.acknowledged += kAnswerBytes;
+  if (flow.acknowledges) {
+    After(kDelayToCaller, [this, id] { SendPacket(id, false, false); });
+  }
+  After(kDelayToCaller + flow.gap, [this, id] { Continue(id); });
+}
+
+void FlowWorld::Continue(int id) {
+  Flow& flow = flows_[id];
+  if (flow.requests == 0) {
+    SendPacket(id, false, true);
+    return;
+  }
+  --flow.requests;
+  At(flow.endpoint).flows.erase(id);
+  SendPacket(id, true, false);
+}
+
+void FlowWorld::SendPacket(int id, bool carries_data, bool ends) {
+  FlowPacket packet = flows_[id].packet;
+  packet.ends = ends;
+  packet.carries_data = carries_data;
+  PassLink(static_cast<int>(flows_[id].vm), true, kCallerPacketBytes,
+           [this, id, packet] { ForwardPacket(id, packet); });
+}
+
+void FlowWorld::ForwardPacket(int id, const FlowPacket& packet) {
   const Flow& flow = flows_[id];
   if (vms_[flow.vm] == nullptr) {
     return;
   }
-  FlowPacket packet = flow.packet;
-  packet.ends = ends;
-  packet.carries_data = !ends;
   const FlowVerdict verdict = vms_[flow.vm]->OnPacket(now_, packet, {});
   if (verdict.kind == FlowVerdict::Kind::kForward) {
     const std::string name = FormatInstanceName(verdict.target->instance);
-    After(kDelayToEndpoint, [this, name, packet, id, vm = flow.vm] {
-      DeliverToEndpoint(name, packet, id, vm);
-    });
+    const std::size_t vm = flow.vm;
+    PassLink(static_cast<int>(vm), false, kCallerPacketBytes,
+             [this, name, packet, id, vm] {
+               After(kDelayToEndpoint, [this, name, packet, id, vm] {
+                 DeliverToEndpoint(name, packet, id, vm);
+               });
+             });
   }
   PerformActions(flow.vm);
 }
--- a/src/telemetry/log_events.cc
+++ b/src/telemetry/log_events.cc
@@ -83,8 +83,8 @@
      "run `vanillalatch logs explain`"},
     {"dispatcher_silent", "warn", "entry (ingress)",
      "caller, route, sequence, dispatcher, revision, endpoints, left_out",
-     "the dispatcher did not answer within 0.1 s; this VM placed the flow "
-     "itself",
+     "the dispatcher did not answer within 0.1 s, or up to 0.4 s if its round "
+     "trip is longer; this VM placed the flow itself",
      "check whether the VM in `dispatcher` is dead, partitioned or slow"},
     {"dispatcher_declined", "warn", "entry (ingress)",
      "caller, route, sequence, dispatcher, revision, endpoints, left_out",
@@ -126,6 +126,11 @@
      "neighbour's notice said so, and this VM has no such catalog yet; "
      "in_force_since: the revision of the order's catalog; revision: this VM's",
      "if from_peer stays true: check the way from this VM to the control VMs"},
+    {"link_late", "warn", "entry", "receive_queue_ms, send_queue_ms, left_out",
+     "this VM's link is full: by its traffic and the stated rate, datagrams "
+     "wait longer than 20 ms; missing answers do not count as silence "
+     "meanwhile",
+     "if it repeats: see \"An entry VM's link is full\" in docs/OPERATING.md"},
     {"flows_summary", "info", "entry",
      "ready, revision, endpoints, members_alive, packets, unknown_endpoint, "
      "placed_alone, declined, placed, moved, refused, expired",
