Add the data centre to members

All VMs of a fleet are one membership group, so a member's data centre was unknown. Dispatchers per data centre need it on every VM.

--- a/include/vanillalatch/membership/member.h
+++ b/include/vanillalatch/membership/member.h
@@ -33,6 +33,8 @@
   // newer.
   std::uint64_t incarnation = 0;
   bool dispatches = true;  // True if it places work. A control VM does not.
+  // Where the VM runs. Empty if it is unknown, as for a VM of an older build.
+  std::string data_center;
 };
 
 }  // namespace vanillalatch
--- a/include/vanillalatch/membership/member_list.h
+++ b/include/vanillalatch/membership/member_list.h
@@ -75,6 +75,9 @@
   std::string name;         // Of this VM.
   std::string data_center;  // Messages of other data centres are ignored.
   bool dispatches = true;   // See Member.
+  // Data centre in which this VM runs, as its Member lists it. Differs from
+  // `data_center` if VMs of several data centres form one group.
+  std::string location;
   SocketAddress peer;       // Address of this VM's socket for other VMs.
   // Peer addresses of VMs through which this VM joins.
   std::vector<SocketAddress> seeds;
--- a/src/membership/member_list.cc
+++ b/src/membership/member_list.cc
@@ -53,7 +53,8 @@
            options_.peer,
            MemberState::kAlive,
            options_.incarnation,
-           options_.dispatches};
+           options_.dispatches,
+           options_.location};
   joined_ = options_.seeds.empty();
   RebuildView();
 }
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -78,7 +78,8 @@
                    SocketAddress::FromPacked(update.address()),
                    MemberState::kAlive,
                    update.incarnation(),
-                   !update.observes()};
+                   !update.observes(),
+                   update.data_center()};
   record.flap_penalty_at = now;
   SetState(now, record, static_cast<MemberState>(update.state()));
   return Outcome::kJoined;
@@ -92,6 +93,15 @@
   if (update.incarnation() < member.incarnation) {
     return Outcome::kIgnored;
   }
+  // A VM of an older build passes on members without their data centre. The
+  // first claim that has it completes the member.
+  if (!newer && member.data_center.empty() && !update.data_center().empty() &&
+      NameMatches(update)) {
+    member.data_center = update.data_center();
+    if (claimed <= member.state) {
+      return Outcome::kJoined;
+    }
+  }
   if (!newer && claimed <= member.state) {
     return !newer && claimed == member.state ? Outcome::kUnchanged
                                              : Outcome::kIgnored;
@@ -108,6 +118,7 @@
     address_changed = peer != member.peer;
     member.peer = peer;
     member.dispatches = !update.observes();
+    member.data_center = update.data_center();
   }
   MemberState from = member.state;
   // The higher incarnation refuted every earlier claim.
@@ -235,6 +246,7 @@
     update.set_name(member.name);
     update.set_address(member.peer.Packed());
     update.set_observes(!member.dispatches);
+    update.set_data_center(member.data_center);
   }
 }
 
