--- a/include/vanillalatch/jsonc/document.h
+++ b/include/vanillalatch/jsonc/document.h
@@ -58,6 +58,9 @@
   bool Flag() const;
   // Returns an integer from `min` to `max`, both included.
   std::int64_t Integer(std::int64_t min, std::int64_t max) const;
+  // Returns a number, which may have a fraction, from `min` to `max`, both
+  // included.
+  double Number(double min, double max) const;
   // Returns a duration, written "100ms", "10s" or "2m", from `min` to `max`,
   // both included.
   Duration Time(Duration min, Duration max) const;
--- a/include/vanillalatch/settings/settings.h
+++ b/include/vanillalatch/settings/settings.h
@@ -69,11 +69,16 @@
 // `control` combine the IP address of each seed with the port of "listen" and
 // with "control_port".
 //
-// "fleet": {"listen": "A:P", "seeds": ["A:P"], "control_port": P}
+// "fleet": {"listen": "A:P", "seeds": ["A:P"], "control_port": P,
+//           "link_mbit_per_s": 2.0}
 struct FleetSettings {
   SocketAddress listen;                // UDP, from VMs of the fleet.
   std::vector<SocketAddress> seeds;    // Fleet sockets of control VMs.
   std::vector<SocketAddress> control;  // gRPC addresses of the same VMs.
+  // Rate of an entry VM's link, in each direction. It must be the same on all
+  // entry VMs, as it decides which services have several dispatchers. Absent:
+  // each service has one.
+  std::optional<double> link_mbit_per_s;
 };
 
 // The flow role: forwards the packets of callers' flows to backend servers
--- a/src/jsonc/document.cc
+++ b/src/jsonc/document.cc
@@ -144,6 +144,20 @@
   return integer_;
 }
 
+double JsonValue::Number(double min, double max) const {
+  double value = 0;
+  const bool is_number = type_ == Type::kInteger || type_ == Type::kDecimal;
+  const char* end = text_.data() + text_.size();
+  const auto [stop, ec] = std::from_chars(text_.data(), end, value);
+  if (!is_number || ec != std::errc() || stop != end || value < min ||
+      value > max) {
+    std::ostringstream range;
+    range << "a number from " << min << " to " << max;
+    Fail(range.str());
+  }
+  return value;
+}
+
 Duration JsonValue::Time(Duration min, Duration max) const {
   if (type_ == Type::kString) {
     const std::string_view text = text_;
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -18,6 +18,9 @@
 constexpr Duration kMaxHeartbeat = std::chrono::minutes(10);
 constexpr Duration kMinDrainLimit = std::chrono::milliseconds(100);
 constexpr Duration kMaxDrainLimit = std::chrono::minutes(10);
+// A link slower than the minimum can't carry the messages between VMs.
+constexpr double kMinLinkMbit = 0.1;
+constexpr double kMaxLinkMbit = 1'000'000;
 constexpr Duration kMinBackendTimeout = std::chrono::milliseconds(10);
 constexpr Duration kMaxBackendTimeout = std::chrono::minutes(2);
 
@@ -151,7 +154,7 @@
 // Only the IP address of each seed is used: the ports are the same on all VMs
 // of a fleet.
 FleetSettings ReadFleet(const JsonValue& value, ListenAddresses& sockets) {
-  value.CheckKeys({"listen", "seeds", "control_port"});
+  value.CheckKeys({"listen", "seeds", "control_port", "link_mbit_per_s"});
   FleetSettings fleet;
   fleet.listen = sockets.ReadUnused(value.At("listen"), Transport::kUdp);
   const auto control_port =
@@ -160,6 +163,9 @@
     fleet.seeds.push_back({it.ip, fleet.listen.port});
     fleet.control.push_back({it.ip, control_port});
   }
+  if (const JsonValue* it = value.Find("link_mbit_per_s")) {
+    fleet.link_mbit_per_s = it->Number(kMinLinkMbit, kMaxLinkMbit);
+  }
   return fleet;
 }
 
--- a/src/settings/settings_test.cc
+++ b/src/settings/settings_test.cc
@@ -64,6 +64,26 @@
   CHECK(s.metrics->ToString() == "127.0.0.1:9100");
 }
 
+// The platform's template writes the rate with a fraction. A rate that can't be
+// right must not decide how many dispatchers a service has.
+TEST_CASE("the rate of the fleet's links", "[settings]") {
+  const auto parse = [](const std::string& rate) {
+    return ParseSettings(
+        "vm.json", R"({"vm": "one", "data_center": "north",
+      "fleet": {"listen": "127.0.0.1:7100", "seeds": [], "control_port": 7000)" +
+                       rate + R"(}, "flows": {"listen": "127.0.0.1:80"}})");
+  };
+  CHECK(parse("").value().fleet->link_mbit_per_s == std::nullopt);
+  CHECK(parse(R"(, "link_mbit_per_s": 2.5)").value().fleet->link_mbit_per_s ==
+        2.5);
+  CHECK(parse(R"(, "link_mbit_per_s": 200)").value().fleet->link_mbit_per_s ==
+        200.0);
+  for (const char* it : {"0", "-1", "1e9", "\"2\"", "null"}) {
+    CAPTURE(it);
+    CHECK(!parse(std::string(R"(, "link_mbit_per_s": )") + it).ok());
+  }
+}
+
 // A replacement in kValid that makes it invalid, and the error it causes.
 struct InvalidSetting {
   std::string_view from;
