Let a scheduler report its load

The dispatcher of one data centre needs the free slots and the expected wait of its shard to decide whether another data centre should place a flow.

--- a/include/vanillalatch/placement/rendezvous.h
+++ b/include/vanillalatch/placement/rendezvous.h
@@ -16,6 +16,9 @@
 
 namespace vanillalatch {
 
+// True if the member is alive or suspect and may dispatch.
+bool CanDispatch(const Member& member);
+
 // Returns the member with the `rank`-th highest score for `service` among the
 // members that are alive or suspect and may dispatch. Rank 0 is the dispatcher,
 // rank 1 its successor. Returns nullopt if at most `rank` members qualify.
--- a/include/vanillalatch/placement/slot_scheduler.h
+++ b/include/vanillalatch/placement/slot_scheduler.h
@@ -77,6 +77,19 @@
   RefusalCause cause{};                            // kRefuse
 };
 
+// The slots of the service, and what a request of one class would find.
+struct SlotLoad {
+  // Slots that unpinned work may use. 0 if all endpoints are silent.
+  std::uint32_t usable_slots = 0;
+  std::uint32_t free_slots = 0;  // Usable slots that are free.
+  std::uint32_t queued = 0;      // Waiting requests of all classes.
+  Duration expected_wait{};      // Mean wait for a slot.
+  Duration answer_time{};        // Mean time from the start to the answer.
+  // Some endpoint takes unpinned work now or after a back-off, or would if it
+  // was not silent.
+  bool in_service = false;
+};
+
 struct SlotSchedulerOptions {
   // A new endpoint's usable slots grow from one to all over this time.
   Duration cold_start_ramp = std::chrono::seconds(5);
@@ -139,6 +152,10 @@
   // budget is used up or the service is overloaded.
   virtual bool TakeRetry(TimePoint now) = 0;
 
+  // Returns the slots of the service, and the expected times of a request of
+  // class `id` that is submitted now.
+  virtual SlotLoad Load(TimePoint now, ClassId id) = 0;
+
   // Returns the counts and states of classes and endpoints for operators.
   virtual pb::ServiceReport Report(TimePoint now) const = 0;
 };
--- a/src/placement/endpoint_pool.h
+++ b/src/placement/endpoint_pool.h
@@ -76,6 +76,8 @@
 
   // True if some endpoint takes unpinned work now or after a back-off.
   bool AnyInService() const;
+  // True if some endpoint takes new work and is not silent.
+  bool AnyResponsive() const;
   // Number of slots, free or not, that unpinned work may use.
   std::uint32_t UsableSlots(TimePoint now) const;
   // Number of slots that are free for unpinned work.
@@ -100,8 +102,6 @@
               const TrackedEndpoint& tracked) const;
   bool IsSlow(TimePoint now, const TrackedEndpoint& tracked) const;
   TrackedEndpoint* SelectForProbe(TimePoint now, const Work& work);
-  // True if some endpoint takes new work and is not silent.
-  bool AnyResponsive() const;
   // True if some endpoint other than `id` takes new work.
   bool AnyOtherTakesNewWork(EndpointId id) const;
   void UpdateMedianAnswerTime(TimePoint now);
--- a/src/placement/rendezvous.cc
+++ b/src/placement/rendezvous.cc
@@ -9,15 +9,12 @@
 #include "vanillalatch/base/hash.h"
 
 namespace vanillalatch {
-namespace {
 
 bool CanDispatch(const Member& member) {
   return member.dispatches && (member.state == MemberState::kAlive ||
                                member.state == MemberState::kSuspect);
 }
 
-}  // namespace
-
 std::optional<NodeId> DispatcherOf(ServiceId service,
                                    std::span<const Member> members,
                                    std::size_t rank) {
--- a/src/placement/slot_scheduler.cc
+++ b/src/placement/slot_scheduler.cc
@@ -75,6 +75,7 @@
 
   TimePoint NextWake() const override;
   bool TakeRetry(TimePoint now) override;
+  SlotLoad Load(TimePoint now, ClassId id) override;
   pb::ServiceReport Report(TimePoint now) const override;
 
  private:
@@ -372,6 +373,22 @@
   return retry_budget_.Take(now);
 }
 
+SlotLoad CentralScheduler::Load(TimePoint now, ClassId id) {
+  Work work;
+  work.work_class = id;
+  const Forecast forecast = gate_.Predict(now, work);
+  SlotLoad load;
+  load.queued = static_cast<std::uint32_t>(queue_.size());
+  load.expected_wait = forecast.mean_wait;
+  load.answer_time = forecast.answer_time;
+  load.in_service = pool_.AnyInService();
+  if (pool_.AnyResponsive()) {
+    load.usable_slots = pool_.UsableSlots(now);
+    load.free_slots = pool_.FreeSlots(now);
+  }
+  return load;
+}
+
 pb::ServiceReport CentralScheduler::Report(TimePoint now) const {
   pb::ServiceReport report;
   report.set_service_id(service_.value());
