Divide a large service into one dispatcher per data centre

All openings and progress reports of a service met on the 2 Mbit/s link of one VM; its counts were then seconds old. With fleet.link_mbit_per_s, a service with more slots than one link can serve gets a dispatcher per data centre. A shard passes an opening on, once, to the data centre that reported the most free slots, if the flow would wait at home for longer than the way there.

The present tests of packetflow pass unchanged, and the new tables of shard_test.cc.

--- a/include/vanillalatch/packetflow/flow_dispatcher.h
+++ b/include/vanillalatch/packetflow/flow_dispatcher.h
@@ -29,6 +29,19 @@
 
 namespace vanillalatch {
 
+// A part of a service that has a dispatcher and a queue of its own: the
+// endpoints of one data centre or, with an empty data centre, all endpoints.
+struct ShardId {
+  ServiceId service;
+  std::string data_center;
+
+  friend auto operator<=>(const ShardId&, const ShardId&) = default;
+  friend bool operator==(const ShardId&, const ShardId&) = default;
+};
+
+// The slots of one shard; see SlotLoad.
+using ShardLoad = SlotLoad;
+
 // The opening packet of a flow, with what placing the flow depends on.
 struct FlowOpening {
   FlowId id;
@@ -43,6 +56,10 @@
   // Number of earlier transmissions of this opening packet; 0 for the first.
   std::uint32_t copy = 0;
   std::string data_center;  // Endpoints in this data centre are preferred.
+  // Data centre of the shard that is to place the flow; empty if the service is
+  // not sharded.
+  std::string shard;
+  std::uint32_t hops = 0;  // How often a shard has passed it on to another one.
   // True if the VMs that receive the flow's later packets report them to this
   // VM. Only then does a missing report indicate a silent endpoint.
   bool progress_reported = false;
@@ -182,6 +199,17 @@
                             std::span<const Endpoint> endpoints,
                             FlowActions& actions) = 0;
 
+  // Divides a service into one shard per data centre, or unites them. The slots
+  // in use remain counted. No flow of the service may be waiting; call
+  // TakeWaiting() before, and SetEndpoints() afterwards.
+  virtual void SetSharded(TimePoint now, ServiceId service, bool sharded) = 0;
+  // The slots of a shard as counted here, and the expected times of a flow of
+  // class `id`.
+  virtual ShardLoad LoadOf(TimePoint now, const ShardId& shard, ClassId id) = 0;
+  // True if the flow of this opening packet is open or waits here, or has ended
+  // or was refused here recently. Open() then applies the earlier decision.
+  virtual bool IsKnown(TimePoint now, const FlowOpening& opening) const = 0;
+
   // Processes an opening packet: places, queues or refuses a new flow. A
   // retransmission goes to the same endpoint or moves the flow to another one
   // (see kFirstMovedCopy); it opens nothing if the flow has ended, and is
@@ -199,19 +227,23 @@
   // service. Flows sent before the change or shortly afterwards are no evidence
   // of silence, as some VMs may report their progress to another VM.
   virtual void OnDispatcherChanged(TimePoint now, ServiceId service) = 0;
-  // Stops using the service's present flows as evidence of silence: another VM
+  // Stops using the shard's present flows as evidence of silence: another VM
   // is its dispatcher now and receives the reports of their progress.
-  virtual void StopSilenceDetection(ServiceId service) = 0;
+  virtual void StopSilenceDetection(const ShardId& shard) = 0;
   // Processes the end of a flow: the caller ended it, or gave it up.
   virtual void End(TimePoint now, FlowId id, bool given_up,
                    FlowActions& actions) = 0;
   // True if the flow waits for a slot here, or occupied one here, and has
   // neither ended nor expired.
   virtual bool Contains(FlowId id) const = 0;
-  // Removes and returns the flows of a service that wait for a slot, so that
-  // they can be handed over to another VM. They are ordered by id.
+  // Removes and returns the flows of a shard that wait for a slot, so that they
+  // can be handed over to another VM. They are ordered by id.
   virtual std::vector<FlowOpening> TakeWaiting(TimePoint now,
-                                               ServiceId service) = 0;
+                                               const ShardId& shard) = 0;
+  // Same as above for an unsharded service.
+  std::vector<FlowOpening> TakeWaiting(TimePoint now, ServiceId service) {
+    return TakeWaiting(now, ShardId{service, {}});
+  }
 
   // Processes timeouts: of waiting flows, silent endpoints and expired flows.
   virtual void OnTick(TimePoint now, FlowActions& actions) = 0;
--- a/include/vanillalatch/packetflow/flow_node.h
+++ b/include/vanillalatch/packetflow/flow_node.h
@@ -11,6 +11,11 @@
 // ingress does not know the endpoints yet, it parks the packet, which then
 // waits for a limited time until they are known.
 //
+// A service whose messages exceed the link of one VM is sharded: each data
+// centre has a dispatcher for its own endpoints. The ingress hands an opening
+// packet over to the dispatcher of its own data centre, which may answer with
+// another data centre that has free slots; see src/packetflow/shard.h.
+//
 //   auto node = FlowNode::Create(options, seed).value();
 //   node->OnCatalog(now, catalog);
 //   FlowVerdict verdict = node->OnPacket(now, packet, bytes);
@@ -39,6 +44,10 @@
   // Flows that arrive through this VM prefer endpoints in this data centre.
   std::string data_center;
   FlowDispatcherOptions dispatcher;
+  // Rate of an entry VM's link in each direction, the same on all entry VMs. A
+  // service with more load than one VM's link can carry gets a dispatcher in
+  // each data centre. 0: unknown; each service has one dispatcher.
+  double link_mbit_per_s = 0;
 };
 
 // What is to be done with a packet.
@@ -72,10 +81,17 @@
   NodeId dispatcher;  // 0: the packet was not handed over to any VM.
 };
 
+// A service was divided into shards, each with a dispatcher, or united.
+struct ShardingChange {
+  ServiceId service;
+  std::vector<std::string> data_centers;  // Of the shards; empty if united.
+};
+
 // What the owner of a FlowNode has to do.
 struct FlowNodeActions {
   std::vector<FlowEvent> flow_events;
   std::vector<IngressEvent> ingress_events;
+  std::vector<ShardingChange> sharding_changes;
   // Send an opening packet to an endpoint.
   struct Placement {
     FlowTarget target;   // Write its cookie into the packet.
@@ -101,6 +117,14 @@
   std::uint64_t declined = 0;   // Opening packets that this VM declined.
   // Opening packets received before the endpoints were known.
   std::uint64_t parked = 0;
+  // Opening packets that this VM, as a shard's dispatcher, passed on to another
+  // data centre: flows would have waited here for longer than the way there, or
+  // no endpoint here was usable.
+  std::uint64_t passed_on_full = 0;
+  std::uint64_t passed_on_no_endpoint = 0;
+  // Opening packets that were passed on, did not reach the dispatcher there and
+  // returned.
+  std::uint64_t returned = 0;
 };
 
 class FlowNode {
--- a/src/packetflow/dispatcher_selector.cc
+++ b/src/packetflow/dispatcher_selector.cc
@@ -2,7 +2,7 @@
 
 #include <optional>
 
-#include "vanillalatch/placement/rendezvous.h"
+#include "src/packetflow/shard.h"
 
 namespace vanillalatch::internal {
 namespace {
@@ -16,11 +16,11 @@
 
 }  // namespace
 
-NodeId DispatcherSelector::Select(TimePoint now, ServiceId service,
+NodeId DispatcherSelector::Select(TimePoint now, const ShardId& shard,
                                   std::span<const Member> members,
                                   NodeId self) const {
   for (std::size_t rank = 0; rank < kDispatcherRanks; ++rank) {
-    const std::optional<NodeId> it = DispatcherOf(service, members, rank);
+    const std::optional<NodeId> it = ShardDispatcherOf(shard, members, rank);
     if (!it) {
       break;
     }
--- a/src/packetflow/dispatcher_selector.h
+++ b/src/packetflow/dispatcher_selector.h
@@ -1,9 +1,8 @@
 // Selects the VM to which an ingress hands over the opening packets of a
-// service: the first VM, in the order that rendezvous hashing gives for the
-// service, that has neither left a packet unacknowledged nor declined one
-// recently.
+// shard: the first VM, in the order that ShardDispatcherOf() gives, that has
+// neither left a packet unacknowledged nor declined one recently.
 //
-//   NodeId to = selector.Select(now, service, members, self);
+//   NodeId to = selector.Select(now, shard, members, self);
 #ifndef VANILLALATCH_SRC_PACKETFLOW_DISPATCHER_SELECTOR_H_
 #define VANILLALATCH_SRC_PACKETFLOW_DISPATCHER_SELECTOR_H_
 
@@ -14,6 +13,7 @@
 #include "vanillalatch/base/strong.h"
 #include "vanillalatch/base/time.h"
 #include "vanillalatch/membership/member.h"
+#include "vanillalatch/packetflow/flow_dispatcher.h"
 
 namespace vanillalatch::internal {
 
@@ -21,7 +21,7 @@
  public:
   // Returns `self` if this VM is to place the flow: no VM before it in the
   // order is usable, or none of the first few VMs is.
-  NodeId Select(TimePoint now, ServiceId service,
+  NodeId Select(TimePoint now, const ShardId& shard,
                 std::span<const Member> members, NodeId self) const;
 
   // Records that a VM did not acknowledge an opening packet in time. It is not
--- a/src/packetflow/flow_dispatcher.cc
+++ b/src/packetflow/flow_dispatcher.cc
@@ -8,20 +8,6 @@
 namespace vanillalatch {
 namespace internal {
 
-SlotScheduler& FlowDispatcherImpl::SchedulerOf(ServiceId service) {
-  std::unique_ptr<SlotScheduler>& scheduler = schedulers_[service];
-  if (scheduler == nullptr) {
-    SlotSchedulerOptions options;
-    options.overlap_percent = options_.overlap_percent;
-    options.endpoints_report_warm_up = true;
-    scheduler =
-        SlotScheduler::Create(options, StableHash(seed_, service.value()))
-            .value();
-    scheduler->SetClasses(classes_);
-  }
-  return *scheduler;
-}
-
 void FlowDispatcherImpl::Open(TimePoint now, FlowOpening opening,
                               FlowActions& actions) {
   const auto it = flows_.find(opening.id);
@@ -80,7 +66,7 @@
     work.try_first = silence_detector_.TakeProbe(now, flow.opening.service);
   }
   work.data_center = flow.opening.data_center;
-  SchedulerOf(flow.opening.service).Submit(now, work, verdicts_);
+  SchedulerOf(flow.shard()).Submit(now, work, verdicts_);
   ApplyVerdicts(now, actions);
 }
 
@@ -111,7 +97,7 @@
     return;
   }
   flow_by_work_.erase(flow.work);
-  SlotScheduler& scheduler = SchedulerOf(flow.opening.service);
+  SlotScheduler& scheduler = SchedulerOf(flow.shard());
   if (flow.placed) {
     scheduler.Finish(now, flow.work, outcome, verdicts_);
   } else {
@@ -123,7 +109,8 @@
                                             FlowActions& actions) {
   const ServiceId service = flow.opening.service;
   if (silence_detector_.OnAnswer(flow.endpoint, service, flow.sent_at)) {
-    SchedulerOf(service).SetSilent(flow.endpoint, false);
+    SchedulerOf(ShardOf(service, flow.endpoint))
+        .SetSilent(flow.endpoint, false);
     actions.silences.push_back({flow.endpoint, false, 0, Duration::zero()});
   }
 }
@@ -163,6 +150,8 @@
     flow.opening.work_class = established.work_class;
     flow.opening.timeout = established.timeout;
     flow.endpoint = established.endpoint;
+    flow.opening.shard =
+        ShardOf(established.service, established.endpoint).data_center;
     // Suppresses the kAnswer timing: when the flow was placed is unknown here.
     flow.has_answer = true;
     flow.placed = true;
@@ -209,15 +198,7 @@
   Work work;
   work.request = flow.work;
   work.work_class = flow.opening.work_class;
-  SchedulerOf(flow.opening.service).AddRunning(now, work, flow.endpoint);
-}
-
-void FlowDispatcherImpl::StopSilenceDetection(ServiceId service) {
-  for (auto& [id, it] : flows_) {
-    if (it.opening.service == service) {
-      it.opening.progress_reported = false;
-    }
-  }
+  SchedulerOf(flow.shard()).AddRunning(now, work, flow.endpoint);
 }
 
 void FlowDispatcherImpl::End(TimePoint now, FlowId id, bool given_up,
@@ -242,23 +223,6 @@
   ApplyVerdicts(now, actions);
 }
 
-std::vector<FlowOpening> FlowDispatcherImpl::TakeWaiting(TimePoint now,
-                                                         ServiceId service) {
-  std::vector<FlowOpening> waiting;
-  for (auto it = flows_.begin(); it != flows_.end();) {
-    const auto next = std::next(it);
-    if (!it->second.placed && it->second.opening.service == service) {
-      Release(now, it->second, WorkOutcome::kCancelled);
-      waiting.push_back(std::move(it->second.opening));
-      flows_.erase(it);
-    }
-    it = next;
-  }
-  std::sort(waiting.begin(), waiting.end(),
-            [](const auto& a, const auto& b) { return a.id < b.id; });
-  return waiting;
-}
-
 void FlowDispatcherImpl::ApplyVerdicts(TimePoint now, FlowActions& actions) {
   for (const Verdict& it : std::exchange(verdicts_, {})) {
     const auto flow_id = flow_by_work_.find(it.request);
--- a/src/packetflow/flow_dispatcher_impl.h
+++ b/src/packetflow/flow_dispatcher_impl.h
@@ -1,12 +1,14 @@
-// Implements FlowDispatcher in two files: flow_dispatcher.cc (openings,
-// progress and ends of flows) and flow_dispatcher_timers.cc (silent endpoints,
-// expired flows).
+// Implements FlowDispatcher in three files: flow_dispatcher.cc (openings,
+// progress and ends of flows), flow_dispatcher_shards.cc (endpoints, shards)
+// and flow_dispatcher_timers.cc (silent endpoints, expired flows).
 #ifndef VANILLALATCH_SRC_PACKETFLOW_FLOW_DISPATCHER_IMPL_H_
 #define VANILLALATCH_SRC_PACKETFLOW_FLOW_DISPATCHER_IMPL_H_
 
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -22,19 +24,20 @@
 
   void SetClasses(std::span<const ClassTarget> classes) override {
     classes_.assign(classes.begin(), classes.end());
-    for (auto& [id, it] : schedulers_) {
+    for (auto& [shard, it] : schedulers_) {
       it->SetClasses(classes_);
     }
   }
 
   void SetEndpoints(TimePoint now, ServiceId service,
                     std::span<const Endpoint> endpoints,
-                    FlowActions& actions) override {
-    SlotScheduler& scheduler = SchedulerOf(service);
-    scheduler.SetEndpoints(now, endpoints);
-    silence_detector_.RetainOnly(service, endpoints);
-    scheduler.OnTick(now, verdicts_);
-    ApplyVerdicts(now, actions);
+                    FlowActions& actions) override;
+  void SetSharded(TimePoint now, ServiceId service, bool sharded) override;
+  ShardLoad LoadOf(TimePoint now, const ShardId& shard, ClassId id) override {
+    return SchedulerOf(shard).Load(now, id);
+  }
+  bool IsKnown(TimePoint now, const FlowOpening& opening) const override {
+    return flows_.contains(opening.id) || FindClosed(now, opening) != nullptr;
   }
 
   void Open(TimePoint now, FlowOpening opening, FlowActions& actions) override;
@@ -43,12 +46,12 @@
   void OnDispatcherChanged(TimePoint now, ServiceId service) override {
     silence_detector_.OnDispatcherChanged(now, service);
   }
-  void StopSilenceDetection(ServiceId service) override;
+  void StopSilenceDetection(const ShardId& shard) override;
   void End(TimePoint now, FlowId id, bool given_up,
            FlowActions& actions) override;
   bool Contains(FlowId id) const override { return flows_.contains(id); }
   std::vector<FlowOpening> TakeWaiting(TimePoint now,
-                                       ServiceId service) override;
+                                       const ShardId& shard) override;
   void OnTick(TimePoint now, FlowActions& actions) override;
   TimePoint NextWake() const override;
   const FlowDispatcherCounters& counters() const override { return counters_; }
@@ -56,6 +59,7 @@
  private:
   struct Flow {
     FlowOpening opening;
+    ShardId shard() const { return {opening.service, opening.shard}; }
     // Identifies the flow to its scheduler. New for each submission and for
     // each later request.
     RequestId work;
@@ -88,8 +92,11 @@
   // Returns the closed flow of which `opening` is a retransmission; nullptr if
   // there is none.
   const Closed* FindClosed(TimePoint now, const FlowOpening& opening) const;
-  // Returns the scheduler of a service; creates it if there is none.
-  SlotScheduler& SchedulerOf(ServiceId service);
+  // Returns the scheduler of a shard; creates it if there is none.
+  SlotScheduler& SchedulerOf(const ShardId& shard);
+  // The shard of an endpoint. An endpoint that is not known is in the shard
+  // without a data centre.
+  ShardId ShardOf(ServiceId service, EndpointId endpoint) const;
   // Submits a flow to the scheduler, which places, queues or refuses it.
   // `avoid`: an endpoint that did not answer this flow.
   void Submit(TimePoint now, Flow& flow, std::optional<EndpointId> avoid,
@@ -122,7 +129,10 @@
   FlowDispatcherOptions options_;
   std::uint64_t seed_;
   std::vector<ClassTarget> classes_;
-  std::map<ServiceId, std::unique_ptr<SlotScheduler>> schedulers_;
+  std::map<ShardId, std::unique_ptr<SlotScheduler>> schedulers_;
+  std::set<ServiceId> sharded_;
+  // The endpoints of each service and their data centres.
+  std::map<ServiceId, std::map<EndpointId, std::string>> data_centers_;
   absl::flat_hash_map<FlowId, Flow> flows_;
   absl::flat_hash_map<FlowId, Closed> closed_;
   absl::flat_hash_map<RequestId, FlowId> flow_by_work_;
--- a/src/packetflow/flow_dispatcher_timers.cc
+++ b/src/packetflow/flow_dispatcher_timers.cc
@@ -41,7 +41,7 @@
     }
     if (verdict == SilenceDetector::Verdict::kNewlySilent) {
       ++counters_.endpoints_found_silent;
-      SchedulerOf(service).SetSilent(endpoint, true);
+      SchedulerOf(ShardOf(service, endpoint)).SetSilent(endpoint, true);
       actions.silences.push_back(
           {endpoint, true, ids.size(), silence_detector_.WaitLimit(now)});
     }
@@ -63,7 +63,7 @@
 }
 
 void FlowDispatcherImpl::OnTick(TimePoint now, FlowActions& actions) {
-  for (auto& [id, it] : schedulers_) {
+  for (auto& [shard, it] : schedulers_) {
     if (now >= it->NextWake()) {
       it->OnTick(now, verdicts_);
     }
@@ -122,7 +122,7 @@
 TimePoint FlowDispatcherImpl::NextWake() const {
   TimePoint wake =
       flows_.empty() ? kNever : std::min(expire_due_, silence_check_due_);
-  for (const auto& [id, it] : schedulers_) {
+  for (const auto& [shard, it] : schedulers_) {
     wake = std::min(wake, it->NextWake());
   }
   return wake;
--- a/src/packetflow/flow_messages.cc
+++ b/src/packetflow/flow_messages.cc
@@ -27,6 +27,10 @@
   message.set_data_center(opening.data_center);
   message.set_packet(opening.packet);
   message.set_caller(opening.caller.Packed());
+  if (opening.hops > 0) {
+    message.set_hops(opening.hops);
+    message.set_shard(opening.shard);
+  }
   return message;
 }
 
@@ -42,6 +46,8 @@
   opening.data_center = message.data_center();
   opening.packet = message.packet();
   opening.caller = SocketAddress::FromPacked(message.caller());
+  opening.hops = message.hops();
+  opening.shard = message.hops() > 0 ? message.shard() : message.data_center();
   return opening;
 }
 
@@ -64,6 +70,7 @@
   append_all(*message.mutable_taken(), &pb::FlowMessage::add_taken);
   append_all(*message.mutable_seen(), &pb::FlowMessage::add_seen);
   append_all(*message.mutable_ends(), &pb::FlowMessage::add_ends);
+  append_all(*message.mutable_loads(), &pb::FlowMessage::add_loads);
   return parts;
 }
 
--- a/src/packetflow/flow_messages.h
+++ b/src/packetflow/flow_messages.h
@@ -16,10 +16,11 @@
 
 // Converts an opening packet to its message. `revision` is that of the catalog
 // from which `opening` takes its service, class and timeout. Does not set the
-// field `settled`, which says whether the sender's data about endpoints is
-// complete.
+// fields `settled`, which says whether the sender's data about endpoints is
+// complete, and `may_redirect`.
 pb::FlowOpening ToMessage(const FlowOpening& opening, std::uint64_t revision);
 // Converts a message to an opening packet. Does not set `progress_reported`.
+// `shard` is set as for a sharded service.
 FlowOpening FromMessage(const pb::FlowOpening& message);
 
 // Distributes the items of a message over several messages, each of which fits
--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -6,7 +6,6 @@
 
 #include "src/packetflow/flow_messages.h"
 #include "src/packetflow/flow_node_impl.h"
-#include "vanillalatch/placement/rendezvous.h"
 
 namespace vanillalatch {
 namespace internal {
@@ -69,7 +68,7 @@
     return {FlowVerdict::Kind::kDrop};
   }
   if (packet.ends || packet.aborts) {
-    EndFlow(now, packet, target->service);
+    EndFlow(now, packet, *target);
   } else {
     ReportProgress(now, packet, *route, *target);
   }
@@ -86,7 +85,7 @@
   }
   const EstablishedFlow established{target.service, route.work_class,
                                     route.timeout, target.endpoint};
-  const NodeId to = PlacerOf(now, update->id, target.service);
+  const NodeId to = PlacerOf(now, update->id, target);
   if (dispatcher_->Contains(update->id) || to == self()) {
     dispatcher_->OnFlowUpdate(now, *update, established, actions_);
     return;
@@ -105,14 +104,15 @@
 }
 
 NodeId FlowNodeImpl::PlacerOf(TimePoint now, FlowId id,
-                              ServiceId service) const {
+                              const FlowTarget& target) const {
   const std::optional<NodeId> placer = flow_tracker_.PlacerOf(id);
   const std::span<const Member> members = peers_->members().members();
   const bool placer_is_member =
       placer && std::any_of(members.begin(), members.end(), [&](auto& it) {
         return it.id == *placer && it.state != MemberState::kDead;
       });
-  return placer_is_member ? *placer : DispatcherFor(now, service);
+  return placer_is_member ? *placer
+                          : DispatcherFor(now, ShardOfEndpoint(target));
 }
 
 void FlowNodeImpl::OnSeen(TimePoint now, const pb::FlowSeen& message) {
@@ -132,9 +132,9 @@
 }
 
 void FlowNodeImpl::EndFlow(TimePoint now, const FlowPacket& packet,
-                           ServiceId service) {
+                           const FlowTarget& target) {
   const FlowId id = packet.id();
-  const NodeId to = PlacerOf(now, id, service);
+  const NodeId to = PlacerOf(now, id, target);
   flow_tracker_.Erase(id);
   if (dispatcher_->Contains(id)) {
     dispatcher_->End(now, id, packet.aborts, actions_);
@@ -165,6 +165,9 @@
     for (const pb::FlowEnd& it : message->ends()) {
       dispatcher_->End(now, FlowId(it.id()), it.given_up(), actions_);
     }
+    for (const pb::ShardLoad& it : message->loads()) {
+      OnShardLoad(now, sender, it);
+    }
   }
 }
 
@@ -190,6 +193,10 @@
   UpdateEndpoints(now);
   if (peers_->members().version() != members_version_) {
     members_version_ = peers_->members().version();
+    for (auto& [service, it] : shards_) {
+      it = ShardsOf(peers_->registry().EndpointsOf(service),
+                    peers_->members().members());
+    }
     UpdateFirstDispatchers(now);
     HandOverWaiting(now);
   }
@@ -197,6 +204,8 @@
   UpdateSettled(now);
   DispatchParked(now);
   dispatcher_->OnTick(now, actions_);
+  SendShardLoads(now);
+  ForgetPassedOn(now);
   if (now >= lost_endpoint_check_due_) {
     lost_endpoint_check_due_ = now + kLostEndpointCheckInterval;
     endpoints_.DropLost(now);
@@ -216,6 +225,7 @@
       continue;
     }
     entry->second = version;
+    std::vector<FlowOpening> waiting = UpdateShards(now, it);
     endpoints_.SetEndpoints(now, it, registry.EndpointsOf(it));
     std::vector<Endpoint> usable;
     for (const Endpoint& endpoint : registry.EndpointsOf(it)) {
@@ -224,17 +234,27 @@
       }
     }
     dispatcher_->SetEndpoints(now, it, usable, actions_);
+    for (FlowOpening& opening : waiting) {
+      Dispatch(now, std::move(opening));
+    }
   }
 }
 
 void FlowNodeImpl::UpdateFirstDispatchers(TimePoint now) {
-  for (const ServiceId it : routes_.services()) {
-    const NodeId first =
-        DispatcherOf(it, peers_->members().members(), 0).value_or(self());
-    const auto [entry, added] = first_dispatchers_.try_emplace(it, first);
-    if (added || entry->second != first) {
-      entry->second = first;
-      dispatcher_->OnDispatcherChanged(now, it);
+  for (const ServiceId service : routes_.services()) {
+    for (const ShardId& it : ShardsOfService(service)) {
+      const NodeId first = ShardDispatcherOf(it, peers_->members().members(), 0)
+                               .value_or(self());
+      const auto [entry, added] = first_dispatchers_.try_emplace(it, first);
+      if (added || entry->second != first) {
+        entry->second = first;
+        dispatcher_->OnDispatcherChanged(now, service);
+        // The new dispatcher has no reports of the other shards yet.
+        loads_due_ = now;
+        std::erase_if(sent_loads_, [&](const auto& sent) {
+          return sent.first.service == service;
+        });
+      }
     }
   }
 }
@@ -247,7 +267,7 @@
   for (const auto& [id, it] : parked_) {
     wake = std::min(wake, it.due);
   }
-  return wake;
+  return shards_.empty() ? wake : std::min(wake, loads_due_);
 }
 
 void FlowNodeImpl::Flush(TimePoint now, Outbox& out) {
@@ -275,6 +295,7 @@
   timings_.insert(timings_.end(), actions_.timings.begin(),
                   actions_.timings.end());
   actions.ingress_events = std::exchange(ingress_events_, {});
+  actions.sharding_changes = std::exchange(sharding_changes_, {});
   actions_ = {};
   return actions;
 }
@@ -296,13 +317,12 @@
     return dispatcher.error();
   }
   Result<std::unique_ptr<PeerNode>> peers =
-      PeerNode::Create(std::move(options.members), seed);
+      PeerNode::Create(options.members, seed);
   if (!peers.ok()) {
     return peers.error();
   }
   return std::unique_ptr<FlowNode>(std::make_unique<internal::FlowNodeImpl>(
-      std::move(options.data_center), std::move(*peers),
-      std::move(*dispatcher)));
+      options, std::move(*peers), std::move(*dispatcher)));
 }
 
 }  // namespace vanillalatch
--- a/src/packetflow/flow_node_impl.h
+++ b/src/packetflow/flow_node_impl.h
@@ -1,8 +1,10 @@
-// Implements FlowNode in two files: flow_node.cc (packets, peers, endpoints,
-// timers) and flow_node_openings.cc (which VM places an opening packet).
+// Implements FlowNode in three files: flow_node.cc (packets, peers, endpoints,
+// timers), flow_node_openings.cc (which VM places an opening packet) and
+// flow_node_shards.cc (dispatchers per data centre).
 #ifndef VANILLALATCH_SRC_PACKETFLOW_FLOW_NODE_IMPL_H_
 #define VANILLALATCH_SRC_PACKETFLOW_FLOW_NODE_IMPL_H_
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -10,16 +12,20 @@
 #include <utility>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "src/packetflow/dispatcher_selector.h"
+#include "src/packetflow/shard.h"
 #include "vanillalatch/packetflow/flow_node.h"
 
 namespace vanillalatch::internal {
 
 class FlowNodeImpl final : public FlowNode {
  public:
-  FlowNodeImpl(std::string data_center, std::unique_ptr<PeerNode> peers,
+  FlowNodeImpl(const FlowNodeOptions& options, std::unique_ptr<PeerNode> peers,
                std::unique_ptr<FlowDispatcher> dispatcher)
-      : data_center_(std::move(data_center)),
+      : data_center_(options.data_center),
+        link_mbit_per_s_(options.link_mbit_per_s),
+        overlap_percent_(options.dispatcher.overlap_percent),
         peers_(std::move(peers)),
         dispatcher_(std::move(dispatcher)) {}
 
@@ -53,6 +59,7 @@
   struct PendingHandover {
     FlowOpening opening;
     NodeId dispatcher;
+    TimePoint sent_at;
     TimePoint due;  // When this VM places the flow itself.
   };
 
@@ -70,18 +77,58 @@
   // Processes a caller's opening packet.
   void OpenFlow(TimePoint now, const FlowRoute& route, const FlowPacket& packet,
                 ByteSpan bytes);
-  // The VM that is to place new flows of a service; this one if no other is
+  // The VM that is to place new flows of a shard; this one if no other is
   // usable.
-  NodeId DispatcherFor(TimePoint now, ServiceId service) const {
-    return dispatcher_selector_.Select(now, service,
-                                       peers_->members().members(), self());
+  NodeId DispatcherFor(TimePoint now, const ShardId& shard) const {
+    return dispatcher_selector_.Select(now, shard, peers_->members().members(),
+                                       self());
   }
   // The VM to which the progress and the end of a flow are reported: the one
   // that placed it or, if that VM is unknown or has failed, the present
-  // dispatcher of the service.
-  NodeId PlacerOf(TimePoint now, FlowId id, ServiceId service) const;
+  // dispatcher of the shard of the flow's endpoint.
+  NodeId PlacerOf(TimePoint now, FlowId id, const FlowTarget& target) const;
   // Places the flow here if this VM is the dispatcher, or hands it over.
   void Dispatch(TimePoint now, FlowOpening opening);
+
+  // Functions of flow_node_shards.cc. An unsharded service has one shard, whose
+  // data centre is empty.
+  bool HasShards(ServiceId service) const { return shards_.contains(service); }
+  // Shards of a service.
+  std::vector<ShardId> ShardsOfService(ServiceId service) const;
+  ShardId ShardOfEndpoint(const FlowTarget& target) const;
+  // Sets the shard of an opening that was not passed on: that of its ingress.
+  void SetShard(FlowOpening& opening) const;
+  bool IsDispatcherOf(const ShardId& shard) const;
+  // Decides as dispatcher of the opening's shard whether to pass it on. Returns
+  // the data centre to which it is passed on; nullopt if it stays.
+  std::optional<std::string> PassOn(TimePoint now, const FlowOpening& opening);
+  // The shard that is to get an opening if this shard has no usable endpoint
+  // and no other shard has reported its load.
+  std::optional<std::string> AnyOtherShard(const FlowOpening& opening) const;
+  // Hands an opening over to the dispatcher of another data centre.
+  void DispatchTo(TimePoint now, FlowOpening opening,
+                  const std::string& data_center);
+  // Dispatches an opening that was passed on and did not reach the dispatcher
+  // of the other data centre.
+  void ReturnHome(TimePoint now, FlowOpening opening);
+  // True if the opening was passed on to another shard than its ingress's.
+  static bool IsPassedOn(const FlowOpening& opening) {
+    return opening.hops > 0 && opening.shard != opening.data_center;
+  }
+  // The shard in which this VM places a flow itself: the opening's one, or
+  // another one if this VM is not its dispatcher, or it has no endpoint, and
+  // the other one has free slots by this VM's counts.
+  std::string LocalShardFor(TimePoint now, const FlowOpening& opening);
+  // Records the time that a handover took.
+  void OnHandoverAnswered(TimePoint now, const PendingHandover& handover);
+  void OnShardLoad(TimePoint now, NodeId from, const pb::ShardLoad& message);
+  // Sends the load of the shards that this VM dispatches, where it is due.
+  void SendShardLoads(TimePoint now);
+  // Removes what is stored about openings that were passed on long ago.
+  void ForgetPassedOn(TimePoint now);
+  // Recomputes the shards of a service. Returns the waiting flows, which have
+  // to be dispatched again after the dispatcher has the endpoints.
+  std::vector<FlowOpening> UpdateShards(TimePoint now, ServiceId service);
   void HandOver(TimePoint now, FlowOpening opening, NodeId to);
   // Dispatches the parked opening packets that need not wait any longer.
   void DispatchParked(TimePoint now);
@@ -93,7 +140,8 @@
   // Processes another VM's report of the progress of a flow.
   void OnSeen(TimePoint now, const pb::FlowSeen& message);
   // Processes a caller's packet that ends or aborts its flow.
-  void EndFlow(TimePoint now, const FlowPacket& packet, ServiceId service);
+  void EndFlow(TimePoint now, const FlowPacket& packet,
+               const FlowTarget& target);
   // Processes an opening packet that another VM hands over: places or refuses
   // the flow, or declines.
   void OnOpening(TimePoint now, NodeId from, const pb::FlowOpening& message);
@@ -114,15 +162,48 @@
   // Copies the endpoints of services that have changed from the registry to
   // the endpoint table and the dispatcher.
   void UpdateEndpoints(TimePoint now);
-  // Notifies dispatcher_ of the services whose first-ranked VM has changed.
+  // Notifies dispatcher_ of the shards whose first-ranked VM has changed.
   void UpdateFirstDispatchers(TimePoint now);
-  // Hands over the waiting flows of services whose dispatcher is another VM.
+  // Hands over the waiting flows of shards whose dispatcher is another VM.
   void HandOverWaiting(TimePoint now);
   NodeId self() const { return peers_->members().self(); }
   // The message to a VM that the next Flush() sends.
   pb::FlowMessage& PendingMessageTo(NodeId to) { return messages_[to]; }
 
+  // The load of another shard, as its dispatcher reported it.
+  struct ShardReport {
+    ShardLoad load;
+    TimePoint received = TimePoint::min();
+    // When openings were passed on to it that the report does not include.
+    std::deque<TimePoint> passed_on;
+  };
+  // The last report about a shard that this VM dispatches.
+  struct SentShardLoad {
+    ShardLoad load;
+    TimePoint sent_at;
+  };
+  // An opening that was passed on. Its retransmissions go the same way.
+  struct PassedOn {
+    std::uint32_t sequence = 0;
+    std::string data_center;
+    TimePoint until;  // When it is removed.
+  };
+
   std::string data_center_;
+  double link_mbit_per_s_;
+  std::uint32_t overlap_percent_;
+  // Data centres of the shards of each sharded service.
+  std::map<ServiceId, std::vector<std::string>> shards_;
+  std::map<ShardId, ShardReport> shard_reports_;
+  std::map<ShardId, SentShardLoad> sent_loads_;
+  TimePoint loads_due_{};
+  absl::flat_hash_map<FlowId, PassedOn> passed_on_;
+  TimePoint forget_passed_on_due_{};
+  // When the next opening is placed in a shard whose endpoints are all silent.
+  std::map<ShardId, TimePoint> silent_shard_probe_due_;
+  // Measured one-way delay to the VMs of each data centre.
+  std::map<std::string, Duration> ways_;
+  std::vector<ShardingChange> sharding_changes_;
   std::unique_ptr<PeerNode> peers_;
   std::unique_ptr<FlowDispatcher> dispatcher_;
   std::uint64_t revision_ = 0;
@@ -134,8 +215,8 @@
   std::map<FlowId, PendingHandover> pending_handovers_;
   std::map<FlowId, Parked> parked_;
   DispatcherSelector dispatcher_selector_;
-  // The VM of rank 0 for each service, as of the last UpdateFirstDispatchers().
-  std::map<ServiceId, NodeId> first_dispatchers_;
+  // The VM of rank 0 for each shard, as of the last UpdateFirstDispatchers().
+  std::map<ShardId, NodeId> first_dispatchers_;
   // When every service first had an endpoint.
   std::optional<TimePoint> endpoints_present_since_;
   // This VM's data about endpoints is considered complete.
--- a/src/packetflow/flow_node_openings.cc
+++ b/src/packetflow/flow_node_openings.cc
@@ -30,6 +30,7 @@
   opening.sequence = packet.sequence;
   opening.copy = packet.copy;
   opening.data_center = data_center_;
+  SetShard(opening);
   opening.packet.assign(bytes.begin(), bytes.end());
   if (dispatcher_->Contains(opening.id)) {
     Place(now, std::move(opening));
@@ -51,12 +52,15 @@
 }
 
 void FlowNodeImpl::Dispatch(TimePoint now, FlowOpening opening) {
-  const NodeId to = DispatcherFor(now, opening.service);
-  if (to == self()) {
+  SetShard(opening);
+  const NodeId to = DispatcherFor(now, {opening.service, opening.shard});
+  if (to != self()) {
+    HandOver(now, std::move(opening), to);
+  } else if (const std::optional<std::string> it = PassOn(now, opening)) {
+    DispatchTo(now, std::move(opening), *it);
+  } else {
     flow_tracker_.OnPlaced(opening.id, to);
     Place(now, std::move(opening));
-  } else {
-    HandOver(now, std::move(opening), to);
   }
 }
 
@@ -77,12 +81,16 @@
   pb::FlowOpening& message = *PendingMessageTo(to).add_openings();
   message = ToMessage(opening, revision_);
   message.set_settled(settled_);
+  message.set_may_redirect(HasShards(opening.service) && opening.hops == 0);
   const FlowId id = opening.id;
-  pending_handovers_[id] = {std::move(opening), to, now + kHandoverTimeout};
+  pending_handovers_[id] = {std::move(opening), to, now,
+                            now + kHandoverTimeout};
 }
 
 void FlowNodeImpl::Place(TimePoint now, FlowOpening opening) {
-  opening.progress_reported = DispatcherFor(now, opening.service) == self();
+  opening.shard = LocalShardFor(now, opening);
+  opening.progress_reported =
+      DispatcherFor(now, {opening.service, opening.shard}) == self();
   dispatcher_->Open(now, std::move(opening), actions_);
 }
 
@@ -104,11 +112,17 @@
     return;
   }
   std::optional<FlowOpening> opening = ResolveOpening(message);
-  if (opening) {
-    Place(now, *std::move(opening));
-  } else {
+  if (!opening) {
     actions_.refusals.push_back(
         {FlowId(message.id()), ErrorKind::kNotFound, message.packet(), {}});
+    return;
+  }
+  const std::optional<std::string> other =
+      message.may_redirect() ? PassOn(now, *opening) : std::nullopt;
+  if (other) {
+    taken.set_try_data_center(*other);
+  } else {
+    Place(now, *std::move(opening));
   }
 }
 
@@ -126,15 +140,24 @@
   if (it == pending_handovers_.end()) {
     return;
   }
+  OnHandoverAnswered(now, it->second);
   FlowOpening opening = std::move(it->second.opening);
   pending_handovers_.erase(it);
+  if (!message.try_data_center().empty()) {
+    DispatchTo(now, std::move(opening), message.try_data_center());
+    return;
+  }
   if (!message.declined()) {
     flow_tracker_.OnPlaced(opening.id, from);
     return;
   }
   dispatcher_selector_.OnDeclined(now, from);
   AddEvent(IngressEvent::Kind::kDeclined, opening, from);
-  Dispatch(now, std::move(opening));
+  if (IsPassedOn(opening)) {
+    ReturnHome(now, std::move(opening));
+  } else {
+    Dispatch(now, std::move(opening));
+  }
 }
 
 std::optional<FlowOpening> FlowNodeImpl::ResolveOpening(
@@ -149,6 +172,7 @@
     opening.work_class = route->work_class;
     opening.timeout = route->timeout;
   }
+  SetShard(opening);
   return opening;
 }
 
@@ -166,6 +190,10 @@
     it = pending_handovers_.erase(it);
   }
   for (FlowOpening& it : overdue) {
+    if (IsPassedOn(it)) {
+      ReturnHome(now, std::move(it));
+      continue;
+    }
     ++counters_.placed_alone;
     flow_tracker_.OnPlaced(it.id, self());
     Place(now, std::move(it));
@@ -173,14 +201,18 @@
 }
 
 void FlowNodeImpl::HandOverWaiting(TimePoint now) {
-  for (const ServiceId it : routes_.services()) {
-    const NodeId to = DispatcherFor(now, it);
-    if (to == self()) {
-      continue;
-    }
-    dispatcher_->StopSilenceDetection(it);
-    for (FlowOpening& opening : dispatcher_->TakeWaiting(now, it)) {
-      HandOver(now, std::move(opening), to);
+  for (const ServiceId service : routes_.services()) {
+    for (const ShardId& it : ShardsOfService(service)) {
+      const NodeId to = DispatcherFor(now, it);
+      if (to == self()) {
+        continue;
+      }
+      dispatcher_->StopSilenceDetection(it);
+      for (FlowOpening& opening : dispatcher_->TakeWaiting(now, it)) {
+        // A flow that waits in a queue is not passed on to another shard.
+        opening.hops = HasShards(service) ? 1 : 0;
+        HandOver(now, std::move(opening), to);
+      }
     }
   }
 }
