Simulate a sharded service in a fleet of three data centres

Cases: one data centre short of slots, cut off, without endpoints, with a failed dispatcher, without reports, and a change between sharded and united.

--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -316,6 +316,11 @@
   if (!dispatcher.ok()) {
     return dispatcher.error();
   }
+  // The data centre is only needed for shards. Without them it would lengthen
+  // the messages by which VMs join.
+  if (options.link_mbit_per_s > 0) {
+    options.members.location = options.data_center;
+  }
   Result<std::unique_ptr<PeerNode>> peers =
       PeerNode::Create(options.members, seed);
   if (!peers.ok()) {
--- a/src/packetflow/flow_node_impl.h
+++ b/src/packetflow/flow_node_impl.h
@@ -174,8 +174,15 @@
   struct ShardReport {
     ShardLoad load;
     TimePoint received = TimePoint::min();
-    // When openings were passed on to it that the report does not include.
+    // When openings were passed on to it recently.
     std::deque<TimePoint> passed_on;
+    // How long such a flow occupies a slot.
+    Duration answer_time{};
+    // Flows passed on that occupied a slot when the report was made.
+    std::int32_t reported_flows = 0;
+
+    // Number of openings passed on in (`at` - answer_time, `at`].
+    std::int32_t FlowsAt(TimePoint at) const;
   };
   // The last report about a shard that this VM dispatches.
   struct SentShardLoad {
--- a/src/packetflow/flow_node_shards.cc
+++ b/src/packetflow/flow_node_shards.cc
@@ -101,14 +101,11 @@
       continue;
     }
     ShardReport& report = shard_reports_[{opening.service, it}];
-    std::deque<TimePoint>& recent = report.passed_on;
-    while (!recent.empty() && recent.front() + answer_time < now) {
-      recent.pop_front();
-    }
+    report.answer_time = answer_time;
     const auto way = ways_.find(it);
     others.push_back({it, report.load, report.received,
                       way == ways_.end() ? kDefaultWay : way->second,
-                      static_cast<std::uint32_t>(recent.size())});
+                      report.FlowsAt(now) - report.reported_flows});
   }
   std::optional<std::string> selected;
   if (const auto it = SelectOtherShard(now, load, others, overlap_percent_)) {
@@ -234,12 +231,20 @@
   const auto way = ways_.find(shard.data_center);
   const Duration round_trip =
       2 * (way == ways_.end() ? kDefaultWay : way->second);
-  while (!report.passed_on.empty() &&
-         report.passed_on.front() + round_trip < now) {
+  report.reported_flows = report.FlowsAt(now - round_trip);
+  const TimePoint oldest = now - round_trip - report.answer_time;
+  while (!report.passed_on.empty() && report.passed_on.front() < oldest) {
     report.passed_on.pop_front();
   }
 }
 
+std::int32_t FlowNodeImpl::ShardReport::FlowsAt(TimePoint at) const {
+  const auto first =
+      std::upper_bound(passed_on.begin(), passed_on.end(), at - answer_time);
+  const auto last = std::upper_bound(passed_on.begin(), passed_on.end(), at);
+  return static_cast<std::int32_t>(last - first);
+}
+
 void FlowNodeImpl::SendShardLoads(TimePoint now) {
   if (shards_.empty() || routes_.classes().empty() || now < loads_due_) {
     return;
--- a/src/packetflow/flow_world.h
+++ b/src/packetflow/flow_world.h
@@ -39,6 +39,8 @@
     bool leaving = false;                           // Registered as leaving.
     std::size_t running = 0;   // Requests that occupy a slot.
     std::size_t openings = 0;  // Opening packets received.
+    std::set<int> assigned;    // Opened flows whose request is not done.
+    std::size_t peak = 0;      // Largest number of them so far.
     std::size_t served = 0;    // Requests completed.
     std::queue<int> waiting;   // Flows whose request waits for a slot.
     std::set<int> flows;       // Flows whose request was received.
@@ -56,8 +58,13 @@
 
   explicit FlowWorld(std::uint64_t seed);
 
-  // Starts entry VMs, alternately in the data centres north and south, and the
-  // control VM.
+  // Sets the data centres, the one-way delay that a packet between two of them
+  // takes in addition, and the rate of the VMs' links. To be called before
+  // AddVms().
+  void SetDataCenters(std::vector<std::string> names, Duration delay,
+                      double link_mbit_per_s);
+  // Starts entry VMs, in each data centre in turn, and the control VM. The data
+  // centres are north and south unless SetDataCenters() was called.
   void AddVms(std::size_t count);
   void StartVm(std::size_t n);
   // Makes a VM fail without notice.
@@ -85,7 +92,15 @@
     disconnected_.insert({a, b});
     disconnected_.insert({b, a});
   }
-  void Heal() { disconnected_.clear(); }
+  // Drops the datagrams between a data centre and everything outside of it,
+  // except those of callers.
+  void CutOff(const std::string& data_center) { cut_off_ = data_center; }
+  void Heal() {
+    disconnected_.clear();
+    cut_off_.clear();
+  }
+  // Drops the reports of load that shards send to each other.
+  void set_drop_loads(bool drop) { drop_loads_ = drop; }
 
   // Opens a flow through a VM and returns its number. Until an endpoint accepts
   // the flow, the caller retransmits the opening packet; then it sends one
@@ -100,8 +115,18 @@
   void Run(Duration time);
   TimePoint now() const { return now_; }
   FlowNode& Vm(std::size_t n) { return *vms_[n]; }
+  bool IsRunning(std::size_t n) const { return vms_[n] != nullptr; }
+  // Data centre of a VM; empty for the control VM.
+  std::string DataCenterOf(int vm) const {
+    return vm < 0 ? std::string()
+                  : data_centers_[static_cast<std::size_t>(vm) %
+                                  data_centers_.size()];
+  }
   // Index of the VM that is the dispatcher of a service.
   std::size_t DispatcherIndex(const std::string& service) const;
+  // Index of the VM that is the dispatcher of a service in one data centre.
+  std::size_t DispatcherIndex(const std::string& service,
+                              const std::string& data_center) const;
   // While set, answers of endpoints do not reach their callers.
   void set_hold_answers(bool hold) { hold_answers_ = hold; }
 
@@ -125,6 +150,9 @@
   void PerformActions(std::size_t vm);
   void SendOpening(int flow, std::uint32_t copy);
   void SendPacket(int flow, bool ends);
+  // Sends a packet from a VM to an endpoint.
+  void SendToEndpoint(std::size_t vm, const std::string& name,
+                      const FlowPacket& packet, int flow);
   void DeliverToEndpoint(const std::string& name, FlowPacket packet, int flow);
   void Serve(FakeEndpoint& endpoint);
   void Reset(int flow);
@@ -144,6 +172,11 @@
   std::map<int, Flow> flows_;
   int next_flow_ = 0;
   std::set<std::pair<int, int>> disconnected_;
+  std::string cut_off_;  // Empty: none.
+  bool drop_loads_ = false;
+  std::vector<std::string> data_centers_{"north", "south"};
+  Duration delay_between_data_centers_{};
+  double link_mbit_per_s_ = 0;
   bool hold_answers_ = false;
 };
 
--- a/src/packetflow/flow_world_test.cc
+++ b/src/packetflow/flow_world_test.cc
@@ -5,7 +5,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "vanillalatch/placement/rendezvous.h"
+#include "peer.pb.h"
+#include "src/packetflow/shard.h"
 
 namespace vanillalatch {
 namespace {
@@ -43,6 +44,13 @@
           static_cast<std::uint16_t>(FlowServiceId(service).value() | 1)};
 }
 
+void FlowWorld::SetDataCenters(std::vector<std::string> names, Duration delay,
+                               double link_mbit_per_s) {
+  data_centers_ = std::move(names);
+  delay_between_data_centers_ = delay;
+  link_mbit_per_s_ = link_mbit_per_s;
+}
+
 void FlowWorld::AddVms(std::size_t count) {
   vms_.resize(count);
   MemberListOptions members;
@@ -65,7 +73,8 @@
   options.members.peer = PeerOf(static_cast<int>(n));
   options.members.seeds = {PeerOf(kControl)};
   options.members.incarnation = ++starts_ * 1000;
-  options.data_center = n % 2 == 0 ? "north" : "south";
+  options.data_center = DataCenterOf(static_cast<int>(n));
+  options.link_mbit_per_s = link_mbit_per_s_;
   vms_[n] = FlowNode::Create(options, random_()).value();
   if (catalog_.revision() > 0) {
     Publish(n);
@@ -133,7 +142,7 @@
 
 void FlowWorld::RenewLeases() {
   for (const auto& [name, it] : endpoints_) {
-    if (it.silent) {
+    if (it.silent || (!cut_off_.empty() && it.data_center == cut_off_)) {
       continue;
     }
     Registration registration;
@@ -186,12 +195,27 @@
 void FlowWorld::Deliver(int from, Outbox& out) {
   for (const Outbox::Item& it : out.items()) {
     const int to = static_cast<int>(it.to.ip - 0x0A000000U) - 1;
-    if (disconnected_.contains({from, to})) {
+    const bool is_cut = !cut_off_.empty() && (DataCenterOf(from) == cut_off_) !=
+                                                 (DataCenterOf(to) == cut_off_);
+    if (is_cut || disconnected_.contains({from, to})) {
       continue;
     }
     const ByteSpan span = out.Bytes(it);
     std::vector<std::uint8_t> bytes(span.begin(), span.end());
-    After(kDelayBetweenVms, [this, from, to, bytes = std::move(bytes)] {
+    if (drop_loads_) {
+      pb::PeerDatagram datagram;
+      datagram.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
+      if (datagram.flow().loads_size() > 0) {
+        datagram.mutable_flow()->clear_loads();
+        const std::string rest = datagram.SerializeAsString();
+        bytes.assign(rest.begin(), rest.end());
+      }
+    }
+    const Duration delay =
+        kDelayBetweenVms + (DataCenterOf(from) == DataCenterOf(to)
+                                ? Duration::zero()
+                                : delay_between_data_centers_);
+    After(delay, [this, from, to, bytes = std::move(bytes)] {
       Outbox answers;
       if (to == kControl) {
         control_->OnDatagram(now_, PeerOf(from), bytes, answers);
@@ -212,9 +236,7 @@
     FlowPacket packet = flows_.at(flow).packet;
     packet.opens = true;
     const std::string name = FormatInstanceName(it.target.instance);
-    After(kDelayToEndpoint, [this, name, packet, flow] {
-      DeliverToEndpoint(name, packet, flow);
-    });
+    SendToEndpoint(vm, name, packet, flow);
   }
   for (const FlowRefusal& it : actions.refusals) {
     Reset(ParseFlowNumber(it.packet));
@@ -267,6 +289,19 @@
         [this, id] { flows_[id].reset |= flows_[id].endpoint.empty(); });
 }
 
+void FlowWorld::SendToEndpoint(std::size_t vm, const std::string& name,
+                               const FlowPacket& packet, int flow) {
+  const auto it = endpoints_.find(name);
+  const std::string from = DataCenterOf(static_cast<int>(vm));
+  const std::string to = it == endpoints_.end() ? from : it->second.data_center;
+  if (!cut_off_.empty() && (from == cut_off_) != (to == cut_off_)) {
+    return;
+  }
+  After(kDelayToEndpoint +
+            (from == to ? Duration::zero() : delay_between_data_centers_),
+        [this, name, packet, flow] { DeliverToEndpoint(name, packet, flow); });
+}
+
 void FlowWorld::DeliverToEndpoint(const std::string& name, FlowPacket packet,
                                   int id) {
   const auto it = endpoints_.find(name);
@@ -276,6 +311,10 @@
   FakeEndpoint& endpoint = it->second;
   if (packet.opens) {
     ++endpoint.openings;
+    if (!endpoint.flows.contains(id)) {
+      endpoint.assigned.insert(id);
+      endpoint.peak = std::max(endpoint.peak, endpoint.assigned.size());
+    }
     After(kDelayToCaller, [this, name, id] {
       Flow& flow = flows_[id];
       flow.accepted_by.insert(name);
@@ -306,6 +345,7 @@
     After(work, [this, &endpoint, id] {
       --endpoint.running;
       ++endpoint.served;
+      endpoint.assigned.erase(id);
       if (!hold_answers_) {
         After(kDelayToCaller, [this, id] {
           flows_[id].answered = now_;
@@ -328,18 +368,23 @@
   const FlowVerdict verdict = vms_[flow.vm]->OnPacket(now_, packet, {});
   if (verdict.kind == FlowVerdict::Kind::kForward) {
     const std::string name = FormatInstanceName(verdict.target->instance);
-    After(kDelayToEndpoint,
-          [this, name, packet, id] { DeliverToEndpoint(name, packet, id); });
+    SendToEndpoint(flow.vm, name, packet, id);
   }
   PerformActions(flow.vm);
 }
 
 std::size_t FlowWorld::DispatcherIndex(const std::string& service) const {
+  return DispatcherIndex(service, "");
+}
+
+std::size_t FlowWorld::DispatcherIndex(const std::string& service,
+                                       const std::string& data_center) const {
   const auto any_vm = std::find_if(
       vms_.begin(), vms_.end(), [](const auto& it) { return it != nullptr; });
-  const NodeId id = DispatcherOf(FlowServiceId(service),
-                                 (*any_vm)->peers().members().members(), 0)
-                        .value();
+  const NodeId id =
+      internal::ShardDispatcherOf({FlowServiceId(service), data_center},
+                                  (*any_vm)->peers().members().members(), 0)
+          .value();
   for (std::size_t n = 0; n < vms_.size(); ++n) {
     if (vms_[n] != nullptr && vms_[n]->peers().members().self() == id) {
       return n;
--- a/src/packetflow/shard.cc
+++ b/src/packetflow/shard.cc
@@ -121,7 +121,8 @@
       continue;
     }
     ShardLoad load = it.load;
-    load.free_slots -= std::min(load.free_slots, it.passed_on);
+    load.free_slots = static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+        std::int64_t{load.free_slots} - it.passed_on, 0, load.usable_slots));
     // Without an endpoint here, any free slot there is better.
     const bool must_be_idle = has_endpoint && home.free_slots > 0;
     const std::uint32_t room =
--- a/src/packetflow/shard.h
+++ b/src/packetflow/shard.h
@@ -68,8 +68,9 @@
   ShardLoad load;                         // As reported.
   TimePoint received = TimePoint::min();  // When the report was received.
   Duration way{};                         // One-way delay to it.
-  // Flows passed on to it which the report does not include yet.
-  std::uint32_t passed_on = 0;
+  // By how much the flows that were passed on to it and occupy a slot there
+  // have increased since the report.
+  std::int32_t passed_on = 0;
 };
 
 // Selects the shard to which the dispatcher of the shard with `home` passes on
--- a/src/packetflow/shard_test.cc
+++ b/src/packetflow/shard_test.cc
@@ -136,7 +136,7 @@
 }
 
 OtherShard Other(std::uint32_t free_slots, Duration age = {},
-                 Duration way = milliseconds(5), std::uint32_t passed_on = 0) {
+                 Duration way = milliseconds(5), std::int32_t passed_on = 0) {
   return {"x", Load(free_slots), kNow - age, way, passed_on};
 }
 
--- a/src/runtime/fleet_shell.cc
+++ b/src/runtime/fleet_shell.cc
@@ -26,7 +26,6 @@
   MemberListOptions options;
   options.name = settings.vm;
   options.data_center = kFleetGroup;
-  options.location = settings.data_center;
   options.dispatches = dispatches;
   options.peer = settings.fleet->listen;
   for (const SocketAddress& it : settings.fleet->seeds) {
--- a/src/runtime/flow_shell.cc
+++ b/src/runtime/flow_shell.cc
@@ -41,6 +41,7 @@
   FlowNodeOptions options;
   options.members = MakeMemberOptions(settings, true);
   options.data_center = settings.data_center;
+  options.link_mbit_per_s = settings.fleet->link_mbit_per_s.value_or(0);
   return FlowNode::Create(std::move(options), std::random_device()());
 }
 
