Let the second VM of a shard report its load while the first one starts

A VM that has just joined ranks first but declines for two seconds. Nobody sent reports to the VM that dispatched meanwhile, and nobody got its reports. packetflow_tests: all pass, "a VM joins and takes over a shard" as well; its flows now arrive at VMs that are ready only, as callers' packets do.

--- a/src/packetflow/flow_node_impl.h
+++ b/src/packetflow/flow_node_impl.h
@@ -99,6 +99,10 @@
   // Sets the shard of an opening that was not passed on: that of its ingress.
   void SetShard(FlowOpening& opening) const;
   bool IsDispatcherOf(const ShardId& shard) const;
+  // The VMs that receive and may send the reports of a shard's load.
+  std::vector<NodeId> ReportingVms(const ShardId& shard) const;
+  // True if this VM is to report the load of the shard.
+  bool ReportsLoadOf(TimePoint now, const ShardId& shard) const;
   // Decides as dispatcher of the opening's shard whether to pass it on. Returns
   // the data centre to which it is passed on; nullopt if it stays.
   std::optional<std::string> PassOn(TimePoint now, const FlowOpening& opening);
@@ -170,9 +174,13 @@
   // The message to a VM that the next Flush() sends.
   pb::FlowMessage& PendingMessageTo(NodeId to) { return messages_[to]; }
 
+  // Number of VMs of a shard, in the order of their ranks, that receive and may
+  // send its reports. While the first one starts, the second one dispatches.
+  static constexpr std::size_t kReportingRanks = 2;
   // The load of another shard, as its dispatcher reported it.
   struct ShardReport {
     ShardLoad load;
+    NodeId from;
     TimePoint received = TimePoint::min();
     // When openings were passed on to it recently.
     std::deque<TimePoint> passed_on;
@@ -204,6 +212,8 @@
   std::map<ShardId, ShardReport> shard_reports_;
   std::map<ShardId, SentShardLoad> sent_loads_;
   TimePoint loads_due_{};
+  // When this VM last placed a flow of a shard for another VM.
+  std::map<ShardId, TimePoint> placed_for_others_at_;
   absl::flat_hash_map<FlowId, PassedOn> passed_on_;
   TimePoint forget_passed_on_due_{};
   // When the next opening is placed in a shard whose endpoints are all silent.
--- a/src/packetflow/flow_node_openings.cc
+++ b/src/packetflow/flow_node_openings.cc
@@ -122,6 +122,7 @@
   if (other) {
     taken.set_try_data_center(*other);
   } else {
+    placed_for_others_at_[{opening->service, opening->shard}] = now;
     Place(now, *std::move(opening));
   }
 }
@@ -154,7 +155,8 @@
   dispatcher_selector_.OnDeclined(now, from);
   AddEvent(IngressEvent::Kind::kDeclined, opening, from);
   if (IsPassedOn(opening)) {
-    ReturnHome(now, std::move(opening));
+    const std::string data_center = opening.shard;
+    DispatchTo(now, std::move(opening), data_center);
   } else {
     Dispatch(now, std::move(opening));
   }
--- a/src/packetflow/flow_node_shards.cc
+++ b/src/packetflow/flow_node_shards.cc
@@ -73,6 +73,37 @@
   return ShardDispatcherOf(shard, peers_->members().members(), 0) == self();
 }
 
+std::vector<NodeId> FlowNodeImpl::ReportingVms(const ShardId& shard) const {
+  std::vector<NodeId> vms;
+  for (std::size_t rank = 0; rank < kReportingRanks; ++rank) {
+    const std::optional<NodeId> it =
+        ShardDispatcherOf(shard, peers_->members().members(), rank);
+    if (it) {
+      vms.push_back(*it);
+    }
+  }
+  return vms;
+}
+
+bool FlowNodeImpl::ReportsLoadOf(TimePoint now, const ShardId& shard) const {
+  // If a data centre has entry VMs but this VM sees none of them, the data
+  // centre may be cut off. Its free slots are then out of reach.
+  const bool may_be_cut_off =
+      shard.data_center != data_center_ &&
+      HasEntryVms(shard.data_center, peers_->members().members());
+  if (!settled_ || may_be_cut_off) {
+    return false;
+  }
+  const std::vector<NodeId> vms = ReportingVms(shard);
+  const auto rank = std::find(vms.begin(), vms.end(), self());
+  if (rank == vms.begin() || rank == vms.end()) {
+    return rank != vms.end();
+  }
+  const auto placed = placed_for_others_at_.find(shard);
+  return placed != placed_for_others_at_.end() &&
+         now - placed->second <= kMaxReportInterval;
+}
+
 std::optional<std::string> FlowNodeImpl::PassOn(TimePoint now,
                                                 const FlowOpening& opening) {
   if (!HasShards(opening.service) || opening.hops > 0 ||
@@ -216,11 +247,18 @@
                                const pb::ShardLoad& message) {
   const ShardId shard{ServiceId(message.service()), message.data_center()};
   // After a change of dispatcher the report of the earlier one may arrive late.
-  if (!HasShards(shard.service) ||
-      ShardDispatcherOf(shard, peers_->members().members(), 0) != from) {
+  const std::vector<NodeId> vms = ReportingVms(shard);
+  const auto rank = std::find(vms.begin(), vms.end(), from);
+  if (!HasShards(shard.service) || rank == vms.end()) {
     return;
   }
   ShardReport& report = shard_reports_[shard];
+  const bool is_recent = report.received != TimePoint::min() &&
+                         now - report.received <= kMaxShardReportAge;
+  if (rank != vms.begin() && report.from != from && is_recent) {
+    return;
+  }
+  report.from = from;
   report.load = {};
   report.load.usable_slots = message.usable_slots();
   report.load.free_slots =
@@ -250,14 +288,10 @@
     return;
   }
   loads_due_ = now + kLoadCheckInterval;
-  const std::span<const Member> members = peers_->members().members();
   for (const auto& [service, data_centers] : shards_) {
     for (const std::string& name : data_centers) {
       const ShardId shard{service, name};
-      // If a data centre has entry VMs but this VM sees none of them, the data
-      // centre may be cut off. Its free slots are then out of reach.
-      if (!IsDispatcherOf(shard) ||
-          (name != data_center_ && HasEntryVms(name, members))) {
+      if (!ReportsLoadOf(now, shard)) {
         continue;
       }
       const ShardLoad load =
@@ -282,10 +316,9 @@
       message.set_queued(load.queued);
       std::set<NodeId> receivers;
       for (const std::string& other : data_centers) {
-        const std::optional<NodeId> to =
-            ShardDispatcherOf({service, other}, members, 0);
-        if (other != name && to) {
-          receivers.insert(*to);
+        const std::vector<NodeId> vms = ReportingVms({service, other});
+        if (other != name) {
+          receivers.insert(vms.begin(), vms.end());
         }
       }
       for (const NodeId to : receivers) {
