--- a/src/packetflow/flow_node_impl.h
+++ b/src/packetflow/flow_node_impl.h
@@ -104,11 +104,14 @@
   // True if this VM is to report the load of the shard.
   bool ReportsLoadOf(TimePoint now, const ShardId& shard) const;
   // Decides as dispatcher of the opening's shard whether to pass it on. Returns
-  // the data centre to which it is passed on; nullopt if it stays.
+  // the data centre to which it is passed on; nullopt if it stays. An opening
+  // that was passed on to a shard without endpoints returns to its own one.
   std::optional<std::string> PassOn(TimePoint now, const FlowOpening& opening);
   // The shard that is to get an opening if this shard has no usable endpoint
-  // and no other shard has reported its load.
-  std::optional<std::string> AnyOtherShard(const FlowOpening& opening) const;
+  // and no other shard reported a free slot: the one with the shortest queue
+  // for its slots or, if none has reported yet, any that has endpoints.
+  std::optional<std::string> AnyOtherShard(TimePoint now,
+                                           const FlowOpening& opening) const;
   // Hands an opening over to the dispatcher of another data centre.
   void DispatchTo(TimePoint now, FlowOpening opening,
                   const std::string& data_center);
--- a/src/packetflow/flow_node_openings.cc
+++ b/src/packetflow/flow_node_openings.cc
@@ -81,7 +81,7 @@
   pb::FlowOpening& message = *PendingMessageTo(to).add_openings();
   message = ToMessage(opening, revision_);
   message.set_settled(settled_);
-  message.set_may_redirect(HasShards(opening.service) && opening.hops == 0);
+  message.set_may_redirect(HasShards(opening.service));
   const FlowId id = opening.id;
   pending_handovers_[id] = {std::move(opening), to, now,
                             now + kHandoverTimeout};
--- a/src/packetflow/flow_node_shards.cc
+++ b/src/packetflow/flow_node_shards.cc
@@ -106,10 +106,18 @@
 
 std::optional<std::string> FlowNodeImpl::PassOn(TimePoint now,
                                                 const FlowOpening& opening) {
-  if (!HasShards(opening.service) || opening.hops > 0 ||
-      dispatcher_->IsKnown(now, opening)) {
+  if (!HasShards(opening.service) || dispatcher_->IsKnown(now, opening)) {
     return std::nullopt;
   }
+  if (opening.hops > 0) {
+    // Its endpoints may have left since this shard reported free slots.
+    const bool goes_home =
+        IsPassedOn(opening) &&
+        !dispatcher_
+             ->LoadOf(now, {opening.service, opening.shard}, opening.work_class)
+             .in_service;
+    return goes_home ? std::optional(opening.data_center) : std::nullopt;
+  }
   PassedOn& passed = passed_on_[opening.id];
   if (passed.sequence == opening.sequence && now < passed.until) {
     return passed.data_center;
@@ -142,7 +150,7 @@
   if (const auto it = SelectOtherShard(now, load, others, overlap_percent_)) {
     selected = others[*it].data_center;
   } else if (!load.in_service) {
-    selected = AnyOtherShard(opening);
+    selected = AnyOtherShard(now, opening);
   }
   if (!selected) {
     passed_on_.erase(opening.id);
@@ -156,22 +164,34 @@
 }
 
 std::optional<std::string> FlowNodeImpl::AnyOtherShard(
-    const FlowOpening& opening) const {
+    TimePoint now, const FlowOpening& opening) const {
   const std::span<const Endpoint> endpoints =
       peers_->registry().EndpointsOf(opening.service);
   std::vector<std::string> usable;
+  std::optional<std::string> shortest;
+  double least = 0;
   for (const std::string& it : shards_.at(opening.service)) {
     const ShardId shard{opening.service, it};
     const auto report = shard_reports_.find(shard);
     const bool has_reported = report != shard_reports_.end() &&
                               report->second.received != TimePoint::min();
+    const ShardLoad load = has_reported ? report->second.load : ShardLoad{};
+    if (it != opening.shard && load.usable_slots > 0 &&
+        now - report->second.received <= kMaxShardReportAge) {
+      const double queue_per_slot =
+          static_cast<double>(load.queued) / load.usable_slots;
+      if (!shortest || queue_per_slot < least) {
+        shortest = it;
+        least = queue_per_slot;
+      }
+    }
     if (it != opening.shard && !has_reported &&
         HasReadyEndpoint(endpoints, it) && !IsDispatcherOf(shard)) {
       usable.push_back(it);
     }
   }
-  if (usable.empty()) {
-    return std::nullopt;
+  if (shortest || usable.empty()) {
+    return shortest;
   }
   return usable[StableHash(opening.id.value(), 0) % usable.size()];
 }
