--- a/src/packetflow/flow_messages.h
+++ b/src/packetflow/flow_messages.h
@@ -23,11 +23,12 @@
 
 // Converts an opening packet to its message. `revision` is that of the catalog
 // from which `opening` takes its service, class and timeout. Does not set the
-// field `settled`, which says whether the sender's data about endpoints is
-// complete.
+// fields `settled`, which says whether the sender's data about endpoints is
+// complete, and `may_redirect`.
 pb::FlowOpening ToMessage(const FlowOpening& opening, std::uint64_t revision,
                           MessageForm form);
 // Converts a message to an opening packet. Does not set `progress_reported`.
+// `shard` is set as for a sharded service.
 FlowOpening FromMessage(const pb::FlowOpening& message);
 
 // Adds the sizes of the items of a message to `traffic`, and the rest of its
--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -6,7 +6,6 @@
 
 #include "src/packetflow/flow_messages.h"
 #include "src/packetflow/flow_node_impl.h"
-#include "vanillalatch/placement/rendezvous.h"
 
 namespace vanillalatch {
 namespace internal {
@@ -95,7 +94,7 @@
     return {FlowVerdict::Kind::kDrop};
   }
   if (packet.ends || packet.aborts) {
-    EndFlow(now, packet, target->service);
+    EndFlow(now, packet, *target);
   } else {
     ReportProgress(now, packet, *route, *target);
   }
@@ -112,7 +111,7 @@
   }
   const EstablishedFlow established{target.service, route.work_class,
                                     route.timeout, target.endpoint};
-  const NodeId to = PlacerOf(now, update->id, target.service);
+  const NodeId to = PlacerOf(now, update->id, target);
   if (dispatcher_->Contains(update->id) || to == self()) {
     dispatcher_->OnFlowUpdate(now, *update, established, actions_);
     return;
@@ -134,14 +133,15 @@
 }
 
 NodeId FlowNodeImpl::PlacerOf(TimePoint now, FlowId id,
-                              ServiceId service) const {
+                              const FlowTarget& target) const {
   const std::optional<NodeId> placer = flow_tracker_.PlacerOf(id);
   const std::span<const Member> members = peers_->members().members();
   const bool placer_is_member =
       placer && std::any_of(members.begin(), members.end(), [&](auto& it) {
         return it.id == *placer && it.state != MemberState::kDead;
       });
-  return placer_is_member ? *placer : DispatcherFor(now, service);
+  return placer_is_member ? *placer
+                          : DispatcherFor(now, ShardOfEndpoint(target));
 }
 
 void FlowNodeImpl::OnSeen(TimePoint now, const pb::FlowSeen& message) {
@@ -162,9 +162,9 @@
 }
 
 void FlowNodeImpl::EndFlow(TimePoint now, const FlowPacket& packet,
-                           ServiceId service) {
+                           const FlowTarget& target) {
   const FlowId id = packet.id();
-  const NodeId to = PlacerOf(now, id, service);
+  const NodeId to = PlacerOf(now, id, target);
   flow_tracker_.Erase(id);
   if (dispatcher_->Contains(id)) {
     dispatcher_->End(now, id, packet.aborts, {}, actions_);
@@ -206,6 +206,9 @@
       dispatcher_->End(now, FlowId(it.id()), it.given_up(), DecodeAge(it.age()),
                        actions_);
     }
+    for (const pb::ShardLoad& it : message->loads()) {
+      OnShardLoad(now, sender, it);
+    }
   }
 }
 
@@ -234,6 +237,10 @@
   UpdateEndpoints(now);
   if (peers_->members().version() != members_version_) {
     members_version_ = peers_->members().version();
+    for (auto& [service, it] : shards_) {
+      it = ShardsOf(peers_->registry().EndpointsOf(service),
+                    peers_->members().members());
+    }
     UpdateFirstDispatchers(now);
     HandOverWaiting(now);
   }
@@ -243,6 +250,8 @@
   PlaceTimedOutHandovers(now);
   DispatchParked(now);
   dispatcher_->OnTick(now, actions_);
+  SendShardLoads(now);
+  ForgetPassedOn(now);
   if (now >= lost_endpoint_check_due_) {
     lost_endpoint_check_due_ = now + kLostEndpointCheckInterval;
     endpoints_.DropLost(now);
@@ -284,6 +293,7 @@
       continue;
     }
     entry->second = version;
+    std::vector<FlowOpening> waiting = UpdateShards(now, it);
     endpoints_.SetEndpoints(now, it, registry.EndpointsOf(it));
     std::vector<Endpoint> usable;
     for (const Endpoint& endpoint : registry.EndpointsOf(it)) {
@@ -292,17 +302,27 @@
       }
     }
     dispatcher_->SetEndpoints(now, it, usable, actions_);
+    for (FlowOpening& opening : waiting) {
+      Dispatch(now, std::move(opening));
+    }
   }
 }
 
 void FlowNodeImpl::UpdateFirstDispatchers(TimePoint now) {
-  for (const ServiceId it : routes_.services()) {
-    const NodeId first =
-        DispatcherOf(it, peers_->members().members(), 0).value_or(self());
-    const auto [entry, added] = first_dispatchers_.try_emplace(it, first);
-    if (added || entry->second != first) {
-      entry->second = first;
-      dispatcher_->OnDispatcherChanged(now, it);
+  for (const ServiceId service : routes_.services()) {
+    for (const ShardId& it : ShardsOfService(service)) {
+      const NodeId first = ShardDispatcherOf(it, peers_->members().members(), 0)
+                               .value_or(self());
+      const auto [entry, added] = first_dispatchers_.try_emplace(it, first);
+      if (added || entry->second != first) {
+        entry->second = first;
+        dispatcher_->OnDispatcherChanged(now, service);
+        // The new dispatcher has no reports of the other shards yet.
+        loads_due_ = now;
+        std::erase_if(sent_loads_, [&](const auto& sent) {
+          return sent.first.service == service;
+        });
+      }
     }
   }
 }
@@ -318,7 +338,7 @@
   for (const auto& [to, it] : messages_) {
     wake = std::min(wake, it.due());
   }
-  return wake;
+  return shards_.empty() ? wake : std::min(wake, loads_due_);
 }
 
 void FlowNodeImpl::Flush(TimePoint now, Outbox& out) {
@@ -357,6 +377,7 @@
   actions.ingress_events = std::exchange(ingress_events_, {});
   actions.evacuation_events = std::exchange(evacuation_events_, {});
   actions.link_events = std::exchange(link_events_, {});
+  actions.sharding_changes = std::exchange(sharding_changes_, {});
   actions_ = {};
   return actions;
 }
@@ -372,20 +393,24 @@
 
 Result<std::unique_ptr<FlowNode>> FlowNode::Create(FlowNodeOptions options,
                                                    std::uint64_t seed) {
-  options.dispatcher.limit_moves |= options.link_bytes_per_second > 0;
+  options.dispatcher.limit_moves |= options.link_mbit_per_s > 0;
   Result<std::unique_ptr<FlowDispatcher>> dispatcher =
       FlowDispatcher::Create(options.dispatcher, seed);
   if (!dispatcher.ok()) {
     return dispatcher.error();
   }
+  // The data centre is only needed for shards. Without them it would lengthen
+  // the messages by which VMs join.
+  if (options.link_mbit_per_s > 0) {
+    options.members.location = options.data_center;
+  }
   Result<std::unique_ptr<PeerNode>> peers =
-      PeerNode::Create(std::move(options.members), seed);
+      PeerNode::Create(options.members, seed);
   if (!peers.ok()) {
     return peers.error();
   }
   return std::unique_ptr<FlowNode>(std::make_unique<internal::FlowNodeImpl>(
-      std::move(options.data_center), options.link_bytes_per_second,
-      std::move(*peers), std::move(*dispatcher)));
+      options, std::move(*peers), std::move(*dispatcher)));
 }
 
 }  // namespace vanillalatch
--- a/src/packetflow/flow_node_evacuation.cc
+++ b/src/packetflow/flow_node_evacuation.cc
@@ -2,7 +2,6 @@
 #include <algorithm>
 
 #include "src/packetflow/flow_node_impl.h"
-#include "vanillalatch/placement/rendezvous.h"
 
 namespace vanillalatch::internal {
 namespace {
@@ -76,7 +75,8 @@
   for (const auto& [service, warm_up] : warm_ups_) {
     if (!warm_ups.contains(service)) {
       dispatcher_->SetWarmUp(now, service, {});
-      roles_.erase(service);
+      std::erase_if(
+          roles_, [&](const auto& it) { return it.first.service == service; });
     }
   }
   for (const auto& [service, warm_up] : warm_ups) {
@@ -99,24 +99,31 @@
     seen += it.dispatches && it.state != MemberState::kDead ? 1 : 0;
   }
   for (const auto& [service, warm_up] : warm_ups_) {
-    // A VM that is not settled may not know of the other VMs yet.
-    const bool is_dispatcher =
-        settled_ &&
-        DispatcherOf(service, peers_->members().members(), 0) == self();
-    const auto [entry, added] = roles_.try_emplace(service);
-    DispatcherRole& role = entry->second;
-    if (added || role.is_dispatcher != is_dispatcher) {
-      role = {is_dispatcher, now, std::nullopt};
-    }
-    ColdUse use;
-    use.share = is_dispatcher ? seen / known : 1 / (kAloneDivisor * known);
-    use.only_without_warm = !is_dispatcher;
-    use.from = role.since + kNewDispatcherHold;
-    if (role.use != use) {
-      role.use = use;
-      dispatcher_->SetColdUse(now, service, use);
+    for (const ShardId& it : ShardsOfService(service)) {
+      UpdateColdUse(now, it, seen / known, 1 / (kAloneDivisor * known));
     }
   }
 }
 
+void FlowNodeImpl::UpdateColdUse(TimePoint now, const ShardId& shard,
+                                 double dispatcher_share, double alone_share) {
+  // A VM that is not settled may not know of the other VMs yet.
+  const bool is_dispatcher =
+      settled_ &&
+      ShardDispatcherOf(shard, peers_->members().members(), 0) == self();
+  const auto [entry, added] = roles_.try_emplace(shard);
+  DispatcherRole& role = entry->second;
+  if (added || role.is_dispatcher != is_dispatcher) {
+    role = {is_dispatcher, now, std::nullopt};
+  }
+  ColdUse use;
+  use.share = is_dispatcher ? dispatcher_share : alone_share;
+  use.only_without_warm = !is_dispatcher;
+  use.from = role.since + kNewDispatcherHold;
+  if (role.use != use) {
+    role.use = use;
+    dispatcher_->SetColdUse(now, shard, use);
+  }
+}
+
 }  // namespace vanillalatch::internal
--- a/src/packetflow/flow_world.h
+++ b/src/packetflow/flow_world.h
@@ -42,6 +42,8 @@
     std::size_t openings = 0;  // Opening packets received.
     // When each of them was received, and the VM that sent it.
     std::vector<std::pair<TimePoint, std::size_t>> arrivals;
+    std::set<int> assigned;   // Opened flows whose request is not done.
+    std::size_t peak = 0;     // Largest number of them so far.
     std::size_t served = 0;   // Requests completed.
     std::queue<int> waiting;  // Flows whose request waits for a slot.
     std::set<int> flows;      // Flows whose request was received.
@@ -62,8 +64,13 @@
 
   explicit FlowWorld(std::uint64_t seed);
 
-  // Starts entry VMs, alternately in the data centres north and south, and the
-  // control VM.
+  // Sets the data centres, the one-way delay that a packet between two of them
+  // takes in addition, and the rate of the VMs' links. To be called before
+  // AddVms().
+  void SetDataCenters(std::vector<std::string> names, Duration delay,
+                      double link_mbit_per_s);
+  // Starts entry VMs, in each data centre in turn, and the control VM. The data
+  // centres are north and south unless SetDataCenters() was called.
   void AddVms(std::size_t count);
   void StartVm(std::size_t n);
   // Makes a VM fail without notice.
@@ -97,7 +104,15 @@
     disconnected_.insert({a, b});
     disconnected_.insert({b, a});
   }
-  void Heal() { disconnected_.clear(); }
+  // Drops the datagrams between a data centre and everything outside of it,
+  // except those of callers.
+  void CutOff(const std::string& data_center) { cut_off_ = data_center; }
+  void Heal() {
+    disconnected_.clear();
+    cut_off_.clear();
+  }
+  // Drops the reports of load that shards send to each other.
+  void set_drop_loads(bool drop) { drop_loads_ = drop; }
 
   // Opens a flow through a VM and returns its number. Until an endpoint accepts
   // the flow, the caller retransmits the opening packet; then it sends one
@@ -119,14 +134,26 @@
   FlowNode& Vm(std::size_t n) { return *vms_[n]; }
   bool IsRunning(std::size_t n) const { return vms_[n] != nullptr; }
   const pb::Catalog& catalog() const { return catalog_; }
+  // Data centre of a VM; empty for the control VM.
+  std::string DataCenterOf(int vm) const {
+    return vm < 0 ? std::string()
+                  : data_centers_[static_cast<std::size_t>(vm) %
+                                  data_centers_.size()];
+  }
   // Index of the VM that is the dispatcher of a service.
   std::size_t DispatcherIndex(const std::string& service) const;
+  // Index of the VM that is the dispatcher of a service in one data centre.
+  std::size_t DispatcherIndex(const std::string& service,
+                              const std::string& data_center) const;
   // While set, answers of endpoints do not reach their callers.
   void set_hold_answers(bool hold) { hold_answers_ = hold; }
   // Sets the size of opening packets; the default is a few bytes.
   void set_opening_bytes(std::size_t n) { opening_bytes_ = n; }
-  // Sets FlowNodeOptions::link_bytes_per_second of the VMs started from now on.
-  void set_link_rate(std::uint64_t rate) { link_rate_ = rate; }
+  // Sets FlowNodeOptions::link_mbit_per_s of the VMs started from now on to
+  // this rate in bytes a second.
+  void set_link_rate(std::uint64_t rate) {
+    link_mbit_per_s_ = static_cast<double>(rate) / 125'000;
+  }
   // Connects every VM through a link of this rate in each direction, with a
   // queue of at most 100 ms; further datagrams are dropped.
   void SetLinks(std::uint64_t bytes_per_second);
@@ -169,6 +196,9 @@
   // Has the caller send its next request, or end the flow after the last one.
   void Continue(int flow);
   void OnAnswer(int flow);
+  // Sends a packet from a VM to an endpoint.
+  void SendToEndpoint(std::size_t vm, const std::string& name,
+                      const FlowPacket& packet, int flow, std::size_t bytes);
   // `vm`: the VM that sent the packet.
   void DeliverToEndpoint(const std::string& name, FlowPacket packet, int flow,
                          std::size_t vm);
@@ -190,9 +220,13 @@
   std::map<int, Flow> flows_;
   int next_flow_ = 0;
   std::set<std::pair<int, int>> disconnected_;
+  std::string cut_off_;  // Empty: none.
+  bool drop_loads_ = false;
+  std::vector<std::string> data_centers_{"north", "south"};
+  Duration delay_between_data_centers_{};
+  double link_mbit_per_s_ = 0;
   bool hold_answers_ = false;
   std::size_t opening_bytes_ = 0;
-  std::uint64_t link_rate_ = 0;
   double link_bytes_per_second_ = 0;
   std::vector<Link> links_;  // Two for each VM: outbound, inbound.
   Tap tap_;
--- a/src/packetflow/flow_world_test.cc
+++ b/src/packetflow/flow_world_test.cc
@@ -5,7 +5,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "vanillalatch/placement/rendezvous.h"
+#include "peer.pb.h"
+#include "src/packetflow/shard.h"
 
 namespace vanillalatch {
 namespace {
@@ -54,6 +55,13 @@
           static_cast<std::uint16_t>(FlowServiceId(service).value() | 1)};
 }
 
+void FlowWorld::SetDataCenters(std::vector<std::string> names, Duration delay,
+                               double link_mbit_per_s) {
+  data_centers_ = std::move(names);
+  delay_between_data_centers_ = delay;
+  link_mbit_per_s_ = link_mbit_per_s;
+}
+
 void FlowWorld::AddVms(std::size_t count) {
   vms_.resize(count);
   MemberListOptions members;
@@ -76,8 +84,8 @@
   options.members.peer = PeerOf(static_cast<int>(n));
   options.members.seeds = {PeerOf(kControl)};
   options.members.incarnation = kFirstIncarnation + ++starts_ * 1000;
-  options.link_bytes_per_second = link_rate_;
-  options.data_center = n % 2 == 0 ? "north" : "south";
+  options.data_center = DataCenterOf(static_cast<int>(n));
+  options.link_mbit_per_s = link_mbit_per_s_;
   vms_[n] = FlowNode::Create(options, random_()).value();
   if (catalog_.revision() > 0) {
     Publish(n);
@@ -168,7 +176,7 @@
 
 void FlowWorld::RegisterEndpoints() {
   for (const auto& [name, it] : endpoints_) {
-    if (it.silent) {
+    if (it.silent || (!cut_off_.empty() && it.data_center == cut_off_)) {
       continue;
     }
     Registration registration;
@@ -221,7 +229,9 @@
 void FlowWorld::Deliver(int from, Outbox& out) {
   for (const Outbox::Item& it : out.items()) {
     const int to = static_cast<int>(it.to.ip - 0x0A000000U) - 1;
-    if (disconnected_.contains({from, to})) {
+    const bool is_cut = !cut_off_.empty() && (DataCenterOf(from) == cut_off_) !=
+                                                 (DataCenterOf(to) == cut_off_);
+    if (is_cut || disconnected_.contains({from, to})) {
       continue;
     }
     const ByteSpan span = out.Bytes(it);
@@ -229,13 +239,28 @@
       tap_(from, to, span);
     }
     std::vector<std::uint8_t> bytes(span.begin(), span.end());
+    if (drop_loads_) {
+      pb::PeerDatagram datagram;
+      datagram.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
+      if (datagram.flow().loads_size() > 0) {
+        datagram.mutable_flow()->clear_loads();
+        const std::string rest = datagram.SerializeAsString();
+        bytes.assign(rest.begin(), rest.end());
+      }
+    }
+    const Duration delay =
+        kDelayBetweenVms + (DataCenterOf(from) == DataCenterOf(to)
+                                ? Duration::zero()
+                                : delay_between_data_centers_);
     const std::size_t n = bytes.size();
-    PassLink(from, false, n, [this, from, to, n, bytes = std::move(bytes)] {
-      After(kDelayBetweenVms, [this, from, to, n, bytes] {
-        PassLink(to, true, n,
-                 [this, from, to, bytes] { OnPeerDatagram(from, to, bytes); });
-      });
-    });
+    PassLink(from, false, n,
+             [this, from, to, n, delay, bytes = std::move(bytes)] {
+               After(delay, [this, from, to, n, bytes] {
+                 PassLink(to, true, n, [this, from, to, bytes] {
+                   OnPeerDatagram(from, to, bytes);
+                 });
+               });
+             });
   }
 }
 
@@ -291,12 +316,7 @@
     FlowPacket packet = flows_.at(flow).packet;
     packet.opens = true;
     const std::string name = FormatInstanceName(it.target.instance);
-    PassLink(static_cast<int>(vm), false, it.packet.size(),
-             [this, name, packet, flow, vm] {
-               After(kDelayToEndpoint, [this, name, packet, flow, vm] {
-                 DeliverToEndpoint(name, packet, flow, vm);
-               });
-             });
+    SendToEndpoint(vm, name, packet, flow, it.packet.size());
   }
   for (const FlowRefusal& it : actions.refusals) {
     Reset(ParseFlowNumber(it.packet));
@@ -366,6 +386,26 @@
         [this, id] { flows_[id].reset |= flows_[id].endpoint.empty(); });
 }
 
+void FlowWorld::SendToEndpoint(std::size_t vm, const std::string& name,
+                               const FlowPacket& packet, int flow,
+                               std::size_t bytes) {
+  const auto it = endpoints_.find(name);
+  const std::string from = DataCenterOf(static_cast<int>(vm));
+  const std::string to = it == endpoints_.end() ? from : it->second.data_center;
+  if (!cut_off_.empty() && (from == cut_off_) != (to == cut_off_)) {
+    return;
+  }
+  const Duration delay =
+      kDelayToEndpoint +
+      (from == to ? Duration::zero() : delay_between_data_centers_);
+  PassLink(static_cast<int>(vm), false, bytes,
+           [this, name, packet, flow, vm, delay] {
+             After(delay, [this, name, packet, flow, vm] {
+               DeliverToEndpoint(name, packet, flow, vm);
+             });
+           });
+}
+
 void FlowWorld::DeliverToEndpoint(const std::string& name, FlowPacket packet,
                                   int id, std::size_t vm) {
   const auto it = endpoints_.find(name);
@@ -376,6 +416,10 @@
   if (packet.opens) {
     ++endpoint.openings;
     endpoint.arrivals.emplace_back(now_, vm);
+    if (!endpoint.flows.contains(id)) {
+      endpoint.assigned.insert(id);
+      endpoint.peak = std::max(endpoint.peak, endpoint.assigned.size());
+    }
     After(kDelayToCaller, [this, name, id] {
       Flow& flow = flows_[id];
       flow.accepted_by.insert(name);
@@ -413,6 +457,7 @@
     After(work, [this, &endpoint, id] {
       --endpoint.running;
       ++endpoint.served;
+      endpoint.assigned.erase(id);
       if (!hold_answers_) {
         After(kDelayToCaller, [this, id] { OnAnswer(id); });
       }
@@ -458,23 +503,23 @@
   const FlowVerdict verdict = vms_[flow.vm]->OnPacket(now_, packet, {});
   if (verdict.kind == FlowVerdict::Kind::kForward) {
     const std::string name = FormatInstanceName(verdict.target->instance);
-    const std::size_t vm = flow.vm;
-    PassLink(static_cast<int>(vm), false, kCallerPacketBytes,
-             [this, name, packet, id, vm] {
-               After(kDelayToEndpoint, [this, name, packet, id, vm] {
-                 DeliverToEndpoint(name, packet, id, vm);
-               });
-             });
+    SendToEndpoint(flow.vm, name, packet, id, kCallerPacketBytes);
   }
   PerformActions(flow.vm);
 }
 
 std::size_t FlowWorld::DispatcherIndex(const std::string& service) const {
+  return DispatcherIndex(service, "");
+}
+
+std::size_t FlowWorld::DispatcherIndex(const std::string& service,
+                                       const std::string& data_center) const {
   const auto any_vm = std::find_if(
       vms_.begin(), vms_.end(), [](const auto& it) { return it != nullptr; });
-  const NodeId id = DispatcherOf(FlowServiceId(service),
-                                 (*any_vm)->peers().members().members(), 0)
-                        .value();
+  const NodeId id =
+      internal::ShardDispatcherOf({FlowServiceId(service), data_center},
+                                  (*any_vm)->peers().members().members(), 0)
+          .value();
   for (std::size_t n = 0; n < vms_.size(); ++n) {
     if (vms_[n] != nullptr && vms_[n]->peers().members().self() == id) {
       return n;
--- a/src/packetflow/pending_message.cc
+++ b/src/packetflow/pending_message.cc
@@ -34,6 +34,11 @@
   return *message_.add_taken();
 }
 
+pb::ShardLoad& PendingMessage::AddLoad() {
+  due_ = kAtOnce;
+  return *message_.add_loads();
+}
+
 void PendingMessage::AddSeen(TimePoint now, pb::FlowSeen report) {
   due_ = report.requests() ? kAtOnce : std::min(due_, now + max_wait_);
   if (report.requests()) {
--- a/src/packetflow/pending_message.h
+++ b/src/packetflow/pending_message.h
@@ -34,6 +34,7 @@
   // the new flow, and the opening shows that the earlier one has ended.
   pb::FlowOpening& AddOpening(std::uint64_t id);
   pb::FlowTaken& AddTaken();
+  pb::ShardLoad& AddLoad();
   // Adds a report of progress. A request replaces the waiting report of its
   // flow's handshake, as it shows the same.
   void AddSeen(TimePoint now, pb::FlowSeen report);
