Read and check warm-up bounds in the catalog

The catalog file gets the keys warm_up and warm_up_per_second of a service, so that a catalog that is read and applied again keeps its bounds.

--- a/include/vanillalatch/catalog/catalog_file.h
+++ b/include/vanillalatch/catalog/catalog_file.h
@@ -8,6 +8,10 @@
 //   target    The latency that answers should not exceed, the share of answers
 //             that should arrive in time, and the share of the service's
 //             capacity that is meant for the class.
+//   warm-up   The time after its start for which an endpoint is slow, and the
+//   new
+//             requests per second that it bears meanwhile: "warm_up": "10s",
+//             "warm_up_per_second": 5. Without them there is no bound.
 //   revision  The number of a version of the catalog. Each change that takes
 //             effect raises it by one.
 //
--- a/include/vanillalatch/catalog/state_machine.h
+++ b/include/vanillalatch/catalog/state_machine.h
@@ -7,6 +7,7 @@
 #define VANILLALATCH_CATALOG_STATE_MACHINE_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <optional>
 #include <string>
@@ -18,6 +19,10 @@
 
 namespace vanillalatch {
 
+// The highest warm-up time and rate that a service may state.
+inline constexpr std::uint32_t kMaxWarmUpMs = 10 * 60 * 1000;
+inline constexpr std::uint32_t kMaxWarmUpPerSecond = 1'000'000;
+
 // Validates the services and draining VMs of a change: names must be present
 // and unique, targets in range, and the shares of a service at most 100 % in
 // total. Returns a description of the first error, or an empty string.
--- a/src/catalog/catalog_file.cc
+++ b/src/catalog/catalog_file.cc
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "src/catalog/catalog_text.h"
+#include "vanillalatch/catalog/state_machine.h"
 #include "vanillalatch/jsonc/document.h"
 
 namespace vanillalatch {
@@ -86,7 +87,7 @@
 };
 
 pb::Service ReadService(const JsonValue& value) {
-  value.CheckKeys({"name", "work", "classes"});
+  value.CheckKeys({"name", "work", "classes", "warm_up", "warm_up_per_second"});
   pb::Service service;
   service.set_name(value.At("name").Name());
   if (const JsonValue* it = value.Find("work")) {
@@ -94,6 +95,16 @@
                          ? pb::WORK_REQUESTS
                          : pb::WORK_SESSIONS);
   }
+  if (const JsonValue* it = value.Find("warm_up")) {
+    const Duration time = it->Time(std::chrono::milliseconds(1),
+                                   std::chrono::milliseconds(kMaxWarmUpMs));
+    service.set_warm_up_ms(
+        static_cast<std::uint32_t>(time / std::chrono::milliseconds(1)));
+  }
+  if (const JsonValue* it = value.Find("warm_up_per_second")) {
+    service.set_warm_up_per_second(
+        static_cast<double>(it->Integer(1, kMaxWarmUpPerSecond)));
+  }
   ClassListValidator validator;
   for (const JsonValue& it : value.At("classes").Items()) {
     const pb::ClassTarget target = ReadClass(it);
@@ -150,9 +161,17 @@
       target["share"] = internal::FormatShare(it);
       classes.push_back(std::move(target));
     }
-    services.push_back({{"name", service.name()},
-                        {"work", internal::FormatWork(service)},
-                        {"classes", std::move(classes)}});
+    Json added = {{"name", service.name()},
+                  {"work", internal::FormatWork(service)}};
+    if (service.warm_up_ms() > 0) {
+      added["warm_up"] = internal::FormatWarmUp(service);
+    }
+    if (service.warm_up_per_second() > 0) {
+      added["warm_up_per_second"] =
+          static_cast<std::uint32_t>(service.warm_up_per_second());
+    }
+    added["classes"] = std::move(classes);
+    services.push_back(std::move(added));
   }
   const Json root = {{"services", std::move(services)}};
   return "// Revision " + std::to_string(catalog.revision()) + "\n" +
--- a/src/catalog/catalog_file_difference.cc
+++ b/src/catalog/catalog_file_difference.cc
@@ -38,6 +38,17 @@
   return service.work() == pb::WORK_SESSIONS ? "sessions" : "requests";
 }
 
+std::string FormatWarmUp(const pb::Service& service) {
+  return service.warm_up_ms() == 0
+             ? "none"
+             : FormatDuration(std::chrono::milliseconds(service.warm_up_ms()));
+}
+
+std::string FormatWarmUpRate(const pb::Service& service) {
+  const auto rate = static_cast<std::uint32_t>(service.warm_up_per_second());
+  return rate == 0 ? "no bound" : std::to_string(rate);
+}
+
 }  // namespace internal
 
 namespace {
@@ -78,6 +89,11 @@
                      const pb::Service& after, Lines& lines) {
   AddFieldDifference(subject, "work", internal::FormatWork(before),
                      internal::FormatWork(after), lines);
+  AddFieldDifference(subject, "warm-up", internal::FormatWarmUp(before),
+                     internal::FormatWarmUp(after), lines);
+  AddFieldDifference(subject, "requests per second while warming up",
+                     internal::FormatWarmUpRate(before),
+                     internal::FormatWarmUpRate(after), lines);
   for (const pb::ClassTarget& it : after.classes()) {
     const std::string class_subject = subject + ": class " + it.name();
     const pb::ClassTarget* old = FindByName(before.classes(), it.name());
@@ -117,6 +133,8 @@
     lines.push_back(subject + ": new, work " + internal::FormatWork(it));
     pb::Service without_classes = it;
     without_classes.clear_classes();
+    without_classes.clear_warm_up_ms();
+    without_classes.clear_warm_up_per_second();
     CompareServices(subject, without_classes, it, lines);
   }
   for (const pb::Service& it : current.services()) {
--- a/src/catalog/catalog_file_test.cc
+++ b/src/catalog/catalog_file_test.cc
@@ -65,7 +65,13 @@
       // Keys: a catalog file contains no weights and no addresses.
       {"\"work\": \"sessions\"", "\"address\": \"127.0.0.1:80\"",
        "3: services[0].address: expected one of the keys name, work, classes, "
-       "got an unknown key"},
+       "warm_up, warm_up_per_second, got an unknown key"},
+      {"\"work\": \"sessions\"", "\"warm_up\": \"11m\"",
+       "3: services[0].warm_up: expected a time from \"1ms\" to \"10m\", got "
+       "\"11m\""},
+      {"\"work\": \"sessions\"", "\"warm_up_per_second\": 0",
+       "3: services[0].warm_up_per_second: expected a whole number from 1 to "
+       "1000000, got 0"},
       {"\"share\": \"60%\"", "\"weight\": 3",
        "8: services[0].classes[0].weight: expected one of the keys name, "
        "paths, latency, success, share, got an unknown key"},
@@ -239,5 +245,26 @@
   CHECK(files == 3);
 }
 
+// Guards against a warm-up bound that is lost when an operator reads the
+// catalog and applies it again.
+TEST_CASE("a warm-up bound is read, shown and written", "[catalog]") {
+  std::string text(kValid);
+  text.replace(text.find("\"name\": \"plans\""), 15,
+               "\"name\": \"plans\", \"warm_up\": \"1500ms\", "
+               "\"warm_up_per_second\": 5");
+  const pb::Change change = ParseCatalogFile("c.json", text).value();
+  CHECK(change.services(0).warm_up_ms() == 0);
+  CHECK(change.services(1).warm_up_ms() == 1500);
+  CHECK(change.services(1).warm_up_per_second() == 5);
+  CHECK(DescribeDifference(CatalogOf(Valid()), change) ==
+        std::vector<std::string>{
+            "service plans: warm-up none -> 1500ms",
+            "service plans: requests per second while warming up no bound -> "
+            "5"});
+  const std::string written = FormatCatalog(CatalogOf(change));
+  CHECK(ParseCatalogFile("c.json", written).value().SerializeAsString() ==
+        change.SerializeAsString());
+}
+
 }  // namespace
 }  // namespace vanillalatch
--- a/src/catalog/state_machine.cc
+++ b/src/catalog/state_machine.cc
@@ -65,6 +65,16 @@
       return error;
     }
   }
+  if (service.warm_up_ms() > kMaxWarmUpMs) {
+    return "service " + service.name() + ": the warm-up is above 10 minutes";
+  }
+  // Written so that a value that is no number is refused as well.
+  if (!(service.warm_up_per_second() >= 0 &&
+        service.warm_up_per_second() <= kMaxWarmUpPerSecond)) {
+    return "service " + service.name() +
+           ": the requests per second while warming up are not from 0 to "
+           "1,000,000";
+  }
   const std::string error = FindClassConflict(service);
   return error.empty() ? "" : "service " + service.name() + ": " + error;
 }
--- a/src/catalog/state_machine_test.cc
+++ b/src/catalog/state_machine_test.cc
@@ -1,6 +1,7 @@
 #include "vanillalatch/catalog/state_machine.h"
 
 #include <catch2/catch.hpp>
+#include <cmath>
 #include <functional>
 
 #include "vanillalatch/catalog/catalog_image.h"
@@ -87,6 +88,16 @@
        [&](pb::Change& it) {
          service(it)->mutable_classes(0)->set_success_permille(1001);
        }},
+      {"warm-up above 10 minutes",
+       [&](pb::Change& it) { service(it)->set_warm_up_ms(600'001); }},
+      {"rate above 1,000,000",
+       [&](pb::Change& it) { service(it)->set_warm_up_per_second(1'000'001); }},
+      {"rate below 0",
+       [&](pb::Change& it) { service(it)->set_warm_up_per_second(-1); }},
+      {"rate that is no number",
+       [&](pb::Change& it) {
+         service(it)->set_warm_up_per_second(std::nan(""));
+       }},
       {"two classes of 60%",
        [&](pb::Change& it) {
          pb::ClassTarget& more = *service(it)->add_classes();
