--- a/src/entry/evacuation.cc
+++ b/src/entry/evacuation.cc
@@ -14,7 +14,8 @@
 
 void EntryNodeImpl::UpdateEvacuations() {
   const EvacuationState& known = members_->evacuations();
-  if (known.revision == evacuations_.revision) {
+  if (known.revision == evacuations_.revision &&
+      known.data_centers == evacuations_.data_centers) {
     return;
   }
   const EvacuationState before = std::exchange(evacuations_, known);
--- a/src/packetflow/flow_evacuation_test.cc
+++ b/src/packetflow/flow_evacuation_test.cc
@@ -76,6 +76,9 @@
   SECTION("when the dispatcher fails") {
     fleet.world().KillVm(fleet.dispatcher());
   }
+  SECTION("when the dispatcher hands its service over") {
+    fleet.world().StopVm(fleet.dispatcher());
+  }
   SECTION("when the other endpoints are silent") {
     fleet.world().At("b1").silent = true;
     fleet.world().At("b2").silent = true;
--- a/src/packetflow/flow_node_evacuation.cc
+++ b/src/packetflow/flow_node_evacuation.cc
@@ -29,7 +29,8 @@
 
 void FlowNodeImpl::UpdateEvacuations(TimePoint now) {
   const EvacuationState& known = peers_->members().evacuations();
-  if (known.revision == evacuations_.revision) {
+  if (known.revision == evacuations_.revision &&
+      known.data_centers == evacuations_.data_centers) {
     return;
   }
   const EvacuationState before = std::exchange(evacuations_, known);
--- a/src/placement/cold_start.cc
+++ b/src/placement/cold_start.cc
@@ -121,7 +121,8 @@
     return kNever;
   }
   const double missing = std::max(0.0, 1 - tokens_) / Rate();
-  const TimePoint filled = filled_at_ + FromSeconds(missing);
+  // Rounded up, so that the token is complete then.
+  const TimePoint filled = filled_at_ + FromSeconds(missing) + Duration(1);
   return std::min(std::max(filled, use_.from), WarmAt());
 }
 
