--- a/src/packetflow/flow_node_shards.cc
+++ b/src/packetflow/flow_node_shards.cc
@@ -378,7 +378,9 @@
       continue;
     }
     for (FlowOpening& opening : dispatcher_->TakeWaiting(now, it)) {
-      opening.hops = 0;
+      // One that was passed on to this shard returns to its own.
+      opening.hops = was_sharded && IsPassedOn(opening) ? 1 : 0;
+      opening.shard = opening.data_center;
       waiting.push_back(std::move(opening));
     }
   }
@@ -390,7 +392,8 @@
   if (was_sharded != is_sharded) {
     dispatcher_->SetSharded(now, service, is_sharded);
     sharding_changes_.push_back(
-        {service, is_sharded ? shards_[service] : std::vector<std::string>()});
+        {routes_.NameOf(service),
+         is_sharded ? shards_[service] : std::vector<std::string>()});
     UpdateFirstDispatchers(now);
   }
   return waiting;
