--- a/include/vanillalatch/packetflow/flow_node.h
+++ b/include/vanillalatch/packetflow/flow_node.h
@@ -83,7 +83,7 @@
 
 // A service was divided into shards, each with a dispatcher, or united.
 struct ShardingChange {
-  ServiceId service;
+  std::string service;                    // Its name.
   std::vector<std::string> data_centers;  // Of the shards; empty if united.
 };
 
--- a/include/vanillalatch/packetflow/route_table.h
+++ b/include/vanillalatch/packetflow/route_table.h
@@ -9,6 +9,7 @@
 #define VANILLALATCH_PACKETFLOW_ROUTE_TABLE_H_
 
 #include <cstdint>
+#include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -47,6 +48,8 @@
   const FlowRoute* Find(SocketAddress address) const;
   // Every service that a route can select, without duplicates.
   const std::vector<ServiceId>& services() const { return services_; }
+  // Name of a service; empty if no route can select it.
+  std::string NameOf(ServiceId service) const;
   // The classes of all routes. Routes with the same latency target and urgency
   // share a class.
   const std::vector<ClassTarget>& classes() const { return classes_; }
@@ -54,6 +57,7 @@
  private:
   absl::flat_hash_map<SocketAddress, FlowRoute> routes_;
   std::vector<ServiceId> services_;
+  absl::flat_hash_map<ServiceId, std::string> names_;
   std::vector<ClassTarget> classes_;
 };
 
--- a/src/packetflow/route_table.cc
+++ b/src/packetflow/route_table.cc
@@ -46,6 +46,7 @@
       sum += share.weight();
       route.shares.emplace_back(FlowServiceId(share.service()), sum);
       services.insert(route.shares.back().first);
+      result.names_[route.shares.back().first] = share.service();
     }
     if (route.shares.empty()) {
       continue;
@@ -64,6 +65,11 @@
   return result;
 }
 
+std::string RouteTable::NameOf(ServiceId service) const {
+  const auto it = names_.find(service);
+  return it == names_.end() ? std::string() : it->second;
+}
+
 const FlowRoute* RouteTable::Find(SocketAddress address) const {
   const auto it = routes_.find(address);
   return it == routes_.end() ? nullptr : &it->second;
--- a/src/runtime/flow_log.cc
+++ b/src/runtime/flow_log.cc
@@ -103,6 +103,15 @@
        {"left_out", silence_limiter_.TakeLeftOutCount()}});
 }
 
+void FlowLog::LogSharding(const ShardingChange& change) {
+  std::string names;
+  for (const std::string& it : change.data_centers) {
+    names += (names.empty() ? "" : ", ") + it;
+  }
+  LogEvent(LogLevel::kInfo, "dispatch_sharded",
+           {{"service", change.service}, {"shards", names}});
+}
+
 void FlowLog::LogSummaryIfDue(bool ready) {
   const TimePoint now = Now();
   if (now < summary_due_) {
--- a/src/runtime/flow_log.h
+++ b/src/runtime/flow_log.h
@@ -36,6 +36,8 @@
   void LogIngress(const IngressEvent& event);
   // Logs that an endpoint became silent, or answers again.
   void LogSilence(const EndpointSilence& silence);
+  // Logs that a service was divided into shards, or united.
+  static void LogSharding(const ShardingChange& change);
   // Logs the totals if kSummaryInterval has passed. `ready`: callers may send
   // packets to this VM.
   void LogSummaryIfDue(bool ready);
--- a/src/runtime/flow_shell.cc
+++ b/src/runtime/flow_shell.cc
@@ -167,6 +167,9 @@
   for (const IngressEvent& it : actions.ingress_events) {
     internals_->log.LogIngress(it);
   }
+  for (const ShardingChange& it : actions.sharding_changes) {
+    FlowLog::LogSharding(it);
+  }
   sockets_.packets.Flush();
   node_->Flush(now, out_);
   sockets_.peers.SendAll(out_);
--- a/src/telemetry/log_events.cc
+++ b/src/telemetry/log_events.cc
@@ -118,6 +118,12 @@
     {"endpoint_answers", "warn", "entry (dispatcher)",
      "endpoint, address, data_center, left_out",
      "a silent endpoint answers again", "nothing"},
+    {"dispatch_sharded", "info", "entry", "service, shards",
+     "the service now has one dispatcher in each of these data centres, as it "
+     "has more slots than the link of one VM can serve; shards empty: it has a "
+     "single dispatcher again",
+     "if it repeats: set `fleet.link_mbit_per_s` so that the service's slots "
+     "are not near the limit"},
     {"flows_summary", "info", "entry",
      "ready, revision, endpoints, members_alive, packets, unknown_endpoint, "
      "placed_alone, declined, placed, moved, refused, expired",
