--- a/src/runtime/flow_log.cc
+++ b/src/runtime/flow_log.cc
@@ -121,6 +121,15 @@
   }
 }
 
+void FlowLog::LogSharding(const ShardingChange& change) {
+  std::string names;
+  for (const std::string& it : change.data_centers) {
+    names += (names.empty() ? "" : ", ") + it;
+  }
+  LogEvent(LogLevel::kInfo, "dispatch_sharded",
+           {{"service", change.service}, {"shards", names}});
+}
+
 void FlowLog::LogSummaryIfDue(bool ready) {
   const TimePoint now = Now();
   if (now < summary_due_) {
--- a/src/runtime/flow_log.h
+++ b/src/runtime/flow_log.h
@@ -40,6 +40,8 @@
   void LogEvacuation(const EvacuationEvent& event);
   // Logs that the link of this VM became full.
   void LogLinkLate(const LinkLate& event);
+  // Logs that a service was divided into shards, or united.
+  static void LogSharding(const ShardingChange& change);
   // Logs the totals if kSummaryInterval has passed. `ready`: callers may send
   // packets to this VM.
   void LogSummaryIfDue(bool ready);
--- a/src/runtime/flow_shell.cc
+++ b/src/runtime/flow_shell.cc
@@ -176,6 +176,9 @@
   for (const LinkLate& it : actions.link_events) {
     internals_->log.LogLinkLate(it);
   }
+  for (const ShardingChange& it : actions.sharding_changes) {
+    FlowLog::LogSharding(it);
+  }
   sockets_.packets.Flush();
   node_->Flush(now, out_);
   sockets_.peers.SendAll(out_);
