Let a successor be complete only after its dispatcher's transfer

A dispatcher that has returned is not complete until its source has transferred its state, and has its second records confirmed by that source. The successor, complete as the dispatcher before, got none of them but still counted as complete. If the dispatcher was killed and restarted, the successor could be its only source, and a resend ran again (lost-while-incomplete.scn, fails before this change).

Change: a successor whose dispatcher changes or restarts retains its state but is complete only after that dispatcher's transfer. It asks for that each second (TransferQuery), as the dispatcher may not have noticed that it was taken for failed (unheard-dispatcher.scn). A VM that takes over counts its own retained state as a claim, so that a planned stop in this time causes no outcome_unknown (stop-while-incomplete.scn). A retained state ends when a later dispatcher fails, not only when its restart is noticed.

--- a/src/entry/collection.cc
+++ b/src/entry/collection.cc
@@ -68,14 +68,25 @@
   service.collection.resend_at = now_ + kSourceReminderInterval;
 }
 
-// Selects the smallest set of VMs whose states together are complete: a member
-// that reports a complete state, and the later dispatchers that have served.
-// All of these must be alive.
-void EntryNodeImpl::SelectSources(ServiceState& service) {
+// Selects the smallest set of VMs whose states, together with this VM's, are
+// complete: a member that reports a complete state, or this VM if it retains
+// one, and the later dispatchers that have served. All of these must be alive.
+// Returns true if no other VM's state is needed.
+bool EntryNodeImpl::SelectSources(ServiceState& service) {
   const Collection& collection = service.collection;
   service.sources.clear();
-  for (const auto& [id, later_dispatchers] : collection.completeness_claims) {
-    std::vector<NodeId> sources = {id};
+  std::map<NodeId, std::vector<std::uint64_t>> claims =
+      collection.completeness_claims;
+  if (!service.complete && now_ < service.complete_until) {
+    for (const NodeId it : service.later_dispatchers) {
+      claims[self_].push_back(peer_instances_[it]);
+    }
+  }
+  for (const auto& [id, later_dispatchers] : claims) {
+    std::vector<NodeId> sources;
+    if (id != self_) {
+      sources.push_back(id);
+    }
     const bool all_accounted_for =
         std::all_of(later_dispatchers.begin(), later_dispatchers.end(),
                     [&](std::uint64_t it) {
@@ -86,12 +97,17 @@
                       return served != collection.served_by.end() ||
                              collection.never_served.contains(it);
                     });
+    if (all_accounted_for && sources.empty()) {
+      service.sources.clear();
+      return true;
+    }
     const bool is_smaller =
         service.sources.empty() || sources.size() < service.sources.size();
     if (all_accounted_for && is_smaller) {
       service.sources = std::move(sources);
     }
   }
+  return false;
 }
 
 // True if this VM has just started and has no endpoint of the service. It can't
@@ -106,7 +122,9 @@
 void EntryNodeImpl::FinishCollection(ServiceState& service) {
   Collection& collection = service.collection;
   service.all_collected = collection.missing_parts.empty();
-  SelectSources(service);
+  if (SelectSources(service)) {
+    MarkComplete(service, self_);
+  }
   for (const auto& [instance, until] : service.recent_dispatchers) {
     collection.earlier_dispatchers.insert(instance);
   }
@@ -126,7 +144,7 @@
                   });
   if (lacks_history) {
     if (no_earlier_dispatch) {
-      MarkComplete(service);
+      MarkComplete(service, self_);
       service.sole_sender_since = TimePoint::min();
       service.history_start =
           service.created_while_running ? TimePoint::min() : started_;
@@ -254,8 +272,8 @@
   if (--it->second == 0) {
     collection.missing_parts.erase(it);
   }
-  SelectSources(*service);
-  const bool can_finish = service->complete || !service->sources.empty();
+  const bool can_finish =
+      SelectSources(*service) || service->complete || !service->sources.empty();
   if (collection.missing_parts.empty() && can_finish) {
     FinishCollection(*service);
   }
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -154,6 +154,7 @@
     ExpireIdlePins();
     SendHellos();
     RenewHolds();
+    SendTransferQueries();
     TrackDispatchers();
   }
 }
--- a/src/entry/entry_node_impl.h
+++ b/src/entry/entry_node_impl.h
@@ -56,6 +56,9 @@
 // For this long after it stopped being dispatcher or successor, a VM can still
 // transfer its complete state.
 inline constexpr Duration kCompleteStateRetention = std::chrono::seconds(3);
+// A successor that is not complete asks the dispatcher for its state this
+// often.
+inline constexpr Duration kTransferQueryInterval = std::chrono::seconds(1);
 // This long after its start, a VM has received the list of all members.
 inline constexpr Duration kMemberDiscoveryTime = std::chrono::seconds(1);
 // The clocks of callers and entry VMs differ by at most this much.
@@ -283,9 +286,12 @@
   // be in the smaller part of a partition. See kMinTieBreakMembers for ties.
   bool InMinority() const;
   void UpdateRoles(ServiceState& service);
-  void UpdateCompleteness(ServiceState& service, NodeId old_successor);
+  void UpdateCompleteness(ServiceState& service, NodeId old_dispatcher,
+                          NodeId old_successor);
+  static void BecomeSuccessorOf(ServiceState& service, NodeId dispatcher);
+  static void DropRetainedState(ServiceState& service, NodeId lost);
   void RemoveFailedSources(ServiceState& service);
-  void MarkComplete(ServiceState& service);
+  void MarkComplete(ServiceState& service, NodeId from);
   void TrackDispatchers();
 
   // collection.cc
@@ -293,7 +299,7 @@
   void SendCollect(ServiceState& service);
   void TickCollection(ServiceState& service);
   void RemindSources(ServiceState& service);
-  static void SelectSources(ServiceState& service);
+  bool SelectSources(ServiceState& service);
   bool AwaitsEndpoints(const ServiceState& service) const;
   void FinishCollection(ServiceState& service);
   void OnCollect(NodeId from, const pb::Collect& collect);
@@ -325,6 +331,10 @@
                            pb::BlockPin& pin);
   void SendBlockPin(ServiceState& service, std::uint64_t answer_key);
   void OnTransfer(NodeId from, const pb::Transfer& transfer);
+  // Repairs a successor that is not complete although the dispatcher has ended
+  // its transfer: it took that one for failed for a moment.
+  void SendTransferQueries();
+  void OnTransferQuery(NodeId from, const pb::TransferQuery& query);
   void OnTransferAck(NodeId from, const pb::TransferAck& ack);
   void OnLastTransferPart(ServiceState& service, NodeId from, bool partial);
   void EndTransfer(ServiceState& service);
--- a/src/entry/peers.cc
+++ b/src/entry/peers.cc
@@ -67,6 +67,8 @@
       return OnTransfer(from, message.transfer());
     case pb::RequestMessage::kTransferAck:
       return OnTransferAck(from, message.transfer_ack());
+    case pb::RequestMessage::kTransferQuery:
+      return OnTransferQuery(from, message.transfer_query());
     case pb::RequestMessage::kPinQuery:
       return OnPinQuery(from, message.pin_query());
     case pb::RequestMessage::kPinReply:
@@ -92,8 +94,9 @@
   hello_acknowledged_.erase(from);
   ReevaluateRecords(from);
   for (auto& [id, service] : services_) {
-    if (!service.complete && service.later_dispatchers.contains(from)) {
-      service.complete_until = TimePoint::min();
+    DropRetainedState(service, from);
+    if (service.complete && service.dispatcher == from) {
+      BecomeSuccessorOf(service, from);
     }
     if (service.dispatches && service.complete && service.successor == from) {
       BeginTransfer(service, from);
--- a/src/entry/service_state.h
+++ b/src/entry/service_state.h
@@ -7,6 +7,8 @@
 //
 // A VM is complete for a service if it has every pin, and a record of every
 // non-idempotent request that may have run and that a caller may still resend.
+// The successor of a new dispatcher is complete only after that one's transfer:
+// a dispatcher that is not complete has its second records confirmed by others.
 // A complete dispatcher can tell a resend from a new request by itself, except
 // as ServiceState::history_start says. One that is not complete asks one of its
 // `sources` to confirm the second record; without a source, it gives up
@@ -114,10 +116,12 @@
   // VM. TimePoint::min(): no other VM has sent any.
   TimePoint sole_sender_since = TimePoint::min();
   bool complete = false;
-  // If this VM is no longer complete, it can still transfer its state until
-  // `complete_until`. That state lacks the later requests of these dispatchers.
+  // If this VM is no longer complete, it can still use and transfer its state
+  // until `complete_until`; kNever while it is the successor. That state lacks
+  // the later requests of these dispatchers.
   std::set<NodeId> later_dispatchers;
   TimePoint complete_until;
+  TimePoint transfer_query_at;  // Next query for the dispatcher's state.
   // VMs whose states together are complete, and that still have to transfer
   // them.
   std::vector<NodeId> sources;
--- a/src/entry/takeover.cc
+++ b/src/entry/takeover.cc
@@ -35,6 +35,9 @@
     previous = it.state;
     if (it.state == MemberState::kDead) {
       peer_instances_.erase(it.id);  // If it returns, it counts as new.
+      for (auto& [id, service] : services_) {
+        DropRetainedState(service, it.id);
+      }
     }
     if (has_failed) {
       previous_failure_ = std::exchange(last_failure_, now_);
@@ -109,7 +112,7 @@
   }
   const bool dispatched =
       std::exchange(service.dispatches, service.dispatcher == self_);
-  UpdateCompleteness(service, old_successor);
+  UpdateCompleteness(service, old_dispatcher, old_successor);
   if (service.dispatches && (!dispatched || !service.ready)) {
     BeginCollection(service);
   } else if (!service.dispatches) {
@@ -121,14 +124,21 @@
 // Updates whether this VM is complete, and transfers its state to a new
 // successor.
 void EntryNodeImpl::UpdateCompleteness(ServiceState& service,
+                                       NodeId old_dispatcher,
                                        NodeId old_successor) {
-  if (service.dispatches) {
+  const bool retains_state = !service.complete && now_ < service.complete_until;
+  if (service.dispatches && !retains_state) {
     service.later_dispatchers.clear();
-  } else if (service.dispatcher != NodeId{}) {
+  } else if (!service.dispatches && service.dispatcher != NodeId{}) {
     service.later_dispatchers.insert(service.dispatcher);
   }
-  const bool has_role = service.dispatches || service.successor == self_;
-  if (service.complete && !has_role) {
+  const bool is_successor = service.successor == self_;
+  if (service.complete && is_successor &&
+      service.dispatcher != old_dispatcher) {
+    BecomeSuccessorOf(service, service.dispatcher);
+  }
+  if (!service.dispatches && !is_successor &&
+      (service.complete || service.complete_until == kNever)) {
     service.complete = false;
     service.complete_until = now_ + kCompleteStateRetention;
   }
@@ -138,6 +148,24 @@
   }
 }
 
+// Handles that `dispatcher` serves after the one whose second records this VM
+// has. Until it is complete, it may have its second records confirmed by other
+// VMs. So this VM lacks its requests until it transfers its state.
+void EntryNodeImpl::BecomeSuccessorOf(ServiceState& service,
+                                      NodeId dispatcher) {
+  service.complete = false;
+  service.complete_until = kNever;
+  service.later_dispatchers = {dispatcher};
+}
+
+// A VM that has failed or restarted has lost its requests. A retained state
+// that lacks them can't be completed any more.
+void EntryNodeImpl::DropRetainedState(ServiceState& service, NodeId lost) {
+  if (!service.complete && service.later_dispatchers.contains(lost)) {
+    service.complete_until = TimePoint::min();
+  }
+}
+
 // Removes failed VMs from the sources. A dispatcher that is not complete and
 // has lost a source can't tell a resend from a new request.
 void EntryNodeImpl::RemoveFailedSources(ServiceState& service) {
@@ -153,10 +181,12 @@
 }
 
 // Makes this VM complete: transfers delivered the complete state, or no other
-// VM has dispatched the service. A VM that has neither role by then receives no
-// later requests, so it only retains that state for a while.
-void EntryNodeImpl::MarkComplete(ServiceState& service) {
-  service.complete = service.dispatches || service.successor == self_;
+// VM has dispatched the service. A VM that is neither dispatcher nor successor
+// of `from`, which sent the last part, receives no later requests, so it only
+// retains that state for a while.
+void EntryNodeImpl::MarkComplete(ServiceState& service, NodeId from) {
+  service.complete = service.dispatches ||
+                     (service.successor == self_ && service.dispatcher == from);
   if (!service.complete) {
     service.complete_until = now_ + kCompleteStateRetention;
   }
--- a/src/entry/transfer.cc
+++ b/src/entry/transfer.cc
@@ -229,7 +229,30 @@
   const bool has_all_parts =
       service.dispatches ? was_awaited && service.sources.empty() : !partial;
   if (has_all_parts) {
-    MarkComplete(service);
+    MarkComplete(service, from);
+  }
+}
+
+void EntryNodeImpl::SendTransferQueries() {
+  for (auto& [id, service] : services_) {
+    const bool lacks_state = !service.complete && !service.dispatches &&
+                             service.successor == self_ &&
+                             service.dispatcher != NodeId{};
+    if (lacks_state && now_ >= service.transfer_query_at) {
+      service.transfer_query_at = now_ + kTransferQueryInterval;
+      pb::RequestMessage message;
+      message.mutable_transfer_query()->set_service_id(service.config.id());
+      SendToPeer(service.dispatcher, message);
+    }
+  }
+}
+
+void EntryNodeImpl::OnTransferQuery(NodeId from,
+                                    const pb::TransferQuery& query) {
+  ServiceState* service = FindService(ServiceId{query.service_id()});
+  if (service != nullptr && service->dispatches && service->complete &&
+      service->successor == from && service->transfer.to == NodeId{}) {
+    BeginTransfer(*service, from);
   }
 }
 
