--- a/src/entry/collection.cc
+++ b/src/entry/collection.cc
@@ -37,7 +37,11 @@
   Collection& collection = service.collection;
   std::erase_if(collection.missing_parts,
                 [&](const auto& it) { return IsFailed(it.first); });
-  if (!service.dispatches || service.ready) {
+  if (!service.dispatches) {
+    return;
+  }
+  if (service.ready) {
+    RemindSources(service);
     return;
   }
   const bool all_replied =
@@ -49,14 +53,40 @@
   }
 }
 
-// Selects the smallest set of VMs whose states together are complete: a member
-// that reports a complete state, and the later dispatchers that have served.
-// All of these must be alive.
-void EntryNodeImpl::SelectSources(ServiceState& service) {
+// Asks the sources again for their states. A source that still counts this VM
+// as failed, as it has just returned, ends its transfer.
+void EntryNodeImpl::RemindSources(ServiceState& service) {
+  if (service.complete || now_ < service.collection.resend_at) {
+    return;
+  }
+  for (const NodeId it : service.sources) {
+    pb::RequestMessage message;
+    message.mutable_collect()->set_sequence(service.collection.sequence);
+    message.mutable_collect()->set_service_id(service.config.id());
+    SendToPeer(it, message);
+  }
+  service.collection.resend_at = now_ + kSourceReminderInterval;
+}
+
+// Selects the smallest set of VMs whose states, together with this VM's, are
+// complete: a member that reports a complete state, or this VM if it retains
+// one, and the later dispatchers that have served. All of these must be alive.
+// Returns true if no other VM's state is needed.
+bool EntryNodeImpl::SelectSources(ServiceState& service) {
   const Collection& collection = service.collection;
   service.sources.clear();
-  for (const auto& [id, later_dispatchers] : collection.completeness_claims) {
-    std::vector<NodeId> sources = {id};
+  std::map<NodeId, std::vector<std::uint64_t>> claims =
+      collection.completeness_claims;
+  if (!service.complete && now_ < service.complete_until) {
+    for (const NodeId it : service.later_dispatchers) {
+      claims[self_].push_back(peer_instances_[it]);
+    }
+  }
+  for (const auto& [id, later_dispatchers] : claims) {
+    std::vector<NodeId> sources;
+    if (id != self_) {
+      sources.push_back(id);
+    }
     const bool all_accounted_for =
         std::all_of(later_dispatchers.begin(), later_dispatchers.end(),
                     [&](std::uint64_t it) {
@@ -67,12 +97,17 @@
                       return served != collection.served_by.end() ||
                              collection.never_served.contains(it);
                     });
+    if (all_accounted_for && sources.empty()) {
+      service.sources.clear();
+      return true;
+    }
     const bool is_smaller =
         service.sources.empty() || sources.size() < service.sources.size();
     if (all_accounted_for && is_smaller) {
       service.sources = std::move(sources);
     }
   }
+  return false;
 }
 
 // True if this VM has just started and has no endpoint of the service. It can't
@@ -87,7 +122,9 @@
 void EntryNodeImpl::FinishCollection(ServiceState& service) {
   Collection& collection = service.collection;
   service.all_collected = collection.missing_parts.empty();
-  SelectSources(service);
+  if (SelectSources(service)) {
+    MarkComplete(service, self_);
+  }
   for (const auto& [instance, until] : service.recent_dispatchers) {
     collection.earlier_dispatchers.insert(instance);
   }
@@ -107,7 +144,7 @@
                   });
   if (lacks_history) {
     if (no_earlier_dispatch) {
-      MarkComplete(service);
+      MarkComplete(service, self_);
       service.sole_sender_since = TimePoint::min();
       service.history_start =
           service.created_while_running ? TimePoint::min() : started_;
@@ -126,14 +163,37 @@
 void EntryNodeImpl::OnCollect(NodeId from, const pb::Collect& collect) {
   std::vector<pb::CollectReply> parts(1);
   std::size_t capacity = kPeerPayloadBytes;
+  const auto make_room = [&](std::size_t size) {
+    const bool is_empty =
+        parts.back().open_size() + parts.back().finished_size() == 0;
+    if (size > capacity && !is_empty) {
+      parts.emplace_back();
+      capacity = kPeerPayloadBytes;
+    }
+    capacity -= std::min(capacity, size);
+  };
   records_.ForEach([&](const RequestRecord& record) {
     // True for a held record that the collecting VM needs. That includes
     // requests that an earlier incarnation of it may have sent.
     const bool is_reported_held =
         record.state == RequestState::kHeld &&
         (record.responsible_vm != from || record.possible_runs > 0);
-    if (record.service.value() != collect.service_id() ||
-        (!is_reported_held && record.state != RequestState::kSent)) {
+    if (record.service.value() != collect.service_id()) {
+      return;
+    }
+    // The collecting VM may be complete but for this answer.
+    const bool is_undelivered = record.state == RequestState::kFinished &&
+                                !record.idempotent && record.attempts > 0 &&
+                                !record.answer_says_not_run &&
+                                !record.done_recipients.empty();
+    if (is_undelivered) {
+      pb::Done done;
+      FillDone(record, done);
+      make_room(done.ByteSizeLong());
+      *parts.back().add_finished() = std::move(done);
+      return;
+    }
+    if (!is_reported_held && record.state != RequestState::kSent) {
       return;
     }
     pb::OpenRequest open;
@@ -141,12 +201,7 @@
     open.set_duty(is_reported_held ? record.responsible_vm.value()
                                    : self_.value());
     open.set_endpoint(record.endpoint.value());
-    const std::size_t size = open.ByteSizeLong();
-    if (size > capacity && parts.back().open_size() > 0) {
-      parts.emplace_back();
-      capacity = kPeerPayloadBytes;
-    }
-    capacity -= std::min(capacity, size);
+    make_room(open.ByteSizeLong());
     *parts.back().add_open() = std::move(open);
   });
   ServiceState* service = FindService(ServiceId{collect.service_id()});
@@ -211,11 +266,14 @@
   for (const pb::OpenRequest& open : reply.open()) {
     ImportOpenRequest(*service, open);
   }
+  for (const pb::Done& done : reply.finished()) {
+    MergeDone(from, done);
+  }
   if (--it->second == 0) {
     collection.missing_parts.erase(it);
   }
-  SelectSources(*service);
-  const bool can_finish = service->complete || !service->sources.empty();
+  const bool can_finish =
+      SelectSources(*service) || service->complete || !service->sources.empty();
   if (collection.missing_parts.empty() && can_finish) {
     FinishCollection(*service);
   }
@@ -267,6 +325,7 @@
 void EntryNodeImpl::StartServing(ServiceState& service) {
   service.ready = true;
   service.has_served = true;
+  service.collection.resend_at = now_ + kSourceReminderInterval;
   service.collection.missing_parts.clear();
   std::vector<RequestId> parked;
   records_.ForEach([&](const RequestRecord& record) {
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -158,6 +158,7 @@
     ExpireIdlePins();
     SendHellos();
     RenewHolds();
+    SendTransferQueries();
     TrackDispatchers();
   }
 }
--- a/src/entry/entry_node_impl.h
+++ b/src/entry/entry_node_impl.h
@@ -34,6 +34,10 @@
 // A new dispatcher waits at most this long for the open requests of the other
 // members before it serves.
 inline constexpr Duration kCollectionTimeout = std::chrono::milliseconds(300);
+// A dispatcher that lacks the state of a source asks for it again after this
+// time.
+inline constexpr Duration kSourceReminderInterval =
+    std::chrono::milliseconds(100);
 // A VM with seeds waits at most this long for contact with another member.
 inline constexpr Duration kJoinTimeout = std::chrono::seconds(2);
 // In the smaller part of a partitioned data centre, a request that was issued
@@ -52,6 +56,9 @@
 // For this long after it stopped being dispatcher or successor, a VM can still
 // transfer its complete state.
 inline constexpr Duration kCompleteStateRetention = std::chrono::seconds(3);
+// A successor that is not complete asks the dispatcher for its state this
+// often.
+inline constexpr Duration kTransferQueryInterval = std::chrono::seconds(1);
 // This long after its start, a VM has received the list of all members.
 inline constexpr Duration kMemberDiscoveryTime = std::chrono::seconds(1);
 // The clocks of callers and entry VMs differ by at most this much.
@@ -267,6 +274,8 @@
                           RequestRecord& record);
   RequestRecord* CreateRecord(const pb::Handover& handover);
   void OnDone(NodeId from, const pb::Done& done);
+  // Returns true if this VM or a third one is responsible for the request.
+  bool MergeDone(NodeId from, const pb::Done& done);
   void StoreDone(NodeId from, const pb::Done& done);
   void FinishWithAnswerOfPeer(RequestRecord& record, const std::string& answer);
   void RetractRefusal(RequestRecord& record);
@@ -296,16 +305,20 @@
   // be in the smaller part of a partition. See kMinTieBreakMembers for ties.
   bool InMinority() const;
   void UpdateRoles(ServiceState& service);
-  void UpdateCompleteness(ServiceState& service, NodeId old_successor);
+  void UpdateCompleteness(ServiceState& service, NodeId old_dispatcher,
+                          NodeId old_successor);
+  static void BecomeSuccessorOf(ServiceState& service, NodeId dispatcher);
+  static void DropRetainedState(ServiceState& service, NodeId lost);
   void RemoveFailedSources(ServiceState& service);
-  void MarkComplete(ServiceState& service);
+  void MarkComplete(ServiceState& service, NodeId from);
   void TrackDispatchers();
 
   // collection.cc
   void BeginCollection(ServiceState& service);
   void SendCollect(ServiceState& service);
   void TickCollection(ServiceState& service);
-  static void SelectSources(ServiceState& service);
+  void RemindSources(ServiceState& service);
+  bool SelectSources(ServiceState& service);
   bool AwaitsEndpoints(const ServiceState& service) const;
   void FinishCollection(ServiceState& service);
   void OnCollect(NodeId from, const pb::Collect& collect);
@@ -329,10 +342,18 @@
   void SendTransferPart(ServiceState& service);
   bool HasOrphanThatMayHaveRun(const ServiceState& service) const;
   void ReplicateFinished(RequestRecord& record);
+  // True if this VM sent the non-idempotent request to a backend server, which
+  // may have run it, and no longer dispatches its service.
+  bool IsAnswerOfFormerDispatcher(const RequestRecord& record);
+  void AddPresentDispatchers(RequestRecord& record);
   static void FillBlockPin(std::uint64_t answer_key, const BlockPin& from,
                            pb::BlockPin& pin);
   void SendBlockPin(ServiceState& service, std::uint64_t answer_key);
   void OnTransfer(NodeId from, const pb::Transfer& transfer);
+  // Repairs a successor that is not complete although the dispatcher has ended
+  // its transfer: it took that one for failed for a moment.
+  void SendTransferQueries();
+  void OnTransferQuery(NodeId from, const pb::TransferQuery& query);
   void OnTransferAck(NodeId from, const pb::TransferAck& ack);
   void OnLastTransferPart(ServiceState& service, NodeId from, bool partial);
   void EndTransfer(ServiceState& service);
--- a/src/entry/transfer.cc
+++ b/src/entry/transfer.cc
@@ -121,7 +121,9 @@
 }
 
 // Sends the final answer of a non-idempotent request to the successor, with the
-// current transfer or, if the request has no holder, with a Done message.
+// current transfer or, if the request has no holder, with a Done message. If
+// this VM no longer dispatches, its holder may be any VM and may have failed:
+// then the present dispatcher and its successor get the answer.
 void EntryNodeImpl::ReplicateFinished(RequestRecord& record) {
   ServiceState* service = FindService(record.service);
   if (service == nullptr || record.idempotent) {
@@ -134,6 +136,24 @@
     record.holder = service->successor;
     AddDoneRecipient(record, record.holder);
   }
+  if (IsAnswerOfFormerDispatcher(record)) {
+    AddPresentDispatchers(record);
+  }
+}
+
+bool EntryNodeImpl::IsAnswerOfFormerDispatcher(const RequestRecord& record) {
+  const ServiceState* service = FindService(record.service);
+  return service != nullptr && !service->dispatches && !record.idempotent &&
+         record.attempts > 0 && !record.answer_says_not_run;
+}
+
+void EntryNodeImpl::AddPresentDispatchers(RequestRecord& record) {
+  const ServiceState& service = *FindService(record.service);
+  for (const NodeId it : {service.dispatcher, service.successor}) {
+    if (it != NodeId{} && it != self_ && !IsFailed(it)) {
+      AddDoneRecipient(record, it);
+    }
+  }
 }
 
 void EntryNodeImpl::FillBlockPin(std::uint64_t answer_key, const BlockPin& from,
@@ -209,7 +229,30 @@
   const bool has_all_parts =
       service.dispatches ? was_awaited && service.sources.empty() : !partial;
   if (has_all_parts) {
-    MarkComplete(service);
+    MarkComplete(service, from);
+  }
+}
+
+void EntryNodeImpl::SendTransferQueries() {
+  for (auto& [id, service] : services_) {
+    const bool lacks_state = !service.complete && !service.dispatches &&
+                             service.successor == self_ &&
+                             service.dispatcher != NodeId{};
+    if (lacks_state && now_ >= service.transfer_query_at) {
+      service.transfer_query_at = now_ + kTransferQueryInterval;
+      pb::RequestMessage message;
+      message.mutable_transfer_query()->set_service_id(service.config.id());
+      SendToPeer(service.dispatcher, message);
+    }
+  }
+}
+
+void EntryNodeImpl::OnTransferQuery(NodeId from,
+                                    const pb::TransferQuery& query) {
+  ServiceState* service = FindService(ServiceId{query.service_id()});
+  if (service != nullptr && service->dispatches && service->complete &&
+      service->successor == from && service->transfer.to == NodeId{}) {
+    BeginTransfer(*service, from);
   }
 }
 
