--- a/include/vanillalatch/telemetry/metrics.h
+++ b/include/vanillalatch/telemetry/metrics.h
@@ -51,9 +51,9 @@
   kEndpointBusyTime,  // Counter, seconds; service, endpoint.
   kControlTerm,       // Gauge.
   kControlCommitted,  // Gauge, log index.
-  kControlLeader,
-  kEvacuations,
-  kUnknownValues,     // Gauge, 1 on the leader.
+  kControlLeader,     // Gauge, 1 on the leader.
+  kEvacuations,       // Gauge.
+  kUnknownValues,     // Counter.
   kFlowEvents,        // Counter; event.
   kFlowWait,          // Histogram, seconds.
   kFlowHandshake,     // Histogram, seconds.
