--- a/include/vanillalatch/catalog/state_machine.h
+++ b/include/vanillalatch/catalog/state_machine.h
@@ -7,6 +7,7 @@
 #define VANILLALATCH_CATALOG_STATE_MACHINE_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <optional>
 #include <string>
@@ -18,11 +19,21 @@
 
 namespace vanillalatch {
 
+// The highest warm-up time and rate that a service may state.
+inline constexpr std::uint32_t kMaxWarmUpMs = 10 * 60 * 1000;
+inline constexpr std::uint32_t kMaxWarmUpPerSecond = 1'000'000;
+
 // Validates the services and draining VMs of a change: names must be present
 // and unique, targets in range, and the shares of a service at most 100 % in
 // total. Returns a description of the first error, or an empty string.
 std::string FindCatalogError(const pb::Change& change);
 
+// True for a name of 1 to 64 letters, digits, dots, underscores and dashes.
+bool IsDataCenterName(std::string_view name);
+
+// True if an evacuation of the data centre is in force.
+bool IsEvacuated(const pb::Catalog& catalog, std::string_view data_center);
+
 class CatalogState {
  public:
   // Number of stored outcomes, from which a resent change is answered. It
@@ -36,6 +47,9 @@
   //   from another revision is refused with kConflict.
   // - A change of the flow table is always accepted. It takes effect if its
   //   version is the highest so far. Its outcome is not stored.
+  // - An evacuation order is always accepted, whatever its change id. It raises
+  //   the revision unless the evacuation is already in that state. Its outcome
+  //   is not stored; the summary is empty if nothing changed.
   pb::ChangeOutcome Apply(const pb::Change& change);
 
   // The stored outcome of a change id; nullopt if there is none.
@@ -52,6 +66,7 @@
 
  private:
   pb::ChangeOutcome ApplyFlows(const pb::Change& change);
+  pb::ChangeOutcome ApplyEvacuation(const pb::Change& change);
   void StoreOutcome(const pb::ChangeOutcome& outcome);
 
   pb::Catalog catalog_;
--- a/include/vanillalatch/packetflow/flow_dispatcher.h
+++ b/include/vanillalatch/packetflow/flow_dispatcher.h
@@ -29,6 +29,22 @@
 
 namespace vanillalatch {
 
+// A part of a service that has a dispatcher and a queue of its own: the
+// endpoints of one data centre or, with an empty data centre, all endpoints.
+struct ShardId {
+  ServiceId service;
+  std::string data_center;
+
+  // clang-tidy 14 reports the zero that a defaulted operator compares with as a
+  // null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
+  friend auto operator<=>(const ShardId&, const ShardId&) = default;
+  friend bool operator==(const ShardId&, const ShardId&) = default;
+};
+
+// The slots of one shard; see SlotLoad.
+using ShardLoad = SlotLoad;
+
 // The opening packet of a flow, with what placing the flow depends on.
 struct FlowOpening {
   FlowId id;
@@ -43,6 +59,10 @@
   // Number of earlier transmissions of this opening packet; 0 for the first.
   std::uint32_t copy = 0;
   std::string data_center;  // Endpoints in this data centre are preferred.
+  // Data centre of the shard that is to place the flow; empty if the service is
+  // not sharded.
+  std::string shard;
+  std::uint32_t hops = 0;  // How often a shard has passed it on to another one.
   // True if the VMs that receive the flow's later packets report them to this
   // VM. Only then does a missing report indicate a silent endpoint.
   bool progress_reported = false;
@@ -130,6 +150,10 @@
   // 100, as a flow does not use its slot during its handshake and its close;
   // another flow's work can use it meanwhile.
   std::uint32_t overlap_percent = 150;
+  // Limits the moves of flows from silent endpoints to a tenth of the service's
+  // openings of the last second, but at least 10. Beyond that a flow waits for
+  // its caller's retransmission.
+  bool limit_moves = false;
 };
 
 // Totals since the dispatcher was created.
@@ -138,6 +162,12 @@
   std::uint64_t placed = 0;    // Includes flows that were placed again.
   std::uint64_t repeated = 0;  // Retransmissions sent to the same endpoint.
   std::uint64_t moved = 0;  // Flows taken from an endpoint that did not answer.
+  std::uint64_t moved_from_evacuated = 0;  // Included in `moved`.
+  // Retransmissions not sent, as the endpoint is cold and has received as many
+  // opening packets as it bears.
+  std::uint64_t withheld_from_cold = 0;
+  // Flows not taken from a silent endpoint, as the budget was used up.
+  std::uint64_t moves_refused = 0;
   std::uint64_t refused = 0;
   std::uint64_t ended = 0;    // Ended or given up by the caller.
   std::uint64_t expired = 0;  // Timed out without a report of their end.
@@ -182,6 +212,29 @@
                             std::span<const Endpoint> endpoints,
                             FlowActions& actions) = 0;
 
+  // Replaces the data centres that are evacuated: their endpoints get no new
+  // flows. A flow that its endpoint has not accepted moves when its opening
+  // packet is retransmitted; accepted flows stay.
+  virtual void SetEvacuated(TimePoint now,
+                            std::span<const std::string> data_centers,
+                            FlowActions& actions) = 0;
+  // Sets the bound for cold endpoints of a service, and this VM's part of it
+  // for those of one shard. See SlotScheduler.
+  virtual void SetWarmUp(TimePoint now, ServiceId service,
+                         const WarmUp& warm_up) = 0;
+  virtual void SetColdUse(TimePoint now, const ShardId& shard,
+                          const ColdUse& use) = 0;
+  // Divides a service into one shard per data centre, or unites them. The slots
+  // in use remain counted. No flow of the service may be waiting; call
+  // TakeWaiting() before, and SetEndpoints() afterwards.
+  virtual void SetSharded(TimePoint now, ServiceId service, bool sharded) = 0;
+  // The slots of a shard as counted here, and the expected times of a flow of
+  // class `id`.
+  virtual ShardLoad LoadOf(TimePoint now, const ShardId& shard, ClassId id) = 0;
+  // True if the flow of this opening packet is open or waits here, or has ended
+  // or was refused here recently. Open() then applies the earlier decision.
+  virtual bool IsKnown(TimePoint now, const FlowOpening& opening) const = 0;
+
   // Processes an opening packet: places, queues or refuses a new flow. A
   // retransmission goes to the same endpoint or moves the flow to another one
   // (see kFirstMovedCopy); it opens nothing if the flow has ended, and is
@@ -199,25 +252,35 @@
   // service. Flows sent before the change or shortly afterwards are no evidence
   // of silence, as some VMs may report their progress to another VM.
   virtual void OnDispatcherChanged(TimePoint now, ServiceId service) = 0;
-  // Stops using the service's present flows as evidence of silence: another VM
+  // Records that this VM's link is late. Has to be called before each OnTick()
+  // while it is; flows that were sent until then are no evidence of silence.
+  virtual void OnLinkLate(TimePoint now) = 0;
+  // Stops using the shard's present flows as evidence of silence: another VM
   // is its dispatcher now and receives the reports of their progress.
-  virtual void StopSilenceDetection(ServiceId service) = 0;
-  // Processes the end of a flow: the caller ended it, or gave it up.
-  virtual void End(TimePoint now, FlowId id, bool given_up,
+  virtual void StopSilenceDetection(const ShardId& shard) = 0;
+  // Processes the end of a flow: the caller ended it, or gave it up, `age` ago.
+  virtual void End(TimePoint now, FlowId id, bool given_up, Duration age,
                    FlowActions& actions) = 0;
   // True if the flow waits for a slot here, or occupied one here, and has
   // neither ended nor expired.
   virtual bool Contains(FlowId id) const = 0;
-  // Removes and returns the flows of a service that wait for a slot, so that
-  // they can be handed over to another VM. They are ordered by id.
+  // Removes and returns the flows of a shard that wait for a slot, so that they
+  // can be handed over to another VM. They are ordered by id.
   virtual std::vector<FlowOpening> TakeWaiting(TimePoint now,
-                                               ServiceId service) = 0;
+                                               const ShardId& shard) = 0;
+  // Same as above for an unsharded service.
+  std::vector<FlowOpening> TakeWaiting(TimePoint now, ServiceId service) {
+    return TakeWaiting(now, ShardId{service, {}});
+  }
 
   // Processes timeouts: of waiting flows, silent endpoints and expired flows.
   virtual void OnTick(TimePoint now, FlowActions& actions) = 0;
   // The time at which OnTick() has to be called next.
   virtual TimePoint NextWake() const = 0;
 
+  // The number of flows that were placed here and are open, by endpoint.
+  virtual absl::flat_hash_map<EndpointId, std::uint64_t> OpenFlows() const = 0;
+
   virtual const FlowDispatcherCounters& counters() const = 0;
 };
 
--- a/include/vanillalatch/packetflow/flow_node.h
+++ b/include/vanillalatch/packetflow/flow_node.h
@@ -11,6 +11,11 @@
 // ingress does not know the endpoints yet, it parks the packet, which then
 // waits for a limited time until they are known.
 //
+// A service whose messages exceed the link of one VM is sharded: each data
+// centre has a dispatcher for its own endpoints. The ingress hands an opening
+// packet over to the dispatcher of its own data centre, which may answer with
+// another data centre that has free slots; see src/packetflow/shard.h.
+//
 //   auto node = FlowNode::Create(options, seed).value();
 //   node->OnCatalog(now, catalog);
 //   FlowVerdict verdict = node->OnPacket(now, packet, bytes);
@@ -25,6 +30,7 @@
 #include <vector>
 
 #include "catalog.pb.h"
+#include "control.pb.h"
 #include "vanillalatch/base/outbox.h"
 #include "vanillalatch/packetflow/endpoint_table.h"
 #include "vanillalatch/packetflow/flow_dispatcher.h"
@@ -39,6 +45,14 @@
   // Flows that arrive through this VM prefer endpoints in this data centre.
   std::string data_center;
   FlowDispatcherOptions dispatcher;
+  // Rate of an entry VM's link in each direction, the same on all entry VMs. A
+  // service with more load than one VM's link can carry gets a dispatcher in
+  // each data centre. Reports of progress wait up to 5 ms to share datagrams,
+  // and a missing answer is no evidence of silence while the link is full or if
+  // the round trip to the dispatcher has become longer. Sets
+  // dispatcher.limit_moves. 0: unknown; each service has one dispatcher, and
+  // nothing of this applies.
+  double link_mbit_per_s = 0;
 };
 
 // What is to be done with a packet.
@@ -72,10 +86,32 @@
   NodeId dispatcher;  // 0: the packet was not handed over to any VM.
 };
 
+// This VM starts or ends to treat a data centre as evacuated.
+struct EvacuationEvent {
+  std::string data_center;
+  bool evacuated = false;
+  std::uint64_t revision = 0;  // Of the catalog that contains the change.
+  bool from_peer = false;      // By a peer's notice; the catalog is older.
+};
+
+// This VM's link became full: datagrams wait in a queue, in front of it or
+// behind it. Missing answers are no evidence of silence meanwhile.
+struct LinkLate {
+  Duration receive_queue{};  // How long a datagram waits, as estimated.
+  Duration send_queue{};
+};
+
+// A service was divided into shards, each with a dispatcher, or united.
+struct ShardingChange {
+  std::string service;                    // Its name.
+  std::vector<std::string> data_centers;  // Of the shards; empty if united.
+};
+
 // What the owner of a FlowNode has to do.
 struct FlowNodeActions {
   std::vector<FlowEvent> flow_events;
   std::vector<IngressEvent> ingress_events;
+  std::vector<ShardingChange> sharding_changes;
   // Send an opening packet to an endpoint.
   struct Placement {
     FlowTarget target;   // Write its cookie into the packet.
@@ -84,6 +120,19 @@
   std::vector<Placement> placements;
   std::vector<FlowRefusal> refusals;
   std::vector<EndpointSilence> silences;
+  std::vector<EvacuationEvent> evacuation_events;
+  std::vector<LinkLate> link_events;
+};
+
+// Bytes of the messages between entry VMs, by kind.
+struct PeerTraffic {
+  std::uint64_t openings = 0;
+  std::uint64_t taken = 0;  // Acknowledgements of openings.
+  std::uint64_t seen = 0;   // Reports of progress.
+  std::uint64_t ends = 0;
+  // Membership messages, and what belongs to no item: the headers, including
+  // those of IP and UDP, and the sender.
+  std::uint64_t other = 0;
 };
 
 // Totals since the node was created.
@@ -101,6 +150,16 @@
   std::uint64_t declined = 0;   // Opening packets that this VM declined.
   // Opening packets received before the endpoints were known.
   std::uint64_t parked = 0;
+  PeerTraffic received;
+  PeerTraffic sent;
+  // Opening packets that this VM, as a shard's dispatcher, passed on to another
+  // data centre: flows would have waited here for longer than the way there, or
+  // no endpoint here was usable.
+  std::uint64_t passed_on_full = 0;
+  std::uint64_t passed_on_no_endpoint = 0;
+  // Opening packets that were passed on, did not reach the dispatcher there and
+  // returned.
+  std::uint64_t returned = 0;
 };
 
 class FlowNode {
@@ -133,11 +192,17 @@
   // Processes a datagram from another VM.
   virtual void OnPeer(TimePoint now, SocketAddress from, ByteSpan bytes,
                       Outbox& out) = 0;
+  // Records what this VM's sockets have received and sent since the previous
+  // call, in bytes with the headers of the datagrams. No effect if the rate of
+  // the link is unknown.
+  virtual void OnTraffic(TimePoint now, std::uint64_t received,
+                         std::uint64_t sent) = 0;
   // Processes timeouts and sends membership messages that are due.
   virtual void OnTick(TimePoint now, Outbox& out) = 0;
   // The time at which OnTick() has to be called next.
   virtual TimePoint NextWake() const = 0;
-  // Sends the messages to other VMs that have accumulated since the last call.
+  // Sends the messages to other VMs that are due. Those that are not due yet
+  // count for NextWake().
   virtual void Flush(TimePoint now, Outbox& out) = 0;
   // Returns and clears the accumulated actions.
   virtual FlowNodeActions TakeActions() = 0;
@@ -152,8 +217,13 @@
   // flows to other VMs. The node still processes packets.
   virtual void BeginStop(TimePoint now, Outbox& out) = 0;
 
+  // The evacuated data centres that this VM applies.
+  virtual const EvacuationState& evacuations() const = 0;
   // Number of endpoints to which packets can be forwarded.
   virtual std::size_t endpoints() const = 0;
+  // The open flows that were placed here, for each data centre that the catalog
+  // in force evacuates.
+  virtual std::vector<pb::OpenFlows> OpenFlows() const = 0;
   virtual const PeerNode& peers() const = 0;
   virtual const FlowNodeCounters& counters() const = 0;
   virtual const FlowDispatcherCounters& dispatcher_counters() const = 0;
--- a/include/vanillalatch/packetflow/peer_node.h
+++ b/include/vanillalatch/packetflow/peer_node.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <utility>
 
 #include "peer.pb.h"
 #include "vanillalatch/base/outbox.h"
@@ -54,6 +55,11 @@
   // Announces to the peers that this VM stops.
   void Leave(TimePoint now, Outbox& out);
 
+  // See MemberList.
+  void SetEvacuations(TimePoint now, EvacuationState state) {
+    members_->SetEvacuations(now, std::move(state));
+  }
+
   Registry& registry() { return *registry_; }
   const Registry& registry() const { return *registry_; }
   const MemberList& members() const { return *members_; }
@@ -65,13 +71,10 @@
   std::uint64_t malformed() const { return malformed_; }
 
  private:
-  PeerNode(std::uint64_t incarnation, std::unique_ptr<MemberList> members,
+  PeerNode(std::unique_ptr<MemberList> members,
            std::unique_ptr<Registry> registry)
-      : incarnation_(incarnation),
-        members_(std::move(members)),
-        registry_(std::move(registry)) {}
+      : members_(std::move(members)), registry_(std::move(registry)) {}
 
-  std::uint64_t incarnation_;
   std::unique_ptr<MemberList> members_;
   std::unique_ptr<Registry> registry_;
   pb::PeerDatagram incoming_;
--- a/include/vanillalatch/placement/slot_scheduler.h
+++ b/include/vanillalatch/placement/slot_scheduler.h
@@ -48,6 +48,31 @@
   std::string data_center{};
 };
 
+// How long the endpoints of a service are cold after their start, and how much
+// new work per second a cold one bears. A rate of zero states no bound.
+struct WarmUp {
+  Duration duration{};
+  double per_second = 0;
+  friend bool operator==(const WarmUp&, const WarmUp&) = default;
+};
+
+// What this VM may give to cold endpoints of a service that states a rate.
+struct ColdUse {
+  double share = 1;  // Part of the stated rate.
+  // Only while no warm endpoint takes new work. Set on a VM that is not the
+  // service's dispatcher.
+  bool only_without_warm = false;
+  TimePoint from = TimePoint::min();  // Nothing before this time.
+  friend bool operator==(const ColdUse&, const ColdUse&) = default;
+};
+
+// Whether the first packet of work that runs may be sent to its endpoint again.
+enum class Resend : std::uint8_t {
+  kSend,
+  kWait,  // The endpoint is cold and has received as much as it bears.
+  kMove   // The endpoint is evacuated.
+};
+
 // How a request that had a slot ended, as the dispatcher observed it.
 enum class WorkOutcome : std::uint8_t {
   kAnswered,   // The endpoint sent a complete answer that is no server error.
@@ -77,6 +102,19 @@
   RefusalCause cause{};                            // kRefuse
 };
 
+// The slots of the service, and what a request of one class would find.
+struct SlotLoad {
+  // Slots that unpinned work may use. 0 if all endpoints are silent.
+  std::uint32_t usable_slots = 0;
+  std::uint32_t free_slots = 0;  // Usable slots that are free.
+  std::uint32_t queued = 0;      // Waiting requests of all classes.
+  Duration expected_wait{};      // Mean wait for a slot.
+  Duration answer_time{};        // Mean time from the start to the answer.
+  // Some endpoint takes unpinned work now or after a back-off, or would if it
+  // was not silent.
+  bool in_service = false;
+};
+
 struct SlotSchedulerOptions {
   // A new endpoint's usable slots grow from one to all over this time.
   Duration cold_start_ramp = std::chrono::seconds(5);
@@ -107,6 +145,22 @@
   virtual void SetEndpoints(TimePoint now,
                             std::span<const Endpoint> endpoints) = 0;
 
+  // Replaces the data centres that are evacuated. An endpoint in one of them
+  // gets no new unpinned work, also not as a probe or by Work::try_first, and
+  // its slots are not usable; requests that run there continue. Waiting work is
+  // refused with kNoEndpoint by the next call if no endpoint elsewhere is in
+  // service.
+  virtual void SetEvacuated(TimePoint now,
+                            std::span<const std::string> data_centers) = 0;
+
+  // Sets the bound for cold endpoints.
+  virtual void SetWarmUp(TimePoint now, const WarmUp& warm_up) = 0;
+  // Sets this VM's part of that bound. If it changes the role or the start, the
+  // token buckets of all cold endpoints become empty.
+  virtual void SetColdUse(TimePoint now, const ColdUse& use) = 0;
+  // Decides on a repetition to `endpoint`, and counts it if it is sent.
+  virtual Resend TryResend(TimePoint now, EndpointId endpoint) = 0;
+
   // Places, queues or refuses a request. Appends its verdict to `verdicts`, or
   // none if the request waits in the queue; a later call then appends it. May
   // also append verdicts on other requests. No effect if the request already
@@ -119,9 +173,14 @@
   virtual void AddRunning(TimePoint now, const Work& work,
                           EndpointId endpoint) = 0;
   // Frees the request's slot, if it has one, and starts waiting requests.
-  // Appends verdicts on waiting requests only.
+  // Appends verdicts on waiting requests only. `report_age`: how long ago the
+  // request ended; measured answer times exclude it.
   virtual void Finish(TimePoint now, RequestId request, WorkOutcome outcome,
-                      std::vector<Verdict>& verdicts) = 0;
+                      Duration report_age, std::vector<Verdict>& verdicts) = 0;
+  void Finish(TimePoint now, RequestId request, WorkOutcome outcome,
+              std::vector<Verdict>& verdicts) {
+    Finish(now, request, outcome, Duration::zero(), verdicts);
+  }
   // Removes a request from the queue. Returns false if it does not wait there.
   virtual bool Cancel(TimePoint now, RequestId request) = 0;
   // Applies what is due by time: starts waiting requests on slots that became
@@ -139,6 +198,10 @@
   // budget is used up or the service is overloaded.
   virtual bool TakeRetry(TimePoint now) = 0;
 
+  // Returns the slots of the service, and the expected times of a request of
+  // class `id` that is submitted now.
+  virtual SlotLoad Load(TimePoint now, ClassId id) = 0;
+
   // Returns the counts and states of classes and endpoints for operators.
   virtual pb::ServiceReport Report(TimePoint now) const = 0;
 };
--- a/include/vanillalatch/settings/settings.h
+++ b/include/vanillalatch/settings/settings.h
@@ -69,11 +69,16 @@
 // `control` combine the IP address of each seed with the port of "listen" and
 // with "control_port".
 //
-// "fleet": {"listen": "A:P", "seeds": ["A:P"], "control_port": P}
+// "fleet": {"listen": "A:P", "seeds": ["A:P"], "control_port": P,
+//           "link_mbit_per_s": 2.0}
 struct FleetSettings {
   SocketAddress listen;                // UDP, from VMs of the fleet.
   std::vector<SocketAddress> seeds;    // Fleet sockets of control VMs.
   std::vector<SocketAddress> control;  // gRPC addresses of the same VMs.
+  // Rate of an entry VM's link, in each direction. It must be the same on all
+  // entry VMs, as it decides which services have several dispatchers. Absent:
+  // each service has one.
+  std::optional<double> link_mbit_per_s;
 };
 
 // The flow role: forwards the packets of callers' flows to backend servers
@@ -99,9 +104,19 @@
   Duration heartbeat = std::chrono::milliseconds(1200);  // Interval.
 };
 
+// A data centre of the deployment and the region that it is in.
+//
+// "data_centers": [{"name": "NAME", "region": "NAME"}]
+struct DataCenterSettings {
+  std::string name;
+  std::string region;
+};
+
 // The whole file:
 //
-// {"vm": "NAME", "data_center": "NAME", "entry": {...}, "control": {...},
+// {"vm": "NAME", "data_center": "NAME",
+//  "data_centers": [{"name": "NAME", "region": "NAME"}],
+//  "entry": {...}, "control": {...},
 //  "fleet": {...}, "flows": {...}, "doors": {...},
 //  "log": {"level": "info", "file": "PATH"}, "trace_file": "PATH",
 //  "metrics": "A:P"}
@@ -109,6 +124,8 @@
 struct Settings {
   std::string vm;
   std::string data_center;
+  // All data centres. Empty: not known, and no region is known either.
+  std::vector<DataCenterSettings> data_centers;
   std::optional<EntrySettings> entry;
   std::optional<ControlSettings> control;
   std::optional<FleetSettings> fleet;
--- a/include/vanillalatch/telemetry/metrics.h
+++ b/include/vanillalatch/telemetry/metrics.h
@@ -52,7 +52,10 @@
   kControlTerm,       // Gauge.
   kControlCommitted,  // Gauge, log index.
   kControlLeader,     // Gauge, 1 on the leader.
+  kEvacuations,       // Gauge.
+  kUnknownValues,     // Counter.
   kFlowEvents,        // Counter; event.
+  kPeerBytes,         // Counter; direction, kind.
   kFlowWait,          // Histogram, seconds.
   kFlowHandshake,     // Histogram, seconds.
   kFlowAnswer,        // Histogram, seconds.
--- a/src/packetflow/flow_dispatcher.cc
+++ b/src/packetflow/flow_dispatcher.cc
@@ -8,20 +8,6 @@
 namespace vanillalatch {
 namespace internal {
 
-SlotScheduler& FlowDispatcherImpl::SchedulerOf(ServiceId service) {
-  std::unique_ptr<SlotScheduler>& scheduler = schedulers_[service];
-  if (scheduler == nullptr) {
-    SlotSchedulerOptions options;
-    options.overlap_percent = options_.overlap_percent;
-    options.endpoints_report_warm_up = true;
-    scheduler =
-        SlotScheduler::Create(options, StableHash(seed_, service.value()))
-            .value();
-    scheduler->SetClasses(classes_);
-  }
-  return *scheduler;
-}
-
 void FlowDispatcherImpl::Open(TimePoint now, FlowOpening opening,
                               FlowActions& actions) {
   const auto it = flows_.find(opening.id);
@@ -45,6 +31,7 @@
     return;
   }
   ++counters_.opened;
+  move_budgets_[opening.service].OnOpening(now);
   const FlowId id = opening.id;
   Flow& flow = flows_[id];
   flow.opening = std::move(opening);
@@ -64,6 +51,7 @@
                                 std::optional<EndpointId> avoid,
                                 FlowActions& actions) {
   flow.accepted = false;
+  flow.move_refused = false;
   flow.request_sent = false;
   flow.work = RequestId(++last_work_);
   flow.placed = false;
@@ -80,7 +68,7 @@
     work.try_first = silence_detector_.TakeProbe(now, flow.opening.service);
   }
   work.data_center = flow.opening.data_center;
-  SchedulerOf(flow.opening.service).Submit(now, work, verdicts_);
+  SchedulerOf(flow.shard()).Submit(now, work, verdicts_);
   ApplyVerdicts(now, actions);
 }
 
@@ -92,9 +80,18 @@
     // been processed.
     return;
   }
+  const Resend resend = SchedulerOf(flow.shard()).TryResend(now, flow.endpoint);
   flow.opening.copy = opening.copy;
-  flow.sent_at = now;
-  if (opening.copy < kFirstMovedCopy) {
+  if (resend == Resend::kMove) {
+    MoveFromEvacuated(now, flow, actions);
+    return;
+  }
+  if (opening.copy < kFirstMovedCopy && !flow.move_refused) {
+    if (resend == Resend::kWait) {
+      ++counters_.withheld_from_cold;
+      return;
+    }
+    flow.sent_at = now;
     ++counters_.repeated;
     actions.placements.push_back({flow.endpoint, flow.opening.packet});
     return;
@@ -105,15 +102,27 @@
   Submit(now, flow, silent, actions);
 }
 
+void FlowDispatcherImpl::MoveFromEvacuated(TimePoint now, Flow& flow,
+                                           FlowActions& actions) {
+  if (flow.accepted) {
+    return;  // A late copy: the caller has continued.
+  }
+  ++counters_.moved;
+  ++counters_.moved_from_evacuated;
+  const EndpointId evacuated = flow.endpoint;
+  Release(now, flow, WorkOutcome::kCancelled);
+  Submit(now, flow, evacuated, actions);
+}
+
 void FlowDispatcherImpl::Release(TimePoint now, const Flow& flow,
-                                 WorkOutcome outcome) {
+                                 WorkOutcome outcome, Duration age) {
   if (flow.idle) {
     return;
   }
   flow_by_work_.erase(flow.work);
-  SlotScheduler& scheduler = SchedulerOf(flow.opening.service);
+  SlotScheduler& scheduler = SchedulerOf(flow.shard());
   if (flow.placed) {
-    scheduler.Finish(now, flow.work, outcome, verdicts_);
+    scheduler.Finish(now, flow.work, outcome, age, verdicts_);
   } else {
     scheduler.Cancel(now, flow.work);
   }
@@ -123,7 +132,8 @@
                                             FlowActions& actions) {
   const ServiceId service = flow.opening.service;
   if (silence_detector_.OnAnswer(flow.endpoint, service, flow.sent_at)) {
-    SchedulerOf(service).SetSilent(flow.endpoint, false);
+    SchedulerOf(ShardOf(service, flow.endpoint))
+        .SetSilent(flow.endpoint, false);
     actions.silences.push_back({flow.endpoint, false, 0, Duration::zero()});
   }
 }
@@ -163,6 +173,8 @@
     flow.opening.work_class = established.work_class;
     flow.opening.timeout = established.timeout;
     flow.endpoint = established.endpoint;
+    flow.opening.shard =
+        ShardOf(established.service, established.endpoint).data_center;
     // Suppresses the kAnswer timing: when the flow was placed is unknown here.
     flow.has_answer = true;
     flow.placed = true;
@@ -175,18 +187,18 @@
   }
   if (!std::exchange(flow.accepted, true)) {
     flow.accepted_at = now;
-    silence_detector_.OnHandshake(now, now - flow.sent_at);
-    actions.timings.push_back(
-        {FlowTiming::Part::kHandshake, now - flow.sent_at});
+    const Duration handshake = now - update.age - flow.sent_at;
+    silence_detector_.OnHandshake(now, handshake);
+    actions.timings.push_back({FlowTiming::Part::kHandshake, handshake});
     OnEndpointAnswered(flow, actions);
   }
   flow.request_sent |= update.request_sent;
   if (update.answer_started && !flow.idle) {
     if (!std::exchange(flow.has_answer, true)) {
       actions.timings.push_back(
-          {FlowTiming::Part::kAnswer, now - flow.sent_at});
+          {FlowTiming::Part::kAnswer, now - update.age - flow.sent_at});
     }
-    MarkIdle(now, flow, WorkOutcome::kAnswered);
+    MarkIdle(now, flow, WorkOutcome::kAnswered, update.age);
     ApplyVerdicts(now, actions);
   } else if (update.request_sent && flow.idle) {
     TakeSlot(now, flow);
@@ -194,8 +206,8 @@
 }
 
 void FlowDispatcherImpl::MarkIdle(TimePoint now, Flow& flow,
-                                  WorkOutcome outcome) {
-  Release(now, flow, outcome);
+                                  WorkOutcome outcome, Duration age) {
+  Release(now, flow, outcome, age);
   flow.idle = true;
   flow.opening.packet.clear();
   flow.expires = now + kIdleFlowRetention;
@@ -209,19 +221,11 @@
   Work work;
   work.request = flow.work;
   work.work_class = flow.opening.work_class;
-  SchedulerOf(flow.opening.service).AddRunning(now, work, flow.endpoint);
-}
-
-void FlowDispatcherImpl::StopSilenceDetection(ServiceId service) {
-  for (auto& [id, it] : flows_) {
-    if (it.opening.service == service) {
-      it.opening.progress_reported = false;
-    }
-  }
+  SchedulerOf(flow.shard()).AddRunning(now, work, flow.endpoint);
 }
 
 void FlowDispatcherImpl::End(TimePoint now, FlowId id, bool given_up,
-                             FlowActions& actions) {
+                             Duration age, FlowActions& actions) {
   const auto it = flows_.find(id);
   if (it == flows_.end()) {
     return;
@@ -238,27 +242,10 @@
              now - (flow.placed ? flow.sent_at : flow.submitted_at), actions);
   }
   Release(now, flow,
-          given_up ? WorkOutcome::kCancelled : WorkOutcome::kAnswered);
+          given_up ? WorkOutcome::kCancelled : WorkOutcome::kAnswered, age);
   ApplyVerdicts(now, actions);
 }
 
-std::vector<FlowOpening> FlowDispatcherImpl::TakeWaiting(TimePoint now,
-                                                         ServiceId service) {
-  std::vector<FlowOpening> waiting;
-  for (auto it = flows_.begin(); it != flows_.end();) {
-    const auto next = std::next(it);
-    if (!it->second.placed && it->second.opening.service == service) {
-      Release(now, it->second, WorkOutcome::kCancelled);
-      waiting.push_back(std::move(it->second.opening));
-      flows_.erase(it);
-    }
-    it = next;
-  }
-  std::sort(waiting.begin(), waiting.end(),
-            [](const auto& a, const auto& b) { return a.id < b.id; });
-  return waiting;
-}
-
 void FlowDispatcherImpl::ApplyVerdicts(TimePoint now, FlowActions& actions) {
   for (const Verdict& it : std::exchange(verdicts_, {})) {
     const auto flow_id = flow_by_work_.find(it.request);
--- a/src/packetflow/flow_dispatcher_timers.cc
+++ b/src/packetflow/flow_dispatcher_timers.cc
@@ -41,7 +41,7 @@
     }
     if (verdict == SilenceDetector::Verdict::kNewlySilent) {
       ++counters_.endpoints_found_silent;
-      SchedulerOf(service).SetSilent(endpoint, true);
+      SchedulerOf(ShardOf(service, endpoint)).SetSilent(endpoint, true);
       actions.silences.push_back(
           {endpoint, true, ids.size(), silence_detector_.WaitLimit(now)});
     }
@@ -51,7 +51,13 @@
   std::sort(moving.begin(), moving.end());
   for (const FlowId& it : moving) {
     const auto flow = flows_.find(it);
-    if (flow == flows_.end()) {
+    if (flow == flows_.end() || flow->second.move_refused) {
+      continue;
+    }
+    if (options_.limit_moves &&
+        !move_budgets_[flow->second.opening.service].TryTake(now)) {
+      ++counters_.moves_refused;
+      flow->second.move_refused = true;
       continue;
     }
     ++counters_.moved;
@@ -63,7 +69,7 @@
 }
 
 void FlowDispatcherImpl::OnTick(TimePoint now, FlowActions& actions) {
-  for (auto& [id, it] : schedulers_) {
+  for (auto& [shard, it] : schedulers_) {
     if (now >= it->NextWake()) {
       it->OnTick(now, verdicts_);
     }
@@ -122,7 +128,7 @@
 TimePoint FlowDispatcherImpl::NextWake() const {
   TimePoint wake =
       flows_.empty() ? kNever : std::min(expire_due_, silence_check_due_);
-  for (const auto& [id, it] : schedulers_) {
+  for (const auto& [shard, it] : schedulers_) {
     wake = std::min(wake, it->NextWake());
   }
   return wake;
--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -6,7 +6,6 @@
 
 #include "src/packetflow/flow_messages.h"
 #include "src/packetflow/flow_node_impl.h"
-#include "vanillalatch/placement/rendezvous.h"
 
 namespace vanillalatch {
 namespace internal {
@@ -29,11 +28,37 @@
   }
   revision_ = catalog.revision();
   routes_ = RouteTable::From(catalog.flows());
+  reported_data_centers_.clear();
+  for (const pb::Evacuation& it : catalog.evacuations()) {
+    reported_data_centers_.push_back(it.data_center());
+  }
   dispatcher_->SetClasses(routes_.classes());
   endpoint_versions_.clear();
+  ApplyWarmUps(now, catalog);
+  peers_->SetEvacuations(now, EvacuationsOf(catalog));
+  UpdateEvacuations(now);
   UpdateEndpoints(now);
 }
 
+std::vector<pb::OpenFlows> FlowNodeImpl::OpenFlows() const {
+  std::vector<pb::OpenFlows> reports(reported_data_centers_.size());
+  if (reports.empty()) {
+    return reports;
+  }
+  for (std::size_t n = 0; n < reports.size(); ++n) {
+    reports[n].set_data_center(reported_data_centers_[n]);
+  }
+  for (const auto& [id, flows] : dispatcher_->OpenFlows()) {
+    const Endpoint* endpoint = peers_->registry().Find(id);
+    for (pb::OpenFlows& it : reports) {
+      if (endpoint != nullptr && endpoint->data_center == it.data_center()) {
+        it.set_flows(it.flows() + flows);
+      }
+    }
+  }
+  return reports;
+}
+
 void FlowNodeImpl::OnEndpoints(TimePoint now,
                                const std::vector<pb::LeaseUpdate>& updates,
                                bool complete) {
@@ -69,7 +94,7 @@
     return {FlowVerdict::Kind::kDrop};
   }
   if (packet.ends || packet.aborts) {
-    EndFlow(now, packet, target->service);
+    EndFlow(now, packet, *target);
   } else {
     ReportProgress(now, packet, *route, *target);
   }
@@ -86,76 +111,91 @@
   }
   const EstablishedFlow established{target.service, route.work_class,
                                     route.timeout, target.endpoint};
-  const NodeId to = PlacerOf(now, update->id, target.service);
+  const NodeId to = PlacerOf(now, update->id, target);
   if (dispatcher_->Contains(update->id) || to == self()) {
     dispatcher_->OnFlowUpdate(now, *update, established, actions_);
     return;
   }
-  pb::FlowSeen& message = *PendingMessageTo(to).add_seen();
+  pb::FlowSeen message;
   message.set_id(update->id.value());
   message.set_requests(update->request_sent);
   message.set_answered(update->answer_started);
   if (update->request_sent) {
-    message.set_service(target.service.value());
+    if (FormOf(to) == MessageForm::kFull) {
+      message.set_service(target.service.value());
+    }
     message.set_cookie(target.cookie.value());
     message.set_work_class(route.work_class.value());
     message.set_timeout_ms(
         static_cast<std::uint32_t>(ToMilliseconds(route.timeout)));
   }
+  PendingMessageTo(to).AddSeen(now, std::move(message));
 }
 
 NodeId FlowNodeImpl::PlacerOf(TimePoint now, FlowId id,
-                              ServiceId service) const {
+                              const FlowTarget& target) const {
   const std::optional<NodeId> placer = flow_tracker_.PlacerOf(id);
   const std::span<const Member> members = peers_->members().members();
   const bool placer_is_member =
       placer && std::any_of(members.begin(), members.end(), [&](auto& it) {
         return it.id == *placer && it.state != MemberState::kDead;
       });
-  return placer_is_member ? *placer : DispatcherFor(now, service);
+  return placer_is_member ? *placer
+                          : DispatcherFor(now, ShardOfEndpoint(target));
 }
 
 void FlowNodeImpl::OnSeen(TimePoint now, const pb::FlowSeen& message) {
   const FlowUpdate update{FlowId(message.id()), message.requests(),
-                          message.answered()};
+                          message.answered(), DecodeAge(message.age())};
   const FlowTarget* target = endpoints_.Find(FlowCookie(message.cookie()));
   if (target == nullptr && !dispatcher_->Contains(update.id)) {
     return;
   }
   EstablishedFlow established;
   if (target != nullptr) {
-    established = {ServiceId(message.service()), ClassId(message.work_class()),
-                   std::chrono::milliseconds(message.timeout_ms()),
-                   target->endpoint};
+    established = {
+        message.service() == 0 ? target->service : ServiceId(message.service()),
+        ClassId(message.work_class()),
+        std::chrono::milliseconds(message.timeout_ms()), target->endpoint};
   }
   dispatcher_->OnFlowUpdate(now, update, established, actions_);
 }
 
 void FlowNodeImpl::EndFlow(TimePoint now, const FlowPacket& packet,
-                           ServiceId service) {
+                           const FlowTarget& target) {
   const FlowId id = packet.id();
-  const NodeId to = PlacerOf(now, id, service);
+  const NodeId to = PlacerOf(now, id, target);
   flow_tracker_.Erase(id);
   if (dispatcher_->Contains(id)) {
-    dispatcher_->End(now, id, packet.aborts, actions_);
+    dispatcher_->End(now, id, packet.aborts, {}, actions_);
     return;
   }
   if (to != self()) {
-    pb::FlowEnd& message = *PendingMessageTo(to).add_ends();
+    pb::FlowEnd message;
     message.set_id(id.value());
     message.set_given_up(packet.aborts);
+    PendingMessageTo(to).AddEnd(now, std::move(message));
   }
 }
 
 void FlowNodeImpl::OnPeer(TimePoint now, SocketAddress from, ByteSpan bytes,
                           Outbox& out) {
+  const std::size_t sent_before = out.items().size();
   const pb::FlowMessage* message = peers_->OnDatagram(now, from, bytes, out);
+  CountMembershipSent(out, sent_before);
+  UpdateEvacuations(now);
   const NodeId sender = peers_->sender();
   dispatcher_selector_.OnContact(sender);
+  CountTraffic(message == nullptr ? pb::FlowMessage() : *message, bytes.size(),
+               counters_.received);
   if (message != nullptr) {
     for (const pb::FlowOpening& it : message->openings()) {
       OnOpening(now, sender, it);
     }
+    if (message->taken_size() > 0) {
+      forms_[sender] =
+          message->form() == 0 ? MessageForm::kFull : MessageForm::kCompact;
+    }
     for (const pb::FlowTaken& it : message->taken()) {
       OnTaken(now, sender, it);
     }
@@ -163,7 +203,11 @@
       OnSeen(now, it);
     }
     for (const pb::FlowEnd& it : message->ends()) {
-      dispatcher_->End(now, FlowId(it.id()), it.given_up(), actions_);
+      dispatcher_->End(now, FlowId(it.id()), it.given_up(), DecodeAge(it.age()),
+                       actions_);
+    }
+    for (const pb::ShardLoad& it : message->loads()) {
+      OnShardLoad(now, sender, it);
     }
   }
 }
@@ -186,17 +230,28 @@
 }
 
 void FlowNodeImpl::OnTick(TimePoint now, Outbox& out) {
+  const std::size_t sent_before = out.items().size();
   peers_->OnTick(now, out);
+  CountMembershipSent(out, sent_before);
+  UpdateEvacuations(now);
   UpdateEndpoints(now);
   if (peers_->members().version() != members_version_) {
     members_version_ = peers_->members().version();
+    for (auto& [service, it] : shards_) {
+      it = ShardsOf(peers_->registry().EndpointsOf(service),
+                    peers_->members().members());
+    }
     UpdateFirstDispatchers(now);
     HandOverWaiting(now);
   }
-  PlaceTimedOutHandovers(now);
+  UpdateLinkLate(now);
   UpdateSettled(now);
+  UpdateColdUse(now);
+  PlaceTimedOutHandovers(now);
   DispatchParked(now);
   dispatcher_->OnTick(now, actions_);
+  SendShardLoads(now);
+  ForgetPassedOn(now);
   if (now >= lost_endpoint_check_due_) {
     lost_endpoint_check_due_ = now + kLostEndpointCheckInterval;
     endpoints_.DropLost(now);
@@ -207,8 +262,30 @@
   }
 }
 
+void FlowNodeImpl::CountMembershipSent(const Outbox& out,
+                                       std::size_t sent_before) {
+  for (const Outbox::Item& it : out.items().subspan(sent_before)) {
+    CountTraffic({}, it.size, counters_.sent);
+  }
+}
+
+void FlowNodeImpl::UpdateLinkLate(TimePoint now) {
+  const bool was_late = std::exchange(link_late_, link_meter_.WasLate(now));
+  if (!link_late_) {
+    return;
+  }
+  dispatcher_->OnLinkLate(now);
+  if (!was_late) {
+    link_events_.push_back(
+        {link_meter_.ReceiveQueue(now), link_meter_.SendQueue(now)});
+  }
+}
+
 void FlowNodeImpl::UpdateEndpoints(TimePoint now) {
   const Registry& registry = peers_->registry();
+  if (TakeEndpointRefresh(now)) {
+    endpoint_versions_.clear();
+  }
   for (const ServiceId it : routes_.services()) {
     const std::uint64_t version = registry.VersionOf(it);
     const auto [entry, added] = endpoint_versions_.try_emplace(it, version);
@@ -216,6 +293,7 @@
       continue;
     }
     entry->second = version;
+    std::vector<FlowOpening> waiting = UpdateShards(now, it);
     endpoints_.SetEndpoints(now, it, registry.EndpointsOf(it));
     std::vector<Endpoint> usable;
     for (const Endpoint& endpoint : registry.EndpointsOf(it)) {
@@ -224,17 +302,27 @@
       }
     }
     dispatcher_->SetEndpoints(now, it, usable, actions_);
+    for (FlowOpening& opening : waiting) {
+      Dispatch(now, std::move(opening));
+    }
   }
 }
 
 void FlowNodeImpl::UpdateFirstDispatchers(TimePoint now) {
-  for (const ServiceId it : routes_.services()) {
-    const NodeId first =
-        DispatcherOf(it, peers_->members().members(), 0).value_or(self());
-    const auto [entry, added] = first_dispatchers_.try_emplace(it, first);
-    if (added || entry->second != first) {
-      entry->second = first;
-      dispatcher_->OnDispatcherChanged(now, it);
+  for (const ServiceId service : routes_.services()) {
+    for (const ShardId& it : ShardsOfService(service)) {
+      const NodeId first = ShardDispatcherOf(it, peers_->members().members(), 0)
+                               .value_or(self());
+      const auto [entry, added] = first_dispatchers_.try_emplace(it, first);
+      if (added || entry->second != first) {
+        entry->second = first;
+        dispatcher_->OnDispatcherChanged(now, service);
+        // The new dispatcher has no reports of the other shards yet.
+        loads_due_ = now;
+        std::erase_if(sent_loads_, [&](const auto& sent) {
+          return sent.first.service == service;
+        });
+      }
     }
   }
 }
@@ -247,16 +335,28 @@
   for (const auto& [id, it] : parked_) {
     wake = std::min(wake, it.due);
   }
-  return wake;
+  for (const auto& [to, it] : messages_) {
+    wake = std::min(wake, it.due());
+  }
+  return shards_.empty() ? wake : std::min(wake, loads_due_);
 }
 
 void FlowNodeImpl::Flush(TimePoint now, Outbox& out) {
-  for (auto& [to, message] : messages_) {
-    for (const pb::FlowMessage& it : SplitIntoDatagrams(std::move(message))) {
-      peers_->Send(to, it, out);
+  for (auto it = messages_.begin(); it != messages_.end();) {
+    if (now < it->second.due()) {
+      ++it;
+      continue;
     }
+    for (const pb::FlowMessage& message :
+         SplitIntoDatagrams(it->second.Take(now))) {
+      const std::size_t before = out.items().size();
+      peers_->Send(it->first, message, out);
+      if (out.items().size() > before) {
+        CountTraffic(message, out.items().back().size, counters_.sent);
+      }
+    }
+    it = messages_.erase(it);
   }
-  messages_.clear();
 }
 
 FlowNodeActions FlowNodeImpl::TakeActions() {
@@ -275,6 +375,9 @@
   timings_.insert(timings_.end(), actions_.timings.begin(),
                   actions_.timings.end());
   actions.ingress_events = std::exchange(ingress_events_, {});
+  actions.evacuation_events = std::exchange(evacuation_events_, {});
+  actions.link_events = std::exchange(link_events_, {});
+  actions.sharding_changes = std::exchange(sharding_changes_, {});
   actions_ = {};
   return actions;
 }
@@ -290,19 +393,24 @@
 
 Result<std::unique_ptr<FlowNode>> FlowNode::Create(FlowNodeOptions options,
                                                    std::uint64_t seed) {
+  options.dispatcher.limit_moves |= options.link_mbit_per_s > 0;
   Result<std::unique_ptr<FlowDispatcher>> dispatcher =
       FlowDispatcher::Create(options.dispatcher, seed);
   if (!dispatcher.ok()) {
     return dispatcher.error();
   }
+  // The data centre is only needed for shards. Without them it would lengthen
+  // the messages by which VMs join.
+  if (options.link_mbit_per_s > 0) {
+    options.members.location = options.data_center;
+  }
   Result<std::unique_ptr<PeerNode>> peers =
-      PeerNode::Create(std::move(options.members), seed);
+      PeerNode::Create(options.members, seed);
   if (!peers.ok()) {
     return peers.error();
   }
   return std::unique_ptr<FlowNode>(std::make_unique<internal::FlowNodeImpl>(
-      std::move(options.data_center), std::move(*peers),
-      std::move(*dispatcher)));
+      options, std::move(*peers), std::move(*dispatcher)));
 }
 
 }  // namespace vanillalatch
--- a/src/packetflow/flow_world_test.cc
+++ b/src/packetflow/flow_world_test.cc
@@ -5,7 +5,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "vanillalatch/placement/rendezvous.h"
+#include "peer.pb.h"
+#include "src/packetflow/shard.h"
 
 namespace vanillalatch {
 namespace {
@@ -15,11 +16,22 @@
 
 // Stands for the control VM where entry VMs have their index.
 constexpr int kControl = -1;
+constexpr std::size_t kHeaderBytes = 28;  // IPv4 and UDP.
+constexpr Duration kMaxLinkQueue = milliseconds(100);
+// A caller's packet without payload.
+constexpr std::size_t kCallerPacketBytes = 32;
 constexpr Duration kTick = milliseconds(1);
 constexpr Duration kLeaseRenewInterval = milliseconds(1200);
 constexpr Duration kDelayToEndpoint = microseconds(300);
 constexpr Duration kDelayToCaller = milliseconds(3);
 constexpr Duration kDelayBetweenVms = microseconds(400);
+// The size of a start time in milliseconds, which VMs use as incarnation.
+constexpr std::uint64_t kFirstIncarnation = 1'700'000'000'000;
+// Between two packets that a caller sends at once: they reach the entry VM in
+// different batches.
+constexpr Duration kDelayBetweenPackets = microseconds(100);
+// Only has to be positive: an acknowledgement shows that an answer has begun.
+constexpr std::uint32_t kAnswerBytes = 1000;
 // When a caller sends the opening packet and its retransmissions, counted from
 // Open().
 constexpr Duration kOpeningDelays[] = {milliseconds(0), milliseconds(200),
@@ -43,6 +55,13 @@
           static_cast<std::uint16_t>(FlowServiceId(service).value() | 1)};
 }
 
+void FlowWorld::SetDataCenters(std::vector<std::string> names, Duration delay,
+                               double link_mbit_per_s) {
+  data_centers_ = std::move(names);
+  delay_between_data_centers_ = delay;
+  link_mbit_per_s_ = link_mbit_per_s;
+}
+
 void FlowWorld::AddVms(std::size_t count) {
   vms_.resize(count);
   MemberListOptions members;
@@ -64,8 +83,9 @@
   options.members.data_center = "fleet";
   options.members.peer = PeerOf(static_cast<int>(n));
   options.members.seeds = {PeerOf(kControl)};
-  options.members.incarnation = ++starts_ * 1000;
-  options.data_center = n % 2 == 0 ? "north" : "south";
+  options.members.incarnation = kFirstIncarnation + ++starts_ * 1000;
+  options.data_center = DataCenterOf(static_cast<int>(n));
+  options.link_mbit_per_s = link_mbit_per_s_;
   vms_[n] = FlowNode::Create(options, random_()).value();
   if (catalog_.revision() > 0) {
     Publish(n);
@@ -100,6 +120,24 @@
   catalog_.set_revision(version);
 }
 
+void FlowWorld::SetWarmUp(const std::string& service, Duration duration,
+                          double rate) {
+  pb::FlowServiceWarmUp& it = *catalog_.mutable_flows()->add_warm_ups();
+  it.set_service(service);
+  it.set_duration_ms(static_cast<std::uint32_t>(ToMilliseconds(duration)));
+  it.set_flows_per_second(rate);
+}
+
+void FlowWorld::SetEvacuated(const std::vector<std::string>& data_centers) {
+  catalog_.set_revision(catalog_.revision() + 1);
+  catalog_.clear_evacuations();
+  for (const std::string& it : data_centers) {
+    pb::Evacuation& evacuation = *catalog_.add_evacuations();
+    evacuation.set_data_center(it);
+    evacuation.set_revision(catalog_.revision());
+  }
+}
+
 void FlowWorld::Publish(std::optional<std::size_t> vm) {
   for (std::size_t n = 0; n < vms_.size(); ++n) {
     if (vms_[n] != nullptr && (!vm || *vm == n)) {
@@ -128,12 +166,17 @@
 
 void FlowWorld::Leave(const std::string& name) {
   At(name).leaving = true;
-  RenewLeases();
+  RegisterEndpoints();
 }
 
 void FlowWorld::RenewLeases() {
+  RegisterEndpoints();
+  After(kLeaseRenewInterval, [this] { RenewLeases(); });
+}
+
+void FlowWorld::RegisterEndpoints() {
   for (const auto& [name, it] : endpoints_) {
-    if (it.silent) {
+    if (it.silent || (!cut_off_.empty() && it.data_center == cut_off_)) {
       continue;
     }
     Registration registration;
@@ -144,13 +187,13 @@
     registration.slots = it.slots;
     registration.lifetime = 10 * kLeaseRenewInterval;
     registration.epoch = it.epoch;
+    registration.warm_in = std::max(it.warm_at - now_, Duration::zero());
     const Result<EndpointId> id =
         control_->registry().Register(now_, registration);
     if (id.ok() && it.leaving) {
       control_->registry().BeginLeave(now_, *id).value();
     }
   }
-  After(kLeaseRenewInterval, [this] { RenewLeases(); });
 }
 
 void FlowWorld::After(Duration delay, Callback run) {
@@ -186,25 +229,86 @@
 void FlowWorld::Deliver(int from, Outbox& out) {
   for (const Outbox::Item& it : out.items()) {
     const int to = static_cast<int>(it.to.ip - 0x0A000000U) - 1;
-    if (disconnected_.contains({from, to})) {
+    const bool is_cut = !cut_off_.empty() && (DataCenterOf(from) == cut_off_) !=
+                                                 (DataCenterOf(to) == cut_off_);
+    if (is_cut || disconnected_.contains({from, to})) {
       continue;
     }
     const ByteSpan span = out.Bytes(it);
+    if (tap_) {
+      tap_(from, to, span);
+    }
     std::vector<std::uint8_t> bytes(span.begin(), span.end());
-    After(kDelayBetweenVms, [this, from, to, bytes = std::move(bytes)] {
-      Outbox answers;
-      if (to == kControl) {
-        control_->OnDatagram(now_, PeerOf(from), bytes, answers);
-      } else if (vms_[static_cast<std::size_t>(to)] != nullptr) {
-        vms_[static_cast<std::size_t>(to)]->OnPeer(now_, PeerOf(from), bytes,
-                                                   answers);
-        PerformActions(static_cast<std::size_t>(to));
+    if (drop_loads_) {
+      pb::PeerDatagram datagram;
+      datagram.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
+      if (datagram.flow().loads_size() > 0) {
+        datagram.mutable_flow()->clear_loads();
+        const std::string rest = datagram.SerializeAsString();
+        bytes.assign(rest.begin(), rest.end());
       }
-      Deliver(to, answers);
-    });
+    }
+    const Duration delay =
+        kDelayBetweenVms + (DataCenterOf(from) == DataCenterOf(to)
+                                ? Duration::zero()
+                                : delay_between_data_centers_);
+    const std::size_t n = bytes.size();
+    PassLink(from, false, n,
+             [this, from, to, n, delay, bytes = std::move(bytes)] {
+               After(delay, [this, from, to, n, bytes] {
+                 PassLink(to, true, n, [this, from, to, bytes] {
+                   OnPeerDatagram(from, to, bytes);
+                 });
+               });
+             });
   }
 }
 
+void FlowWorld::OnPeerDatagram(int from, int to,
+                               const std::vector<std::uint8_t>& bytes) {
+  Outbox answers;
+  if (to == kControl) {
+    control_->OnDatagram(now_, PeerOf(from), bytes, answers);
+  } else if (vms_[static_cast<std::size_t>(to)] != nullptr) {
+    vms_[static_cast<std::size_t>(to)]->OnPeer(now_, PeerOf(from), bytes,
+                                               answers);
+    PerformActions(static_cast<std::size_t>(to));
+  }
+  Deliver(to, answers);
+}
+
+void FlowWorld::SetLinks(std::uint64_t bytes_per_second) {
+  link_bytes_per_second_ = static_cast<double>(bytes_per_second);
+  links_.resize(2 * vms_.size());
+}
+
+void FlowWorld::PassLink(int vm, bool inbound, std::size_t bytes,
+                         Callback then) {
+  if (vm == kControl || links_.empty()) {
+    then();
+    return;
+  }
+  const auto index = static_cast<std::size_t>(vm);
+  const std::size_t n = bytes + kHeaderBytes;
+  Link& link = links_[2 * index + (inbound ? 1 : 0)];
+  if (link.free_at > now_ + kMaxLinkQueue) {
+    return;
+  }
+  const std::chrono::duration<double> time(static_cast<double>(n) /
+                                           link_bytes_per_second_);
+  link.free_at =
+      std::max(link.free_at, now_) + std::chrono::duration_cast<Duration>(time);
+  if (!inbound && vms_[index] != nullptr) {
+    vms_[index]->OnTraffic(now_, 0, n);
+  }
+  After(link.free_at - now_, [this, index, inbound, n, then = std::move(then)] {
+    if (inbound && vms_[index] != nullptr) {
+      vms_[index]->OnTraffic(now_, n, 0);
+    }
+    then();
+  });
+}
+
 void FlowWorld::PerformActions(std::size_t vm) {
   FlowNodeActions actions = vms_[vm]->TakeActions();
   for (const FlowNodeActions::Placement& it : actions.placements) {
@@ -212,9 +316,7 @@
     FlowPacket packet = flows_.at(flow).packet;
     packet.opens = true;
     const std::string name = FormatInstanceName(it.target.instance);
-    After(kDelayToEndpoint, [this, name, packet, flow] {
-      DeliverToEndpoint(name, packet, flow);
-    });
+    SendToEndpoint(vm, name, packet, flow, it.packet.size());
   }
   for (const FlowRefusal& it : actions.refusals) {
     Reset(ParseFlowNumber(it.packet));
@@ -234,7 +336,13 @@
   flow.packet.route = RouteOf(service);
   flow.packet.sequence = static_cast<std::uint32_t>(random_());
   for (std::uint32_t copy = 0; copy < std::size(kOpeningDelays); ++copy) {
-    After(kOpeningDelays[copy], [this, id, copy] { SendOpening(id, copy); });
+    After(kOpeningDelays[copy], [this, id, copy] {
+      if (!flows_[id].endpoint.empty() || flows_[id].reset) {
+        return;
+      }
+      PassLink(static_cast<int>(flows_[id].vm), true, kCallerPacketBytes,
+               [this, id, copy] { SendOpening(id, copy); });
+    });
   }
   After(kGiveUpDelay, [this, id] {
     Flow& it = flows_[id];
@@ -243,6 +351,16 @@
   return id;
 }
 
+int FlowWorld::OpenLong(const std::string& service, std::size_t vm,
+                        std::size_t requests, Duration gap) {
+  const int id = Open(service, vm);
+  Flow& flow = flows_[id];
+  flow.requests = requests;
+  flow.gap = gap;
+  flow.acknowledges = true;
+  return id;
+}
+
 void FlowWorld::SendOpening(int id, std::uint32_t copy) {
   const Flow& flow = flows_[id];
   if (!flow.endpoint.empty() || flow.reset || vms_[flow.vm] == nullptr) {
@@ -251,7 +369,8 @@
   FlowPacket packet = flow.packet;
   packet.opens = true;
   packet.copy = copy;
-  const std::string bytes = std::to_string(id);
+  std::string bytes = std::to_string(id);
+  bytes.resize(std::max(bytes.size(), opening_bytes_));
   const FlowVerdict verdict = vms_[flow.vm]->OnPacket(
       now_, packet,
       {reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size()});
@@ -267,8 +386,28 @@
         [this, id] { flows_[id].reset |= flows_[id].endpoint.empty(); });
 }
 
+void FlowWorld::SendToEndpoint(std::size_t vm, const std::string& name,
+                               const FlowPacket& packet, int flow,
+                               std::size_t bytes) {
+  const auto it = endpoints_.find(name);
+  const std::string from = DataCenterOf(static_cast<int>(vm));
+  const std::string to = it == endpoints_.end() ? from : it->second.data_center;
+  if (!cut_off_.empty() && (from == cut_off_) != (to == cut_off_)) {
+    return;
+  }
+  const Duration delay =
+      kDelayToEndpoint +
+      (from == to ? Duration::zero() : delay_between_data_centers_);
+  PassLink(static_cast<int>(vm), false, bytes,
+           [this, name, packet, flow, vm, delay] {
+             After(delay, [this, name, packet, flow, vm] {
+               DeliverToEndpoint(name, packet, flow, vm);
+             });
+           });
+}
+
 void FlowWorld::DeliverToEndpoint(const std::string& name, FlowPacket packet,
-                                  int id) {
+                                  int id, std::size_t vm) {
   const auto it = endpoints_.find(name);
   if (it == endpoints_.end() || it->second.silent) {
     return;
@@ -276,18 +415,30 @@
   FakeEndpoint& endpoint = it->second;
   if (packet.opens) {
     ++endpoint.openings;
+    endpoint.arrivals.emplace_back(now_, vm);
+    if (!endpoint.flows.contains(id)) {
+      endpoint.assigned.insert(id);
+      endpoint.peak = std::max(endpoint.peak, endpoint.assigned.size());
+    }
     After(kDelayToCaller, [this, name, id] {
       Flow& flow = flows_[id];
       flow.accepted_by.insert(name);
       if (flow.endpoint.empty() && !flow.reset) {
         flow.endpoint = name;
         flow.packet.cookie = CookieOf(*ParseInstanceName(name));
-        After(kDelayToCaller, [this, id] { SendPacket(id, false); });
+        After(kDelayToCaller, [this, id] {
+          if (!flows_[id].acknowledges) {
+            Continue(id);
+            return;
+          }
+          SendPacket(id, false, false);
+          After(kDelayBetweenPackets, [this, id] { Continue(id); });
+        });
       }
     });
     return;
   }
-  if (packet.ends || !endpoint.flows.insert(id).second) {
+  if (!packet.carries_data || !endpoint.flows.insert(id).second) {
     return;
   }
   endpoint.waiting.push(id);
@@ -306,40 +457,69 @@
     After(work, [this, &endpoint, id] {
       --endpoint.running;
       ++endpoint.served;
+      endpoint.assigned.erase(id);
       if (!hold_answers_) {
-        After(kDelayToCaller, [this, id] {
-          flows_[id].answered = now_;
-          After(kDelayToCaller, [this, id] { SendPacket(id, true); });
-        });
+        After(kDelayToCaller, [this, id] { OnAnswer(id); });
       }
       Serve(endpoint);
     });
   }
 }
 
-void FlowWorld::SendPacket(int id, bool ends) {
+void FlowWorld::OnAnswer(int id) {
+  Flow& flow = flows_[id];
+  flow.answered = now_;
+  flow.packet.acknowledged += kAnswerBytes;
+  if (flow.acknowledges) {
+    After(kDelayToCaller, [this, id] { SendPacket(id, false, false); });
+  }
+  After(kDelayToCaller + flow.gap, [this, id] { Continue(id); });
+}
+
+void FlowWorld::Continue(int id) {
+  Flow& flow = flows_[id];
+  if (flow.requests == 0) {
+    SendPacket(id, false, true);
+    return;
+  }
+  --flow.requests;
+  At(flow.endpoint).flows.erase(id);
+  SendPacket(id, true, false);
+}
+
+void FlowWorld::SendPacket(int id, bool carries_data, bool ends) {
+  FlowPacket packet = flows_[id].packet;
+  packet.ends = ends;
+  packet.carries_data = carries_data;
+  PassLink(static_cast<int>(flows_[id].vm), true, kCallerPacketBytes,
+           [this, id, packet] { ForwardPacket(id, packet); });
+}
+
+void FlowWorld::ForwardPacket(int id, const FlowPacket& packet) {
   const Flow& flow = flows_[id];
   if (vms_[flow.vm] == nullptr) {
     return;
   }
-  FlowPacket packet = flow.packet;
-  packet.ends = ends;
-  packet.carries_data = !ends;
   const FlowVerdict verdict = vms_[flow.vm]->OnPacket(now_, packet, {});
   if (verdict.kind == FlowVerdict::Kind::kForward) {
     const std::string name = FormatInstanceName(verdict.target->instance);
-    After(kDelayToEndpoint,
-          [this, name, packet, id] { DeliverToEndpoint(name, packet, id); });
+    SendToEndpoint(flow.vm, name, packet, id, kCallerPacketBytes);
   }
   PerformActions(flow.vm);
 }
 
 std::size_t FlowWorld::DispatcherIndex(const std::string& service) const {
+  return DispatcherIndex(service, "");
+}
+
+std::size_t FlowWorld::DispatcherIndex(const std::string& service,
+                                       const std::string& data_center) const {
   const auto any_vm = std::find_if(
       vms_.begin(), vms_.end(), [](const auto& it) { return it != nullptr; });
-  const NodeId id = DispatcherOf(FlowServiceId(service),
-                                 (*any_vm)->peers().members().members(), 0)
-                        .value();
+  const NodeId id =
+      internal::ShardDispatcherOf({FlowServiceId(service), data_center},
+                                  (*any_vm)->peers().members().members(), 0)
+          .value();
   for (std::size_t n = 0; n < vms_.size(); ++n) {
     if (vms_[n] != nullptr && vms_[n]->peers().members().self() == id) {
       return n;
--- a/src/packetflow/route_table.cc
+++ b/src/packetflow/route_table.cc
@@ -22,6 +22,15 @@
   return ServiceId(static_cast<std::uint32_t>(StableHash(name)));
 }
 
+EvacuationState EvacuationsOf(const pb::Catalog& catalog) {
+  EvacuationState state;
+  state.revision = catalog.revision();
+  for (const pb::Evacuation& it : catalog.evacuations()) {
+    state.data_centers.push_back(it.data_center());
+  }
+  return state;
+}
+
 ServiceId FlowRoute::ServiceFor(FlowId id) const {
   const std::uint64_t total = shares.back().second;
   // Other code selects entry VMs by the bits of the id. Hashing the id again
@@ -32,6 +41,23 @@
       ->first;
 }
 
+std::string_view DataCenterRegions::RegionOf(
+    std::string_view data_center) const {
+  const auto it = regions_.find(data_center);
+  return it == regions_.end() ? std::string_view() : it->second;
+}
+
+bool FlowRoute::MayReach(std::string_view region) const {
+  return regions.empty() ||
+         (!region.empty() &&
+          std::find(regions.begin(), regions.end(), region) != regions.end());
+}
+
+bool FlowRoute::MayCarry(std::string_view region,
+                         std::string_view caller_region) const {
+  return MayReach(region) || (!region.empty() && region == caller_region);
+}
+
 RouteTable RouteTable::From(const pb::FlowTable& table) {
   RouteTable result;
   std::set<ServiceId> services;
@@ -46,6 +72,7 @@
       sum += share.weight();
       route.shares.emplace_back(FlowServiceId(share.service()), sum);
       services.insert(route.shares.back().first);
+      result.names_[route.shares.back().first] = share.service();
     }
     if (route.shares.empty()) {
       continue;
@@ -53,6 +80,7 @@
     ClassTarget target = TargetOf(it);
     route.work_class = target.id;
     route.timeout = std::chrono::milliseconds(it.timeout_ms());
+    route.regions.assign(it.regions().begin(), it.regions().end());
     if (classes.insert(target.id).second) {
       result.classes_.push_back(std::move(target));
     }
@@ -64,6 +92,11 @@
   return result;
 }
 
+std::string RouteTable::NameOf(ServiceId service) const {
+  const auto it = names_.find(service);
+  return it == names_.end() ? std::string() : it->second;
+}
+
 const FlowRoute* RouteTable::Find(SocketAddress address) const {
   const auto it = routes_.find(address);
   return it == routes_.end() ? nullptr : &it->second;
--- a/src/placement/slot_scheduler.cc
+++ b/src/placement/slot_scheduler.cc
@@ -51,12 +51,29 @@
     }
   }
 
+  void SetEvacuated(TimePoint now,
+                    std::span<const std::string> data_centers) override {
+    last_event_at_ = now;
+    pool_.SetEvacuated(now, data_centers);
+    endpoints_changed_ = true;
+  }
+
+  void SetWarmUp(TimePoint now, const WarmUp& warm_up) override {
+    pool_.SetWarmUp(now, warm_up);
+  }
+
+  void SetColdUse(TimePoint now, const ColdUse& use) override {
+    pool_.SetColdUse(now, use);
+  }
+
+  Resend TryResend(TimePoint now, EndpointId endpoint) override;
+
   void Submit(TimePoint now, const Work& work,
               std::vector<Verdict>& verdicts) override;
   void AddRunning(TimePoint now, const Work& work,
                   EndpointId endpoint) override;
   void Finish(TimePoint now, RequestId request, WorkOutcome outcome,
-              std::vector<Verdict>& verdicts) override;
+              Duration report_age, std::vector<Verdict>& verdicts) override;
 
   bool Cancel(TimePoint now, RequestId request) override {
     return queue_.Remove(request).has_value();
@@ -69,12 +86,13 @@
 
   void SetSilent(EndpointId endpoint, bool silent) override {
     if (TrackedEndpoint* it = pool_.Find(endpoint)) {
-      it->SetSilent(silent);
+      it->SetSilent(last_event_at_, silent);
     }
   }
 
   TimePoint NextWake() const override;
   bool TakeRetry(TimePoint now) override;
+  SlotLoad Load(TimePoint now, ClassId id) override;
   pb::ServiceReport Report(TimePoint now) const override;
 
  private:
@@ -141,6 +159,21 @@
   StartWaitingRequests(now, verdicts);
 }
 
+Resend CentralScheduler::TryResend(TimePoint now, EndpointId endpoint) {
+  TrackedEndpoint* tracked = pool_.Find(endpoint);
+  if (tracked == nullptr) {
+    return Resend::kSend;
+  }
+  if (tracked->is_evacuated()) {
+    return Resend::kMove;
+  }
+  if (!tracked->cold().MayStart(now)) {
+    return Resend::kWait;
+  }
+  tracked->cold().TakeToken(now);
+  return Resend::kSend;
+}
+
 void CentralScheduler::AddRunning(TimePoint now, const Work& work,
                                   EndpointId endpoint) {
   last_event_at_ = now;
@@ -153,7 +186,7 @@
 }
 
 void CentralScheduler::Finish(TimePoint now, RequestId request,
-                              WorkOutcome outcome,
+                              WorkOutcome outcome, Duration report_age,
                               std::vector<Verdict>& verdicts) {
   const auto it = running_.find(request);
   if (it != running_.end()) {
@@ -161,16 +194,17 @@
     running_.erase(it);
     ClassState& state = classes_.GetOrCreate(running.work_class);
     state.slot_use.Stop(now);
+    const TimePoint ended = std::max(now - report_age, running.started);
     if (outcome == WorkOutcome::kAnswered) {
-      state.answer_time.Add(now, now - running.started);
-      state.stats.OnAnswered(now, now - running.submitted,
+      state.answer_time.Add(now, ended - running.started);
+      state.stats.OnAnswered(now, ended - running.submitted,
                              state.target.latency);
     } else if (outcome == WorkOutcome::kRefused) {
       state.stats.OnRefused();
     } else if (outcome != WorkOutcome::kCancelled) {
       state.stats.OnFailed();
     }
-    pool_.Finish(now, running.endpoint, outcome, now - running.started);
+    pool_.Finish(now, running.endpoint, outcome, ended - running.started);
   }
   Advance(now, verdicts);
   StartWaitingRequests(now, verdicts);
@@ -334,6 +368,9 @@
   const RequestId request = waiting.work.request;
   const ClassId id = waiting.work.work_class;
   const EndpointId endpoint = tracked.endpoint().id;
+  if (!waiting.work.pinned) {
+    tracked.cold().TakeToken(now);
+  }
   tracked.Start(now);
   classes_.GetOrCreate(id).slot_use.Start(now);
   running_.emplace(request,
@@ -372,6 +409,22 @@
   return retry_budget_.Take(now);
 }
 
+SlotLoad CentralScheduler::Load(TimePoint now, ClassId id) {
+  Work work;
+  work.work_class = id;
+  const Forecast forecast = gate_.Predict(now, work);
+  SlotLoad load;
+  load.queued = static_cast<std::uint32_t>(queue_.size());
+  load.expected_wait = forecast.mean_wait;
+  load.answer_time = forecast.answer_time;
+  load.in_service = pool_.AnyInService();
+  if (pool_.AnyResponsive()) {
+    load.usable_slots = pool_.UsableSlots(now);
+    load.free_slots = pool_.FreeSlots(now);
+  }
+  return load;
+}
+
 pb::ServiceReport CentralScheduler::Report(TimePoint now) const {
   pb::ServiceReport report;
   report.set_service_id(service_.value());
--- a/src/placement/tracked_endpoint.h
+++ b/src/placement/tracked_endpoint.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <string_view>
 
+#include "src/placement/cold_start.h"
 #include "vanillalatch/admission/answer_time.h"
 #include "vanillalatch/placement/slot_scheduler.h"
 
@@ -53,7 +54,7 @@
   TrackedEndpoint(TimePoint now, const Endpoint& endpoint, Duration ramp);
 
   // Replaces the registered data of the endpoint and marks it as present.
-  void Update(const Endpoint& endpoint);
+  void Update(TimePoint now, const Endpoint& endpoint);
   // Marks the endpoint as missing in the latest list: it gets no new work.
   void SetMissing() { present_ = false; }
 
@@ -80,10 +81,12 @@
 
   // True if the endpoint is in the latest list of endpoints.
   bool present() const { return present_; }
-  // Present and not leaving.
+  // Present, not leaving, and not in an evacuated data centre.
   bool IsInService() const {
-    return present_ && endpoint_.state == EndpointState::kReady;
+    return present_ && !evacuated_ && endpoint_.state == EndpointState::kReady;
   }
+  void SetEvacuated(bool evacuated) { evacuated_ = evacuated; }
+  bool is_evacuated() const { return evacuated_; }
   // True if the endpoint may get unpinned work other than probes.
   bool TakesNewWork() const {
     return IsInService() &&
@@ -94,14 +97,16 @@
   // Slots that unpinned work may use.
   std::uint32_t UsableSlots(TimePoint now) const;
   bool HasFreeSlot(TimePoint now) const {
-    return TakesNewWork() && busy_ < UsableSlots(now);
+    return TakesNewWork() && busy_ < UsableSlots(now) && cold_.MayStart(now);
   }
+  ColdStart& cold() { return cold_; }
+  const ColdStart& cold() const { return cold_; }
   // True if a slot is free for pinned work. Pinned work may use all registered
   // slots of an endpoint, also while it is leaving, ramping up or ejected.
   bool HasFreePinnedSlot() const { return present_ && busy_ < endpoint_.slots; }
   bool IsUnhealthy() const { return failure_score_ > kUnhealthyScore; }
   bool IsDegraded() const { return failure_score_ > kDegradedScore; }
-  void SetSilent(bool silent) { is_silent_ = silent; }
+  void SetSilent(TimePoint now, bool silent);
   bool is_silent() const { return is_silent_; }
   // True if the endpoint gets only probes and pinned work because of its
   // health.
@@ -125,7 +130,7 @@
   // Number of ejections. Returns zero when the endpoint has been in use for
   // kEjectionCountLifetime since it recovered.
   std::uint32_t RecentEjections(TimePoint now) const;
-  // warming, ready, ejected, probing or leaving.
+  // warming, ready, ejected, probing, evacuated or leaving.
   std::string_view StateName() const;
 
  private:
@@ -136,9 +141,11 @@
   void RecordShed(TimePoint now);
 
   Endpoint endpoint_;
-  Duration ramp_;
+  ColdStart cold_;
   bool present_ = true;
   bool is_silent_ = false;
+  TimePoint silent_since_;  // Valid if is_silent_.
+  bool evacuated_ = false;  // Its data centre is evacuated.
   HealthState health_;
 
   std::uint32_t busy_ = 0;
--- a/src/runtime/flow_log.cc
+++ b/src/runtime/flow_log.cc
@@ -103,6 +103,33 @@
        {"left_out", silence_limiter_.TakeLeftOutCount()}});
 }
 
+void FlowLog::LogEvacuation(const EvacuationEvent& event) {
+  LogEvent(LogLevel::kWarn, "evacuation_applied",
+           {{"data_center", event.data_center},
+            {"evacuated", event.evacuated},
+            {"in_force_since", event.revision},
+            {"from_peer", event.from_peer},
+            {"revision", node_.revision()}});
+}
+
+void FlowLog::LogLinkLate(const LinkLate& event) {
+  if (link_limiter_.TryAcquire(Now())) {
+    LogEvent(LogLevel::kWarn, "link_late",
+             {{"receive_queue_ms", ToMilliseconds(event.receive_queue)},
+              {"send_queue_ms", ToMilliseconds(event.send_queue)},
+              {"left_out", link_limiter_.TakeLeftOutCount()}});
+  }
+}
+
+void FlowLog::LogSharding(const ShardingChange& change) {
+  std::string names;
+  for (const std::string& it : change.data_centers) {
+    names += (names.empty() ? "" : ", ") + it;
+  }
+  LogEvent(LogLevel::kInfo, "dispatch_sharded",
+           {{"service", change.service}, {"shards", names}});
+}
+
 void FlowLog::LogSummaryIfDue(bool ready) {
   const TimePoint now = Now();
   if (now < summary_due_) {
--- a/src/runtime/flow_shell.cc
+++ b/src/runtime/flow_shell.cc
@@ -41,6 +41,7 @@
   FlowNodeOptions options;
   options.members = MakeMemberOptions(settings, true);
   options.data_center = settings.data_center;
+  options.link_mbit_per_s = settings.fleet->link_mbit_per_s.value_or(0);
   return FlowNode::Create(std::move(options), std::random_device()());
 }
 
@@ -71,6 +72,9 @@
           request.set_revision(node_->revision());
           request.set_state(stopping_ ? "stopping" : "serving");
           request.set_wants_endpoints(!node_->Ready());
+          for (pb::OpenFlows& it : node_->OpenFlows()) {
+            *request.add_open_flows() = std::move(it);
+          }
           return request;
         },
         [this](const CatalogNews& news) { OnNews(news); });
@@ -160,17 +164,36 @@
   for (const EndpointSilence& it : actions.silences) {
     internals_->log.LogSilence(it);
   }
+  for (const EvacuationEvent& it : actions.evacuation_events) {
+    internals_->log.LogEvacuation(it);
+  }
   for (const FlowEvent& it : actions.flow_events) {
     internals_->log.LogFlow(it);
   }
   for (const IngressEvent& it : actions.ingress_events) {
     internals_->log.LogIngress(it);
   }
+  for (const LinkLate& it : actions.link_events) {
+    internals_->log.LogLinkLate(it);
+  }
+  for (const ShardingChange& it : actions.sharding_changes) {
+    FlowLog::LogSharding(it);
+  }
   sockets_.packets.Flush();
   node_->Flush(now, out_);
   sockets_.peers.SendAll(out_);
+  ReportTraffic(now);
   ready_ = !stopping_ && node_->Ready();
   internals_->wakeup.BringForward(node_->NextWake());
 }
 
+void FlowShellCore::ReportTraffic(TimePoint now) {
+  const std::uint64_t received =
+      sockets_.packets.bytes_received() + sockets_.peers.bytes_received();
+  const std::uint64_t sent =
+      sockets_.packets.bytes_sent() + sockets_.peers.bytes_sent();
+  node_->OnTraffic(now, received - std::exchange(bytes_received_, received),
+                   sent - std::exchange(bytes_sent_, sent));
+}
+
 }  // namespace vanillalatch
--- a/src/runtime/publisher.cc
+++ b/src/runtime/publisher.cc
@@ -95,6 +95,7 @@
   metrics_->Set(Metric::kControlTerm, {}, static_cast<double>(status.term()));
   metrics_->Set(Metric::kControlCommitted, {},
                 static_cast<double>(status.committed_index()));
+  metrics_->Set(Metric::kEvacuations, {}, status.evacuations());
   metrics_->Set(Metric::kControlLeader, {}, status.role() == "leader" ? 1 : 0);
   if (status.role() != control_role_) {
     control_role_ = status.role();
@@ -103,6 +104,10 @@
   }
 }
 
+void Publisher::PublishUnknownValues(std::uint64_t total) {
+  metrics_->SetTotal(Metric::kUnknownValues, {}, static_cast<double>(total));
+}
+
 void Publisher::Publish(FlowNode& node) {
   // Indexed by FlowTiming::Part.
   static constexpr Metric kTimings[] = {
@@ -123,10 +128,16 @@
       {"placed_alone", flows.placed_alone},
       {"declined", flows.declined},
       {"parked", flows.parked},
+      {"passed_on_full", flows.passed_on_full},
+      {"passed_on_no_endpoint", flows.passed_on_no_endpoint},
+      {"returned", flows.returned},
       {"opened", placed.opened},
       {"placed", placed.placed},
       {"repeated", placed.repeated},
       {"moved", placed.moved},
+      {"moved_from_evacuated", placed.moved_from_evacuated},
+      {"withheld_from_cold", placed.withheld_from_cold},
+      {"moves_refused", placed.moves_refused},
       {"refused", placed.refused},
       {"ended", placed.ended},
       {"expired", placed.expired},
@@ -136,6 +147,19 @@
     metrics_->SetTotal(Metric::kFlowEvents, {event},
                        static_cast<double>(total));
   }
+  const std::pair<const char*, const PeerTraffic&> directions[] = {
+      {"received", flows.received}, {"sent", flows.sent}};
+  for (const auto& [direction, traffic] : directions) {
+    const std::pair<const char*, std::uint64_t> kinds[] = {
+        {"opening", traffic.openings}, {"taken", traffic.taken},
+        {"seen", traffic.seen},        {"end", traffic.ends},
+        {"other", traffic.other},
+    };
+    for (const auto& [kind, total] : kinds) {
+      metrics_->SetTotal(Metric::kPeerBytes, {direction, kind},
+                         static_cast<double>(total));
+    }
+  }
   metrics_->Set(Metric::kCatalogRevision, {},
                 static_cast<double>(node.revision()));
   metrics_->Clear(Metric::kMembers);
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -18,6 +18,9 @@
 constexpr Duration kMaxHeartbeat = std::chrono::minutes(10);
 constexpr Duration kMinDrainLimit = std::chrono::milliseconds(100);
 constexpr Duration kMaxDrainLimit = std::chrono::minutes(10);
+// A link slower than the minimum can't carry the messages between VMs.
+constexpr double kMinLinkMbit = 0.1;
+constexpr double kMaxLinkMbit = 1'000'000;
 constexpr Duration kMinBackendTimeout = std::chrono::milliseconds(10);
 constexpr Duration kMaxBackendTimeout = std::chrono::minutes(2);
 
@@ -151,7 +154,7 @@
 // Only the IP address of each seed is used: the ports are the same on all VMs
 // of a fleet.
 FleetSettings ReadFleet(const JsonValue& value, ListenAddresses& sockets) {
-  value.CheckKeys({"listen", "seeds", "control_port"});
+  value.CheckKeys({"listen", "seeds", "control_port", "link_mbit_per_s"});
   FleetSettings fleet;
   fleet.listen = sockets.ReadUnused(value.At("listen"), Transport::kUdp);
   const auto control_port =
@@ -160,6 +163,9 @@
     fleet.seeds.push_back({it.ip, fleet.listen.port});
     fleet.control.push_back({it.ip, control_port});
   }
+  if (const JsonValue* it = value.Find("link_mbit_per_s")) {
+    fleet.link_mbit_per_s = it->Number(kMinLinkMbit, kMaxLinkMbit);
+  }
   return fleet;
 }
 
@@ -189,6 +195,27 @@
   return doors;
 }
 
+// Names and regions may be any text: they come from a list that covers the
+// whole deployment, and a name that this VM does not use must not prevent its
+// start.
+std::vector<DataCenterSettings> ReadDataCenters(const JsonValue& list,
+                                                const std::string& own) {
+  std::set<std::string> names;
+  std::vector<DataCenterSettings> data_centers;
+  for (const JsonValue& it : list.Items()) {
+    it.CheckKeys({"name", "region"});
+    const std::string name = it.At("name").Text();
+    if (name.empty() || !names.insert(name).second) {
+      it.At("name").Fail("each data centre's name once");
+    }
+    data_centers.push_back({name, it.At("region").Text()});
+  }
+  if (!data_centers.empty() && !names.contains(own)) {
+    list.Fail("this VM's \"data_center\", \"" + own + "\"");
+  }
+  return data_centers;
+}
+
 void ReadLog(const JsonValue& value, Settings& settings) {
   value.CheckKeys({"level", "file"});
   if (const JsonValue* it = value.Find("level")) {
@@ -201,12 +228,15 @@
 }
 
 Settings ReadRoot(const JsonValue& root) {
-  root.CheckKeys({"vm", "data_center", "entry", "control", "fleet", "flows",
-                  "doors", "log", "trace_file", "metrics"});
+  root.CheckKeys({"vm", "data_center", "data_centers", "entry", "control",
+                  "fleet", "flows", "doors", "log", "trace_file", "metrics"});
   Settings settings;
   ListenAddresses sockets;
   settings.vm = root.At("vm").Name();
   settings.data_center = root.At("data_center").Name();
+  if (const JsonValue* it = root.Find("data_centers")) {
+    settings.data_centers = ReadDataCenters(*it, settings.data_center);
+  }
   if (const JsonValue* it = root.Find("entry")) {
     settings.entry = ReadEntry(*it, sockets);
   }
--- a/src/telemetry/log_events.cc
+++ b/src/telemetry/log_events.cc
@@ -83,8 +83,8 @@
      "run `vanillalatch logs explain`"},
     {"dispatcher_silent", "warn", "entry (ingress)",
      "caller, route, sequence, dispatcher, revision, endpoints, left_out",
-     "the dispatcher did not answer within 0.1 s; this VM placed the flow "
-     "itself",
+     "the dispatcher did not answer within 0.1 s, or up to 0.4 s if its round "
+     "trip is longer; this VM placed the flow itself",
      "check whether the VM in `dispatcher` is dead, partitioned or slow"},
     {"dispatcher_declined", "warn", "entry (ingress)",
      "caller, route, sequence, dispatcher, revision, endpoints, left_out",
@@ -118,6 +118,25 @@
     {"endpoint_answers", "warn", "entry (dispatcher)",
      "endpoint, address, data_center, left_out",
      "a silent endpoint answers again", "nothing"},
+    {"evacuation_applied", "warn", "entry",
+     "data_center, evacuated, in_force_since, from_peer, revision",
+     "evacuated true: from now on this VM sends no new flow to endpoints of "
+     "the "
+     "data centre; false: it uses them again, as cold ones first; from_peer: a "
+     "neighbour's notice said so, and this VM has no such catalog yet; "
+     "in_force_since: the revision of the order's catalog; revision: this VM's",
+     "if from_peer stays true: check the way from this VM to the control VMs"},
+    {"link_late", "warn", "entry", "receive_queue_ms, send_queue_ms, left_out",
+     "this VM's link is full: by its traffic and the stated rate, datagrams "
+     "wait longer than 20 ms; missing answers do not count as silence "
+     "meanwhile",
+     "if it repeats: see \"An entry VM's link is full\" in docs/OPERATING.md"},
+    {"dispatch_sharded", "info", "entry", "service, shards",
+     "the service now has one dispatcher in each of these data centres, as it "
+     "has more slots than the link of one VM can serve; shards empty: it has a "
+     "single dispatcher again",
+     "if it repeats: set `fleet.link_mbit_per_s` so that the service's slots "
+     "are not near the limit"},
     {"flows_summary", "info", "entry",
      "ready, revision, endpoints, members_alive, packets, unknown_endpoint, "
      "placed_alone, declined, placed, moved, refused, expired",
@@ -176,6 +195,35 @@
      "no majority has confirmed the operator's configuration, or a disk "
      "reports an error; it is safe to send it again",
      "check the control VMs and their disks"},
+    {"configuration_value_unknown", "warn", "control",
+     "version, pointer, value",
+     "the operator's configuration has a value that this version of the "
+     "program "
+     "does not know; it is in force with the careful meaning, for example a "
+     "route of an unknown type is never repeated",
+     "correct the operator's file, or upgrade"},
+    {"heartbeat_value_unknown", "warn", "control",
+     "endpoint, pointer, value, left_out",
+     "a heartbeat has an optional value that this version of the program does "
+     "not know; the value counts as absent",
+     "check the sender"},
+    {"evacuation_started", "info", "control",
+     "data_center, revision, author, changed",
+     "a majority of the control VMs has stored the order: the endpoints of the "
+     "data centre take no new work; changed is false if it was evacuated "
+     "already",
+     "wait until `ctl status` shows no open flows there; end the evacuation "
+     "after the work"},
+    {"evacuation_ended", "info", "control",
+     "data_center, revision, author, changed",
+     "a majority of the control VMs has stored the order: the endpoints of the "
+     "data centre take work again; changed is false if it was not evacuated",
+     "nothing"},
+    {"evacuation_refused", "warn", "control",
+     "data_center, end, author, kind, reason",
+     "an evacuation order names no data centre of the settings; nothing has "
+     "changed",
+     "repeat the order with the name of a data centre"},
     {"connection_not_accepted", "warn", "control, entry", "reason",
      "the kernel did not accept a connection to the HTTP server",
      "check how many file descriptors the process has open"},
