--- a/include/vanillalatch/membership/member_list.h
+++ b/include/vanillalatch/membership/member_list.h
@@ -85,7 +85,7 @@
   // Data centre in which this VM runs, as its Member lists it. Differs from
   // `data_center` if VMs of several data centres form one group.
   std::string location;
-  SocketAddress peer;       // Address of this VM's socket for other VMs.
+  SocketAddress peer;  // Address of this VM's socket for other VMs.
   // Peer addresses of VMs through which this VM joins.
   std::vector<SocketAddress> seeds;
   std::uint64_t incarnation = 1;  // Must be higher than at every earlier start.
