Copy a structured binding before a lambda captures it

Cause: clang-tidy refuses to capture a structured binding (C++20 allows it). Change: the service is a variable of its own.

--- a/src/packetflow/flow_node_evacuation.cc
+++ b/src/packetflow/flow_node_evacuation.cc
@@ -73,11 +73,13 @@
           std::chrono::milliseconds(it.duration_ms()), it.flows_per_second()};
     }
   }
-  for (const auto& [service, warm_up] : warm_ups_) {
+  for (const auto& entry : warm_ups_) {
+    const ServiceId service = entry.first;
     if (!warm_ups.contains(service)) {
       dispatcher_->SetWarmUp(now, service, {});
-      std::erase_if(
-          roles_, [&](const auto& it) { return it.first.service == service; });
+      std::erase_if(roles_, [service](const auto& it) {
+        return it.first.service == service;
+      });
     }
   }
   for (const auto& [service, warm_up] : warm_ups) {
