Keep a successor's state when its dispatcher's return shows first

Cause: a successor lists the dispatchers whose requests its state lacks, and discards the state when one of them restarts. When gossip showed the restarted dispatcher before its first message, the successor listed the new start and then took the message for the loss of it. Real VMs do that, as they have their catalog only later; in the simulation the message always came first.

Change: the list contains the instance of each dispatcher. In the simulation, a VM can start without a catalog for a time (start NAME catalog=T), and reads its callers' socket only with one, as entry_shell.cc does.

--- a/src/entry/collection.cc
+++ b/src/entry/collection.cc
@@ -78,8 +78,9 @@
   std::map<NodeId, std::vector<std::uint64_t>> claims =
       collection.completeness_claims;
   if (!service.complete && now_ < service.complete_until) {
-    for (const NodeId it : service.later_dispatchers) {
-      claims[self_].push_back(peer_instances_[it]);
+    claims[self_] = {};
+    for (const auto& [id, instance] : service.later_dispatchers) {
+      claims[self_].push_back(peer_instances_[id]);
     }
   }
   for (const auto& [id, later_dispatchers] : claims) {
@@ -223,9 +224,9 @@
     }
     reply.set_served(service->has_served);
     reply.set_complete(complete);
-    for (const NodeId it : service->later_dispatchers) {
-      if (complete && !service->complete && it != from) {
-        reply.add_unless_served(peer_instances_[it]);
+    for (const auto& [id, instance] : service->later_dispatchers) {
+      if (complete && !service->complete && id != from) {
+        reply.add_unless_served(peer_instances_[id]);
       }
     }
     SendToPeer(from, message);
--- a/src/entry/entry_node_impl.h
+++ b/src/entry/entry_node_impl.h
@@ -18,6 +18,7 @@
 #include "membership.pb.h"
 #include "peer.pb.h"
 #include "src/entry/service_state.h"
+#include "vanillalatch/base/hash.h"
 #include "vanillalatch/entry/entry_node.h"
 #include "vanillalatch/registry/registry.h"
 #include "vanillalatch/request/record_table.h"
@@ -93,6 +94,11 @@
 // A longer deadline of a caller is shortened to this.
 inline constexpr Duration kMaxDeadline = std::chrono::minutes(10);
 
+// Returns the hash that identifies one VM and one start of it.
+inline std::uint64_t InstanceOf(NodeId id, std::uint64_t incarnation) {
+  return StableHash(id.value(), incarnation);
+}
+
 // Two parsers, so that a stored request can be parsed while a received message
 // is in use: a parser invalidates its last message when it parses the next.
 struct Parsers {
@@ -288,8 +294,10 @@
   void UpdateRoles(ServiceState& service);
   void UpdateCompleteness(ServiceState& service, NodeId old_dispatcher,
                           NodeId old_successor);
-  static void BecomeSuccessorOf(ServiceState& service, NodeId dispatcher);
-  static void DropRetainedState(ServiceState& service, NodeId lost);
+  void BecomeSuccessorOf(ServiceState& service, NodeId dispatcher);
+  void AddLaterDispatcher(ServiceState& service, NodeId dispatcher);
+  static void DropRetainedState(ServiceState& service, NodeId lost,
+                                std::uint64_t present);
   void RemoveFailedSources(ServiceState& service);
   void MarkComplete(ServiceState& service, NodeId from);
   void TrackDispatchers();
--- a/src/entry/entry_world.h
+++ b/src/entry/entry_world.h
@@ -109,7 +109,7 @@
   void CreateVms(const scenario::Step& step);
   void AddService(const scenario::Step& step);
   void ApplyCatalog();
-  void StartVm(std::size_t n);
+  void StartVm(std::size_t n, Duration wait);
   void ChangeVm(const scenario::Step& step);
   void Recover(const scenario::Step& step);
   void Network(const scenario::Step& step);
--- a/src/entry/entry_world_test.cc
+++ b/src/entry/entry_world_test.cc
@@ -13,6 +13,7 @@
 constexpr std::uint16_t kCallerPort = 5683;
 constexpr std::uint16_t kBackendPort = 5684;
 constexpr std::uint16_t kPeerPort = 7000;
+constexpr Duration kSocketPollInterval = std::chrono::milliseconds(10);
 constexpr std::uint32_t kVmIpBase = 0x7f000000;  // 127.0.0.N
 // Unix time of TimePoint zero, milliseconds.
 constexpr std::int64_t kUnixEpochMs = 1'700'000'000'000;
@@ -80,11 +81,12 @@
   vms_.resize(step.Number(0));
   for (std::size_t n = 0; n < vms_.size(); ++n) {
     vms_[n].name = "vm-" + std::to_string(n + 1);
-    StartVm(n);
+    StartVm(n, Duration::zero());
   }
 }
 
-void EntryWorld::StartVm(std::size_t n) {
+// The VM has the catalog only after the time `wait`, as real ones do.
+void EntryWorld::StartVm(std::size_t n, Duration wait) {
   Vm& vm = vms_[n];
   EntryOptions options;
   options.membership.name = vm.name;
@@ -103,9 +105,18 @@
   vm.frozen = false;
   vm.stopping = false;
   vm.deferred.clear();
-  Outbox out;
-  vm.node->OnCatalog(now_, catalog_, out);
-  TransmitAll(n, out);
+  const auto put_catalog = [this, n, incarnation = vm.incarnation] {
+    if (vms_[n].node != nullptr && vms_[n].incarnation == incarnation) {
+      Outbox out;
+      vms_[n].node->OnCatalog(now_, catalog_, out);
+      TransmitAll(n, out);
+    }
+  };
+  if (wait > Duration::zero()) {
+    ScheduleAfter(wait, put_catalog);
+  } else {
+    put_catalog();
+  }
 }
 
 // service NAME [work=sessions], delete NAME
@@ -195,7 +206,7 @@
     vm.frozen = false;
   } else if (step.verb == "start") {
     if (vm.node == nullptr) {
-      StartVm(n);
+      StartVm(n, step.NamedTime("catalog", Duration::zero()));
     }
   } else if (step.verb == "freeze") {
     vm.frozen = true;
@@ -363,6 +374,13 @@
         [this, n, role, from, bytes] { Deliver(n, role, from, bytes); });
     return;
   }
+  if (role == SocketRole::kCaller && vm.node->revision() == Revision{0}) {
+    // A real VM reads this socket only when it has a catalog.
+    ScheduleAfter(kSocketPollInterval, [this, n, role, from, bytes] {
+      Deliver(n, role, from, bytes);
+    });
+    return;
+  }
   Outbox out;
   vm.node->OnDatagram(now_, {role, from, bytes}, out);
   TransmitAll(n, out);
--- a/src/entry/peers.cc
+++ b/src/entry/peers.cc
@@ -94,7 +94,7 @@
   hello_acknowledged_.erase(from);
   ReevaluateRecords(from);
   for (auto& [id, service] : services_) {
-    DropRetainedState(service, from);
+    DropRetainedState(service, from, instance);
     if (service.complete && service.dispatcher == from) {
       BecomeSuccessorOf(service, from);
     }
--- a/src/entry/service_state.h
+++ b/src/entry/service_state.h
@@ -119,7 +119,8 @@
   // If this VM is no longer complete, it can still use and transfer its state
   // until `complete_until`; kNever while it is the successor. That state lacks
   // the later requests of these dispatchers.
-  std::set<NodeId> later_dispatchers;
+  // With the instance that the member list showed when each became dispatcher.
+  std::map<NodeId, std::uint64_t> later_dispatchers;
   TimePoint complete_until;
   TimePoint transfer_query_at;  // Next query for the dispatcher's state.
   // VMs whose states together are complete, and that still have to transfer
--- a/src/entry/takeover.cc
+++ b/src/entry/takeover.cc
@@ -36,7 +36,7 @@
     if (it.state == MemberState::kDead) {
       peer_instances_.erase(it.id);  // If it returns, it counts as new.
       for (auto& [id, service] : services_) {
-        DropRetainedState(service, it.id);
+        DropRetainedState(service, it.id, 0);
       }
     }
     if (has_failed) {
@@ -130,7 +130,7 @@
   if (service.dispatches && !retains_state) {
     service.later_dispatchers.clear();
   } else if (!service.dispatches && service.dispatcher != NodeId{}) {
-    service.later_dispatchers.insert(service.dispatcher);
+    AddLaterDispatcher(service, service.dispatcher);
   }
   const bool is_successor = service.successor == self_;
   if (service.complete && is_successor &&
@@ -155,13 +155,30 @@
                                       NodeId dispatcher) {
   service.complete = false;
   service.complete_until = kNever;
-  service.later_dispatchers = {dispatcher};
+  service.later_dispatchers.clear();
+  AddLaterDispatcher(service, dispatcher);
+}
+
+// Adds the present start of the VM. If the state lacks an earlier start of it,
+// that one has lost its requests.
+void EntryNodeImpl::AddLaterDispatcher(ServiceState& service,
+                                       NodeId dispatcher) {
+  const Member* member = FindMember(dispatcher);
+  const std::uint64_t instance =
+      member == nullptr ? 0 : InstanceOf(dispatcher, member->incarnation);
+  DropRetainedState(service, dispatcher, instance);
+  service.later_dispatchers[dispatcher] = instance;
 }
 
 // A VM that has failed or restarted has lost its requests. A retained state
 // that lacks them can't be completed any more.
-void EntryNodeImpl::DropRetainedState(ServiceState& service, NodeId lost) {
-  if (!service.complete && service.later_dispatchers.contains(lost)) {
+// `present` is the instance of that VM that has started since; 0: none. The
+// member list may show it before its first message.
+void EntryNodeImpl::DropRetainedState(ServiceState& service, NodeId lost,
+                                      std::uint64_t present) {
+  const auto it = service.later_dispatchers.find(lost);
+  if (!service.complete && it != service.later_dispatchers.end() &&
+      (present == 0 || it->second != present)) {
     service.complete_until = TimePoint::min();
   }
 }
@@ -192,7 +209,7 @@
   }
   service.later_dispatchers.clear();
   if (!service.dispatches) {
-    service.later_dispatchers.insert(service.dispatcher);
+    AddLaterDispatcher(service, service.dispatcher);
   }
   service.outcome_unknown_before = TimePoint::min();
   service.sources.clear();
