Count a VM that has just collected as alive for the fence

A dispatcher thawed and collected from a VM whose member list showed it as failed for another 13 ms. That VM set its fence, but the fence did not count, and it granted the other dispatcher a request that the first one, complete by then, never learned of.

--- a/src/entry/collection.cc
+++ b/src/entry/collection.cc
@@ -210,6 +210,7 @@
     return;  // The dispatcher asks again, or serves without this reply.
   }
   service->fencing_dispatcher = from;
+  service->fence_holds_until = now_ + kMemberDiscoveryTime;
   const bool complete = service->complete || now_ < service->complete_until;
   for (std::size_t n = 0; n < parts.size(); ++n) {
     pb::RequestMessage message;
--- a/src/entry/holds.cc
+++ b/src/entry/holds.cc
@@ -68,7 +68,8 @@
   const NodeId fencing_dispatcher = service->second.fencing_dispatcher;
   const bool is_fenced_off = fencing_dispatcher != NodeId{} &&
                              fencing_dispatcher != from &&
-                             !IsFailed(fencing_dispatcher);
+                             (!IsFailed(fencing_dispatcher) ||
+                              now_ < service->second.fence_holds_until);
   if (service->second.dispatcher != from || is_fenced_off ||
       (record != nullptr && IsResponsible(*record))) {
     return pb::HoldReply::NOT_DISPATCHER;
--- a/src/entry/service_state.h
+++ b/src/entry/service_state.h
@@ -105,6 +105,9 @@
   // While it is alive, this VM grants no other dispatcher a second record, as
   // that one may be out of date.
   NodeId fencing_dispatcher;
+  // Until then that dispatcher counts as alive, even if the member list still
+  // shows it as failed: it has just collected.
+  TimePoint fence_holds_until;
   bool has_served = false;             // This VM has dispatched the service.
   bool created_while_running = false;  // Not in this VM's first catalog.
   // Start of this VM if it became complete because, by the reports of all
