Don't answer a resend as not run without its record

Two cases in which a request that ran was answered as not run after its answer was lost: - Its service was deleted meanwhile. A VM looked for the service before the record. Now the record comes first; without one, a request that may be a resend gets outcome_unknown for one exchange lifetime after the deletion. - The resend reached a VM whose record table was full. Now it gets outcome_unknown, unless it was issued within the last second.

A static_assert keeps the receive buffer larger than the largest message.

--- a/include/vanillalatch/entry/entry_node.h
+++ b/include/vanillalatch/entry/entry_node.h
@@ -38,6 +38,8 @@
   Duration exchange_lifetime = std::chrono::seconds(247);
   // A planned stop waits at most this long for open requests to finish.
   Duration drain_limit = std::chrono::seconds(10);
+  // Records of requests that this VM stores. Further requests are refused.
+  std::size_t max_records = 100'000;
   // Hops of recent requests that are stored for traces and explain.
   std::size_t max_stored_hops = 65536;
 };
--- a/src/entry/callers.cc
+++ b/src/entry/callers.cc
@@ -52,19 +52,28 @@
     Refuse(datagram.from, message, ErrorKind::kUnsupported, Duration::zero());
     return;
   }
-  const ServiceState* service = FindService(message.UriHost());
-  if (service == nullptr) {
-    Refuse(datagram.from, message, ErrorKind::kNotFound, Duration::zero());
-    return;
-  }
   const RequestId id = ComputeRequestId(datagram.from, message, datagram.bytes);
   if (RequestRecord* existing = records_.Find(id)) {
     OnResend(*existing, message, datagram);
     return;
   }
+  const ServiceState* service = FindService(message.UriHost());
+  if (service == nullptr) {
+    const auto deleted = deleted_services_.find(message.UriHost());
+    const bool ran_before = deleted != deleted_services_.end() &&
+                            now_ < deleted->second + options_.exchange_lifetime;
+    Refuse(datagram.from, message,
+           ran_before && MayBeResend(message) ? ErrorKind::kOutcomeUnknown
+                                              : ErrorKind::kNotFound,
+           Duration::zero());
+    return;
+  }
   RequestRecord* record = records_.Insert(id, now_);
   if (record == nullptr) {
-    Refuse(datagram.from, message, ErrorKind::kOverloaded, kRetryAfter);
+    Refuse(datagram.from, message,
+           MayBeResend(message) ? ErrorKind::kOutcomeUnknown
+                                : ErrorKind::kOverloaded,
+           kRetryAfter);
     return;
   }
   record->caller = datagram.from;
@@ -79,6 +88,24 @@
   Route(*record);
 }
 
+// True if the request, of which this VM has no record, must not be answered as
+// "not run": it is not idempotent and may be a resend of one that ran through
+// another VM. A request that was issued just now is no resend.
+bool EntryNodeImpl::MayBeResend(const CoapMessage& message) const {
+  const TimePoint issued = IssueTime(message);
+  return !message.IsIdempotent() &&
+         (issued == kNever || issued + kMaxFreshRequestAge < now_);
+}
+
+// Returns kNever if the message has no Issued option.
+TimePoint EntryNodeImpl::IssueTime(const CoapMessage& message) const {
+  const auto issued = message.UintOption(kOptionIssued);
+  return issued
+             ? TimePoint(std::chrono::milliseconds(
+                   static_cast<std::int64_t>(*issued) - options_.unix_epoch_ms))
+             : kNever;
+}
+
 // Fills in the fields of the record that the request datagram determines.
 void EntryNodeImpl::FillFromDatagram(RequestRecord& record,
                                      const ServiceState& service,
@@ -94,10 +121,7 @@
   record.message_id = message.message_id;
   record.token = message.token;
   record.request.assign(datagram.begin(), datagram.end());
-  if (const auto issued = message.UintOption(kOptionIssued)) {
-    record.issued = TimePoint(std::chrono::milliseconds(
-        static_cast<std::int64_t>(*issued) - options_.unix_epoch_ms));
-  }
+  record.issued = IssueTime(message);
   const std::optional<CoapBlock> block = message.Block(kOptionBlock2);
   record.answer_key =
       StableHash(StableHash(record.caller.Packed(), service.id().value()),
@@ -184,10 +208,10 @@
   return bytes;
 }
 
-// Refuses a request that has no record and did not run.
+// Refuses a request that has no record here.
 void EntryNodeImpl::Refuse(SocketAddress to, const CoapMessage& request,
                            ErrorKind kind, Duration retry_after) {
-  ++counters_.refused;
+  ++(AnswerFor(kind).not_run ? counters_.refused : counters_.given_up);
   RequestRecord error_record;
   error_record.caller = to;
   error_record.type = request.type;
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -24,6 +24,7 @@
     return registry.error();
   }
   RecordTableOptions record_options;
+  record_options.max_records = options.max_records;
   record_options.retention = options.exchange_lifetime;
   record_options.idempotent_retention = options.exchange_lifetime;
   auto records = RecordTable::Create(record_options);
--- a/src/entry/entry_node_impl.h
+++ b/src/entry/entry_node_impl.h
@@ -159,6 +159,8 @@
   // callers.cc
   void OnCallerDatagram(const Datagram& datagram);
   void OnCallerRequest(const Datagram& datagram, const CoapMessage& message);
+  bool MayBeResend(const CoapMessage& message) const;
+  TimePoint IssueTime(const CoapMessage& message) const;
   void OnResend(RequestRecord& record, const CoapMessage& message,
                 const Datagram& datagram);
   void FillFromDatagram(RequestRecord& record, const ServiceState& service,
@@ -369,6 +371,8 @@
   std::uint64_t catalog_revision_ = 0;
   std::map<ServiceId, ServiceState> services_;
   std::map<std::string, ServiceId, std::less<>> service_names_;
+  // Deleted within the last exchange_lifetime, and when.
+  std::map<std::string, TimePoint, std::less<>> deleted_services_;
 
   absl::flat_hash_map<std::uint64_t, Exchange> exchanges_;  // By token.
   // Exchange tokens by backend address and message id.
--- a/src/entry/entry_world.h
+++ b/src/entry/entry_world.h
@@ -164,6 +164,7 @@
   pb::Catalog catalog_;
 
   Duration lifetime_ = std::chrono::seconds(247);
+  std::size_t max_records_ = 100'000;  // Of each VM.
   int loss_permille_ = 0;
   int duplicate_permille_ = 0;
   Duration delay_ = std::chrono::microseconds(200);
--- a/src/entry/entry_world_test.cc
+++ b/src/entry/entry_world_test.cc
@@ -61,6 +61,7 @@
                 {"drain", &EntryWorld::ChangeVm},
                 {"undrain", &EntryWorld::ChangeVm},
                 {"lifetime", &EntryWorld::Network},
+                {"records", &EntryWorld::Network},
                 {"recover", &EntryWorld::Recover},
                 {"network", &EntryWorld::Network},
                 {"cut", &EntryWorld::Network},
@@ -101,6 +102,7 @@
   }
   options.unix_epoch_ms = kUnixEpochMs;
   options.exchange_lifetime = lifetime_;
+  options.max_records = max_records_;
   vm.node = EntryNode::Create(options, now_, seed_ * 1000 + n).value();
   vm.frozen = false;
   vm.stopping = false;
@@ -257,6 +259,8 @@
 void EntryWorld::Network(const scenario::Step& step) {
   if (step.verb == "lifetime") {
     lifetime_ = step.Time(0);
+  } else if (step.verb == "records") {
+    max_records_ = step.Number(0);
   } else if (step.verb == "heal") {
     blocked_links_.clear();
   } else if (step.verb == "cut") {
--- a/src/entry/services.cc
+++ b/src/entry/services.cc
@@ -83,8 +83,16 @@
     GiveUp(record, sent ? ErrorKind::kOutcomeUnknown : ErrorKind::kNotFound,
            Duration::zero());
   });
-  std::erase_if(services_,
-                [&](const auto& it) { return !current.contains(it.first); });
+  std::erase_if(deleted_services_, [&](const auto& it) {
+    return now_ >= it.second + options_.exchange_lifetime;
+  });
+  std::erase_if(services_, [&](const auto& it) {
+    const bool deleted = !current.contains(it.first);
+    if (deleted) {
+      deleted_services_[it.second.config.name()] = now_;
+    }
+    return deleted;
+  });
 }
 
 }  // namespace vanillalatch::internal
--- a/src/runtime/entry_shell.cc
+++ b/src/runtime/entry_shell.cc
@@ -5,10 +5,16 @@
 
 #include "vanillalatch/base/hop.h"
 #include "vanillalatch/telemetry/trace.h"
+#include "vanillalatch/wire/coap.h"
 
 namespace vanillalatch {
 namespace {
 
+// A datagram that the receive buffer cuts off is too large to be parsed, so no
+// answer is delivered without its end.
+static_assert(UdpSocket::kDatagramBufferBytes - UdpSocket::kHeadroomBytes >
+              kMaxDatagramBytes);
+
 constexpr std::size_t kMailboxCapacity = 64;  // A power of two.
 // Short compared with the 2 s after which callers retransmit.
 constexpr Duration kCatalogPollInterval = std::chrono::milliseconds(10);
