--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -24,6 +24,7 @@
     return registry.error();
   }
   RecordTableOptions record_options;
+  record_options.max_records = options.max_records;
   record_options.retention = options.exchange_lifetime;
   record_options.idempotent_retention = options.exchange_lifetime;
   auto records = RecordTable::Create(record_options);
@@ -55,7 +56,7 @@
       records_(std::move(records)),
       parsers_(std::move(parsers)),
       self_(members_->self()),
-      instance_(StableHash(self_.value(), options_.membership.incarnation)),
+      instance_(InstanceOf(self_, options_.membership.incarnation)),
       started_(now),
       next_exchange_token_(StableHash(instance_, seed)),
       next_message_id_(static_cast<std::uint16_t>(next_exchange_token_)),
--- a/src/entry/entry_node_impl.h
+++ b/src/entry/entry_node_impl.h
@@ -18,6 +18,7 @@
 #include "membership.pb.h"
 #include "peer.pb.h"
 #include "src/entry/service_state.h"
+#include "vanillalatch/base/hash.h"
 #include "vanillalatch/entry/entry_node.h"
 #include "vanillalatch/registry/registry.h"
 #include "vanillalatch/request/record_table.h"
@@ -98,6 +99,11 @@
 // A longer deadline of a caller is shortened to this.
 inline constexpr Duration kMaxDeadline = std::chrono::minutes(10);
 
+// Returns the hash that identifies one VM and one start of it.
+inline std::uint64_t InstanceOf(NodeId id, std::uint64_t incarnation) {
+  return StableHash(id.value(), incarnation);
+}
+
 // Two parsers, so that a stored request can be parsed while a received message
 // is in use: a parser invalidates its last message when it parses the next.
 struct Parsers {
@@ -172,6 +178,8 @@
   // callers.cc
   void OnCallerDatagram(const Datagram& datagram);
   void OnCallerRequest(const Datagram& datagram, const CoapMessage& message);
+  bool MayBeResend(const CoapMessage& message) const;
+  TimePoint IssueTime(const CoapMessage& message) const;
   void OnResend(RequestRecord& record, const CoapMessage& message,
                 const Datagram& datagram);
   void FillFromDatagram(RequestRecord& record, const ServiceState& service,
@@ -307,8 +315,10 @@
   void UpdateRoles(ServiceState& service);
   void UpdateCompleteness(ServiceState& service, NodeId old_dispatcher,
                           NodeId old_successor);
-  static void BecomeSuccessorOf(ServiceState& service, NodeId dispatcher);
-  static void DropRetainedState(ServiceState& service, NodeId lost);
+  void BecomeSuccessorOf(ServiceState& service, NodeId dispatcher);
+  void AddLaterDispatcher(ServiceState& service, NodeId dispatcher);
+  static void DropRetainedState(ServiceState& service, NodeId lost,
+                                std::uint64_t present);
   void RemoveFailedSources(ServiceState& service);
   void MarkComplete(ServiceState& service, NodeId from);
   void TrackDispatchers();
@@ -338,6 +348,7 @@
 
   // transfer.cc
   void BeginTransfer(ServiceState& service, NodeId to);
+  void RequestHoldsFrom(const ServiceState& service, NodeId successor);
   void TickTransfer(ServiceState& service);
   void SendTransferPart(ServiceState& service);
   bool HasOrphanThatMayHaveRun(const ServiceState& service) const;
@@ -379,6 +390,8 @@
   std::uint64_t catalog_revision_ = 0;
   std::map<ServiceId, ServiceState> services_;
   std::map<std::string, ServiceId, std::less<>> service_names_;
+  // Deleted within the last exchange_lifetime, and when.
+  std::map<std::string, TimePoint, std::less<>> deleted_services_;
 
   absl::flat_hash_map<std::uint64_t, Exchange> exchanges_;  // By token.
   // Exchange tokens by backend address and message id.
--- a/src/entry/entry_world.h
+++ b/src/entry/entry_world.h
@@ -110,7 +110,7 @@
   void AddService(const scenario::Step& step);
   void Evacuate(const scenario::Step& step);
   void ApplyCatalog();
-  void StartVm(std::size_t n);
+  void StartVm(std::size_t n, Duration wait);
   void ChangeVm(const scenario::Step& step);
   void Recover(const scenario::Step& step);
   void Network(const scenario::Step& step);
@@ -165,6 +165,7 @@
   pb::Catalog catalog_;
 
   Duration lifetime_ = std::chrono::seconds(247);
+  std::size_t max_records_ = 100'000;  // Of each VM.
   int loss_permille_ = 0;
   int duplicate_permille_ = 0;
   Duration delay_ = std::chrono::microseconds(200);
--- a/src/entry/service_state.h
+++ b/src/entry/service_state.h
@@ -109,6 +109,9 @@
   // While it is alive, this VM grants no other dispatcher a second record, as
   // that one may be out of date.
   NodeId fencing_dispatcher;
+  // Until then that dispatcher counts as alive, even if the member list still
+  // shows it as failed: it has just collected.
+  TimePoint fence_holds_until;
   bool has_served = false;             // This VM has dispatched the service.
   bool created_while_running = false;  // Not in this VM's first catalog.
   // Start of this VM if it became complete because, by the reports of all
@@ -123,7 +126,8 @@
   // If this VM is no longer complete, it can still use and transfer its state
   // until `complete_until`; kNever while it is the successor. That state lacks
   // the later requests of these dispatchers.
-  std::set<NodeId> later_dispatchers;
+  // With the instance that the member list showed when each became dispatcher.
+  std::map<NodeId, std::uint64_t> later_dispatchers;
   TimePoint complete_until;
   TimePoint transfer_query_at;  // Next query for the dispatcher's state.
   // VMs whose states together are complete, and that still have to transfer
