Queue late flows for the slots that others leave

Cause: after an outage, flows whose latency target was out of reach were refused although their callers had seconds left, and retransmitted openings were treated as new ones, so that they delayed requests that could be in time.

Change: a flow knows when its caller first sent it, also after a refusal. Flows that can't meet the target wait in a second queue for slots that no other flow needs. A dispatcher drops a flow whose ingress has placed it elsewhere.

--- a/include/vanillalatch/packetflow/flow_dispatcher.h
+++ b/include/vanillalatch/packetflow/flow_dispatcher.h
@@ -18,6 +18,7 @@
 #ifndef VANILLALATCH_PACKETFLOW_FLOW_DISPATCHER_H_
 #define VANILLALATCH_PACKETFLOW_FLOW_DISPATCHER_H_
 
+#include <array>
 #include <memory>
 #include <span>
 #include <string>
@@ -58,6 +59,8 @@
   std::uint32_t sequence = 0;
   // Number of earlier transmissions of this opening packet; 0 for the first.
   std::uint32_t copy = 0;
+  // How long ago the caller sent the first transmission.
+  Duration age{};
   std::string data_center;  // Endpoints in this data centre are preferred.
   // Data centre of the shard that is to place the flow; empty if the service is
   // not sharded.
@@ -122,6 +125,7 @@
   Duration elapsed{};
   bool accepted = false;      // The endpoint has accepted the flow.
   bool request_sent = false;  // The caller has sent a request on the flow.
+  bool late = false;  // kPlaced, kMoved: the class's latency target is missed.
 };
 
 // Duration of one part of a flow, for histograms.
@@ -169,6 +173,10 @@
   // Flows not taken from a silent endpoint, as the budget was used up.
   std::uint64_t moves_refused = 0;
   std::uint64_t refused = 0;
+  // Placed though the latency target of the class can't be met any more;
+  // included in `placed`.
+  std::uint64_t placed_late = 0;
+  std::uint64_t withdrawn = 0;  // Placed by another VM while they waited here.
   std::uint64_t ended = 0;    // Ended or given up by the caller.
   std::uint64_t expired = 0;  // Timed out without a report of their end.
   std::uint64_t endpoints_found_silent = 0;
@@ -180,6 +188,16 @@
   // its FlowOpening::copy is at least this: the endpoint has then left two
   // transmissions unanswered.
   static constexpr std::uint32_t kFirstMovedCopy = 2;
+  // When a caller transmits an opening packet, from the first transmission on.
+  static constexpr std::array<Duration, 3> kTransmissionTimes = {
+      Duration::zero(), std::chrono::milliseconds(200),
+      std::chrono::milliseconds(600)};
+  // A caller gives up a flow that its endpoint has not accepted by then.
+  static constexpr Duration kOpeningTimeout = std::chrono::milliseconds(1400);
+  // A flow that is placed later than this before kOpeningTimeout is likely to
+  // be given up: the endpoint's answer has to reach the caller in the meantime,
+  // and the VMs may get their processor up to 75 ms late.
+  static constexpr Duration kPlacementMargin = std::chrono::milliseconds(100);
   // An opening packet that is unanswered for this many mean handshake times is
   // evidence that its endpoint is silent. The resulting timeout is limited to
   // the two bounds below: with a shorter one, a VM that is late in getting its
@@ -261,6 +279,9 @@
   // Processes the end of a flow: the caller ended it, or gave it up, `age` ago.
   virtual void End(TimePoint now, FlowId id, bool given_up, Duration age,
                    FlowActions& actions) = 0;
+  // Removes a flow that waits for a slot here, as another VM has placed it. No
+  // effect on a flow that is placed here.
+  virtual void Withdraw(TimePoint now, FlowId id) = 0;
   // True if the flow waits for a slot here, or occupied one here, and has
   // neither ended nor expired.
   virtual bool Contains(FlowId id) const = 0;
--- a/include/vanillalatch/placement/slot_scheduler.h
+++ b/include/vanillalatch/placement/slot_scheduler.h
@@ -34,6 +34,11 @@
   RequestId request;
   ClassId work_class;
   TimePoint deadline = kNever;
+  // When the caller sent the request; nullopt: when it is submitted. The
+  // latency target counts from then.
+  std::optional<TimePoint> issued{};
+  // The request is of no use to the caller if it starts later.
+  TimePoint start_by = kNever;
   // The only endpoint that may get the request. Set for a flow with a session
   // and for the later blocks of an answer.
   std::optional<EndpointId> pinned;
@@ -100,6 +105,7 @@
   ErrorKind error = ErrorKind::kOverloaded;        // kRefuse
   Duration retry_after = std::chrono::seconds(1);  // kRefuse
   RefusalCause cause{};                            // kRefuse
+  bool late = false;  // kStart: from the queue of late requests.
 };
 
 // The slots of the service, and what a request of one class would find.
@@ -127,6 +133,11 @@
   // all their slots are usable from the start. If false, the usable slots of a
   // new endpoint grow over cold_start_ramp.
   bool endpoints_report_warm_up = false;
+  // If true, a request that can't meet its latency target any more waits for
+  // slots that no other request needs, as long as its deadline can be met. If
+  // false, it is refused. True where a refusal can't tell the caller when to
+  // come back.
+  bool queue_late_requests = false;
 };
 
 class SlotScheduler {
--- a/src/packetflow/flow_dispatcher.cc
+++ b/src/packetflow/flow_dispatcher.cc
@@ -35,6 +35,9 @@
   const FlowId id = opening.id;
   Flow& flow = flows_[id];
   flow.opening = std::move(opening);
+  flow.opened_at = now - flow.opening.age;
+  flow.issued_at = recent_refusals_.TakeIssued(now, flow.opening)
+                       .value_or(flow.opened_at);
   Submit(now, flow, std::nullopt, actions);
 }
 
@@ -62,7 +65,9 @@
   Work work;
   work.request = flow.work;
   work.work_class = flow.opening.work_class;
-  work.deadline = now + flow.opening.timeout;
+  work.deadline = flow.issued_at + flow.opening.timeout;
+  work.issued = flow.issued_at;
+  work.start_by = flow.opened_at + kOpeningTimeout - kPlacementMargin;
   work.avoid = avoid;
   if (!avoid && flow.opening.progress_reported) {
     work.try_first = silence_detector_.TakeProbe(now, flow.opening.service);
@@ -154,6 +159,7 @@
   event.elapsed = elapsed;
   event.accepted = flow.accepted;
   event.request_sent = flow.request_sent;
+  event.late = flow.late;
   actions.events.push_back(event);
 }
 
@@ -246,6 +252,17 @@
   ApplyVerdicts(now, actions);
 }
 
+void FlowDispatcherImpl::Withdraw(TimePoint now, FlowId id) {
+  const auto it = flows_.find(id);
+  if (it == flows_.end() || it->second.placed) {
+    return;
+  }
+  ++counters_.withdrawn;
+  closed_[id] = {it->second.opening.sequence, now + kRetransmissionWindow};
+  Release(now, it->second, WorkOutcome::kCancelled);
+  flows_.erase(it);
+}
+
 void FlowDispatcherImpl::ApplyVerdicts(TimePoint now, FlowActions& actions) {
   for (const Verdict& it : std::exchange(verdicts_, {})) {
     const auto flow_id = flow_by_work_.find(it.request);
@@ -256,7 +273,9 @@
     Flow& flow = found->second;
     if (it.kind == Verdict::Kind::kStart) {
       ++counters_.placed;
+      counters_.placed_late += it.late ? 1 : 0;
       flow.placed = true;
+      flow.late = it.late;
       flow.endpoint = it.endpoint;
       flow.sent_at = now;
       flow.expires = now + flow.opening.timeout;
@@ -272,6 +291,7 @@
     closed_[flow.opening.id] = {flow.opening.sequence,
                                 now + kRetransmissionWindow, true, it.error,
                                 it.cause};
+    recent_refusals_.Add(now, flow.opening, flow.issued_at);
     actions.refusals.push_back(
         {flow.opening.id, it.error, std::move(flow.opening.packet), it.cause});
     flow_by_work_.erase(flow_id);
--- a/src/packetflow/flow_dispatcher_impl.h
+++ b/src/packetflow/flow_dispatcher_impl.h
@@ -13,6 +13,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "src/packetflow/move_budget.h"
+#include "src/packetflow/recent_refusals.h"
 #include "src/packetflow/silence_detector.h"
 #include "vanillalatch/packetflow/flow_dispatcher.h"
 
@@ -67,6 +68,7 @@
   void StopSilenceDetection(const ShardId& shard) override;
   void End(TimePoint now, FlowId id, bool given_up, Duration age,
            FlowActions& actions) override;
+  void Withdraw(TimePoint now, FlowId id) override;
   bool Contains(FlowId id) const override { return flows_.contains(id); }
   std::vector<FlowOpening> TakeWaiting(TimePoint now,
                                        const ShardId& shard) override;
@@ -93,11 +95,14 @@
     bool placed = false;
     EndpointId endpoint;
     EndpointId moved_from;   // 0: it was never moved.
+    TimePoint opened_at;     // When the caller first sent its opening packet.
+    TimePoint issued_at;     // The same for the caller's first try.
     TimePoint submitted_at;  // When it began to wait for a slot.
     TimePoint sent_at;       // When its opening packet was last sent.
     // Its endpoint is silent and the budget for moves was used up: the next
     // retransmission moves it.
     bool move_refused = false;
+    bool late = false;      // As in FlowEvent.
     bool accepted = false;  // The caller continued after the opening packet.
     TimePoint accepted_at;  // Valid if accepted.
     bool request_sent = false;  // The caller has sent a request.
@@ -177,6 +182,7 @@
   std::uint64_t last_work_ = 0;
   TimePoint expire_due_{};
   SilenceDetector silence_detector_;
+  RecentRefusals recent_refusals_;
   std::map<ServiceId, MoveBudget> move_budgets_;
   TimePoint silence_check_due_{};
   std::vector<Verdict> verdicts_;  // Of the schedulers, not yet applied.
--- a/src/packetflow/flow_dispatcher_shards.cc
+++ b/src/packetflow/flow_dispatcher_shards.cc
@@ -12,6 +12,8 @@
     SlotSchedulerOptions options;
     options.overlap_percent = options_.overlap_percent;
     options.endpoints_report_warm_up = true;
+    // A reset can't tell the caller when to come back.
+    options.queue_late_requests = true;
     scheduler =
         SlotScheduler::Create(options, StableHash(seed_, shard.service.value()))
             .value();
@@ -117,6 +119,7 @@
     const auto next = std::next(it);
     if (!it->second.placed && it->second.shard() == shard) {
       Release(now, it->second, WorkOutcome::kCancelled);
+      it->second.opening.age = now - it->second.opened_at;
       waiting.push_back(std::move(it->second.opening));
       flows_.erase(it);
     }
--- a/src/packetflow/flow_messages.cc
+++ b/src/packetflow/flow_messages.cc
@@ -39,6 +39,7 @@
       static_cast<std::uint32_t>(ToMilliseconds(opening.timeout)));
   message.set_sequence(opening.sequence);
   message.set_copy(opening.copy);
+  message.set_age_ms(static_cast<std::uint32_t>(ToMilliseconds(opening.age)));
   message.set_data_center(opening.data_center);
   message.set_packet(opening.packet);
   message.set_caller(opening.caller.Packed());
@@ -57,6 +58,7 @@
   opening.timeout = std::chrono::milliseconds(message.timeout_ms());
   opening.sequence = message.sequence();
   opening.copy = message.copy();
+  opening.age = std::chrono::milliseconds(message.age_ms());
   opening.data_center = message.data_center();
   opening.packet = message.packet();
   opening.caller = SocketAddress::FromPacked(message.caller());
--- a/src/packetflow/flow_node_impl.h
+++ b/src/packetflow/flow_node_impl.h
@@ -87,6 +87,7 @@
   // An opening packet that waits until the endpoints are known.
   struct Parked {
     FlowOpening opening;
+    TimePoint since;
     TimePoint due;  // When it stops waiting.
   };
 
--- a/src/packetflow/flow_node_openings.cc
+++ b/src/packetflow/flow_node_openings.cc
@@ -39,6 +39,8 @@
   opening.timeout = route.timeout;
   opening.sequence = packet.sequence;
   opening.copy = packet.copy;
+  constexpr auto& kTimes = FlowDispatcher::kTransmissionTimes;
+  opening.age = kTimes[std::min<std::size_t>(packet.copy, kTimes.size() - 1)];
   opening.data_center = data_center_;
   SetShard(opening);
   opening.packet.assign(bytes.begin(), bytes.end());
@@ -55,7 +57,7 @@
     AddEvent(IngressEvent::Kind::kParked, opening, NodeId{});
     const FlowId id = opening.id;
     const Duration wait = std::min(kMaxParkTime, opening.timeout / 2);
-    parked_[id] = {std::move(opening), now + wait};
+    parked_[id] = {std::move(opening), now, now + wait};
     return;
   }
   Dispatch(now, std::move(opening));
@@ -81,6 +83,7 @@
       continue;
     }
     FlowOpening opening = std::move(it->second.opening);
+    opening.age += now - it->second.since;
     it = parked_.erase(it);
     Dispatch(now, std::move(opening));
   }
@@ -156,6 +159,7 @@
   }
   OnHandoverAnswered(now, it->second);
   FlowOpening opening = std::move(it->second.opening);
+  opening.age += now - it->second.sent_at;
   pending_handovers_.erase(it);
   if (!message.try_data_center().empty()) {
     DispatchTo(now, std::move(opening), message.try_data_center());
@@ -242,7 +246,15 @@
     if (link_meter_.enabled()) {
       late_handovers_[it->first] = {handover.dispatcher, handover.sent_at};
     }
-    overdue.push_back(std::move(it->second.opening));
+    // Without this, the dispatcher would open the flow a second time when a
+    // slot is free.
+    pb::FlowEnd withdrawal;
+    withdrawal.set_id(it->first.value());
+    withdrawal.set_given_up(true);
+    withdrawal.set_placed_elsewhere(true);
+    PendingMessageTo(handover.dispatcher).AddEnd(now, std::move(withdrawal));
+    handover.opening.age += now - handover.sent_at;
+    overdue.push_back(std::move(handover.opening));
     it = pending_handovers_.erase(it);
   }
   for (FlowOpening& it : overdue) {
--- a/src/placement/admission_gate.cc
+++ b/src/placement/admission_gate.cc
@@ -15,6 +15,13 @@
 // Factor on the mean in the upper estimate of a wait: allows for errors in the
 // predicted slot use of classes that come earlier in by_priority().
 constexpr double kSlotUseMargin = 1.1;
+// Other work leaves no slots to late requests if it leaves less than this part
+// of them: the average of the slots in use is less accurate than the rest.
+constexpr double kMinSparePart = 0.05;
+// Weight of one outcome in the moving average of late requests.
+constexpr double kLateOutcomeWeight = 1.0 / 16;
+// Below this average, a late request is more likely to expire than to start.
+constexpr double kMinLateSuccess = 0.5;
 
 Duration Scale(Duration duration, double factor) {
   return Duration(static_cast<Duration::rep>(
@@ -56,7 +63,8 @@
                                       ? state.answer_time.upper_estimate()
                                       : forecast.answer_time;
   forecast.wait_limit = std::max(state.target.latency - upper_estimate,
-                                 state.target.latency / kMinWaitLimitDivisor);
+                                 state.target.latency / kMinWaitLimitDivisor) -
+                        (now - work.issued.value_or(now));
   if (work.pinned) {
     PredictPinned(now, work, forecast);
   } else {
@@ -162,12 +170,44 @@
   return std::nullopt;
 }
 
-TimePoint AdmissionGate::ExpiryOf(TimePoint submitted, const Work& work) {
+TimePoint AdmissionGate::ExpiryOf(TimePoint issued, const Work& work) {
   const ClassState& state = classes_.GetOrCreate(work.work_class);
-  const Duration answer_time = AnswerTimeOf(submitted, state);
+  const Duration answer_time = AnswerTimeOf(issued, state);
   const Duration latency = state.target.latency;
-  return std::min(work.deadline - answer_time,
-                  submitted + std::max(latency - answer_time, latency / 2));
+  return std::min({work.start_by, work.deadline - answer_time,
+                   issued + std::max(latency - answer_time, latency / 2)});
+}
+
+void AdmissionGate::OnLateOutcome(bool started) {
+  late_success_ += ((started ? 1.0 : 0.0) - late_success_) * kLateOutcomeWeight;
+}
+
+bool AdmissionGate::MayWaitLate(TimePoint now, const Work& work) {
+  if (work.pinned || !pool_.AnyInService()) {
+    return false;
+  }
+  // Slot time of the work ahead: all that is not late, and late work of the
+  // same class and of classes that come earlier.
+  Duration ahead{};
+  bool is_ahead = true;
+  for (const ClassState* it : classes_.by_priority()) {
+    const std::size_t late =
+        is_ahead ? late_queue_.SizeOf(it->target.id) : std::size_t{0};
+    const std::size_t requests = queue_.SizeOf(it->target.id) + late;
+    ahead += AnswerTimeOf(now, *it) * static_cast<Duration::rep>(requests);
+    is_ahead = is_ahead && it->target.id != work.work_class;
+  }
+  const double slots = std::max(1U, pool_.UsableSlots(now));
+  const double spare = late_success_ >= kMinLateSuccess
+                           ? slots
+                           : slots - timely_use_.AverageAt(now);
+  return spare >= kMinSparePart * slots &&
+         now + Scale(ahead, 1 / spare) < LateExpiryOf(now, work);
+}
+
+TimePoint AdmissionGate::LateExpiryOf(TimePoint now, const Work& work) {
+  const ClassState& state = classes_.GetOrCreate(work.work_class);
+  return std::min(work.start_by, work.deadline - AnswerTimeOf(now, state));
 }
 
 const WaitingRequest* AdmissionGate::SelectRequestToShed(TimePoint now,
--- a/src/placement/slot_scheduler.cc
+++ b/src/placement/slot_scheduler.cc
@@ -25,8 +25,9 @@
 struct RunningRequest {
   EndpointId endpoint;
   ClassId work_class;
-  TimePoint submitted;
+  TimePoint issued;  // When the caller sent it.
   TimePoint started;
+  bool late = false;  // It started from the queue of late requests.
 };
 
 class CentralScheduler : public SlotScheduler {
@@ -35,7 +36,7 @@
       : options_(options),
         classes_(seed),
         pool_(options, seed),
-        gate_(queue_, classes_, pool_) {}
+        gate_(queue_, late_queue_, classes_, pool_) {}
 
   void SetClasses(std::span<const ClassTarget> classes) override {
     classes_.Set(classes);
@@ -76,7 +77,7 @@
               Duration report_age, std::vector<Verdict>& verdicts) override;
 
   bool Cancel(TimePoint now, RequestId request) override {
-    return queue_.Remove(request).has_value();
+    return queue_.Remove(request) || late_queue_.Remove(request);
   }
 
   void OnTick(TimePoint now, std::vector<Verdict>& verdicts) override {
@@ -96,15 +97,20 @@
   pb::ServiceReport Report(TimePoint now) const override;
 
  private:
-  // Applies what is due by time, and refuses waiting requests that expired or
-  // have no endpoint left.
+  // Applies what is due by time: waiting requests that expired become late or
+  // are refused, and those that have no endpoint left are refused.
   void Advance(TimePoint now, std::vector<Verdict>& verdicts);
-  void RefuseWithoutEndpoint(TimePoint now, std::vector<Verdict>& verdicts);
-  void RefuseExpired(TimePoint now, std::vector<Verdict>& verdicts);
+  void RefuseWithoutEndpoint(TimePoint now, WaitQueue& queue,
+                             std::vector<Verdict>& verdicts);
+  void RemoveExpired(TimePoint now, WaitQueue& queue,
+                     std::vector<Verdict>& verdicts);
+  // Puts a request that can't meet its latency target into the queue of late
+  // requests. Returns false if it has to be refused.
+  bool QueueAsLate(TimePoint now, const Work& work, TimePoint issued);
   void Refuse(TimePoint now, const Work& work, ErrorKind error,
               std::vector<Verdict>& verdicts);
-  void RefuseWaiting(TimePoint now, RequestId request, ErrorKind error,
-                     std::vector<Verdict>& verdicts);
+  void RefuseWaiting(TimePoint now, WaitQueue& queue, RequestId request,
+                     ErrorKind error, std::vector<Verdict>& verdicts);
   // Ensures that the queue has space for `work`, by shedding another request if
   // need be. Returns false if `work` itself is to be shed.
   bool EnsureQueueSpace(TimePoint now, const Work& work,
@@ -113,18 +119,25 @@
   void StartWaitingRequests(TimePoint now, std::vector<Verdict>& verdicts);
   bool StartNext(TimePoint now, std::vector<Verdict>& verdicts);
   bool StartPinned(TimePoint now, ClassId id, std::vector<Verdict>& verdicts);
-  bool StartUnpinned(TimePoint now, ClassId id, std::vector<Verdict>& verdicts);
+  bool StartUnpinned(TimePoint now, const WaitQueue& queue, ClassId id,
+                     std::vector<Verdict>& verdicts);
+  // Starts a late request. Called while no other request can start.
+  bool StartNextLate(TimePoint now, std::vector<Verdict>& verdicts);
   bool TryStart(TimePoint now, const WaitingRequest& waiting,
                 std::vector<Verdict>& verdicts);
   void Start(TimePoint now, const WaitingRequest& waiting,
              TrackedEndpoint& tracked, std::vector<Verdict>& verdicts);
   bool ClassMayProbe(TimePoint now, ClassId id);
+  std::size_t WaitingRequests() const {
+    return queue_.size() + late_queue_.size();
+  }
 
   SlotSchedulerOptions options_;
   ServiceId service_;
   ClassTable classes_;
   EndpointPool pool_;
-  WaitQueue queue_;
+  WaitQueue queue_;       // Requests that may meet their latency target.
+  WaitQueue late_queue_;  // The others; unpinned.
   AdmissionGate gate_;
   RetryBudget retry_budget_;
   absl::flat_hash_map<RequestId, RunningRequest> running_;
@@ -135,19 +148,25 @@
 
 void CentralScheduler::Submit(TimePoint now, const Work& work,
                               std::vector<Verdict>& verdicts) {
-  if (running_.contains(work.request) || queue_.Contains(work.request)) {
+  if (running_.contains(work.request) || queue_.Contains(work.request) ||
+      late_queue_.Contains(work.request)) {
     return;
   }
   if (!work.avoid) {
     retry_budget_.OnFirstAttempt(now);
   }
   Advance(now, verdicts);
+  const TimePoint issued = work.issued.value_or(now);
   const Forecast forecast = gate_.Predict(now, work);
   if (const auto error = gate_.Check(now, work, forecast)) {
-    Refuse(now, work, *error, verdicts);
+    if (*error != ErrorKind::kOverloaded || !QueueAsLate(now, work, issued)) {
+      Refuse(now, work, *error, verdicts);
+      return;
+    }
+    StartWaitingRequests(now, verdicts);
     return;
   }
-  const WaitingRequest waiting{work, now, gate_.ExpiryOf(now, work)};
+  const WaitingRequest waiting{work, issued, gate_.ExpiryOf(issued, work)};
   if (queue_.size() == 0 && TryStart(now, waiting, verdicts)) {
     return;
   }
@@ -177,12 +196,13 @@
 void CentralScheduler::AddRunning(TimePoint now, const Work& work,
                                   EndpointId endpoint) {
   last_event_at_ = now;
-  const RunningRequest running{endpoint, work.work_class, now, now};
+  const RunningRequest running{endpoint, work.work_class, now, now, false};
   if (!running_.emplace(work.request, running).second) {
     return;
   }
   pool_.FindOrAdd(now, endpoint).Start(now);
   classes_.GetOrCreate(work.work_class).slot_use.Start(now);
+  gate_.OnStarted(now);
 }
 
 void CentralScheduler::Finish(TimePoint now, RequestId request,
@@ -194,10 +214,13 @@
     running_.erase(it);
     ClassState& state = classes_.GetOrCreate(running.work_class);
     state.slot_use.Stop(now);
+    if (!running.late) {
+      gate_.OnFinished(now);
+    }
     const TimePoint ended = std::max(now - report_age, running.started);
     if (outcome == WorkOutcome::kAnswered) {
       state.answer_time.Add(now, ended - running.started);
-      state.stats.OnAnswered(now, ended - running.submitted,
+      state.stats.OnAnswered(now, ended - running.issued,
                              state.target.latency);
     } else if (outcome == WorkOutcome::kRefused) {
       state.stats.OnRefused();
@@ -215,39 +238,59 @@
   pool_.Advance(now);
   if (endpoints_changed_) {
     endpoints_changed_ = false;
-    RefuseWithoutEndpoint(now, verdicts);
+    RefuseWithoutEndpoint(now, queue_, verdicts);
+    RefuseWithoutEndpoint(now, late_queue_, verdicts);
   }
-  RefuseExpired(now, verdicts);
+  RemoveExpired(now, queue_, verdicts);
+  RemoveExpired(now, late_queue_, verdicts);
 }
 
-void CentralScheduler::RefuseWithoutEndpoint(TimePoint now,
+void CentralScheduler::RefuseWithoutEndpoint(TimePoint now, WaitQueue& queue,
                                              std::vector<Verdict>& verdicts) {
   const bool any_in_service = pool_.AnyInService();
-  for (const RequestId request : queue_.RequestsByExpiry()) {
-    const Work& work = queue_.Find(request)->work;
+  for (const RequestId request : queue.RequestsByExpiry()) {
+    const Work& work = queue.Find(request)->work;
     const TrackedEndpoint* tracked =
         work.pinned ? pool_.Find(*work.pinned) : nullptr;
     const bool lacks_endpoint = work.pinned
                                     ? tracked == nullptr || !tracked->present()
                                     : !any_in_service;
     if (lacks_endpoint) {
-      RefuseWaiting(now, request, ErrorKind::kNoEndpoint, verdicts);
+      RefuseWaiting(now, queue, request, ErrorKind::kNoEndpoint, verdicts);
     }
   }
 }
 
-void CentralScheduler::RefuseExpired(TimePoint now,
+void CentralScheduler::RemoveExpired(TimePoint now, WaitQueue& queue,
                                      std::vector<Verdict>& verdicts) {
-  const WaitingRequest* it = queue_.FirstToExpire();
+  const WaitingRequest* it = queue.FirstToExpire();
   while (it != nullptr && it->expires <= now) {
-    const Duration answer_time = gate_.Predict(now, it->work).answer_time;
-    const bool misses_deadline = now + answer_time >= it->work.deadline;
-    RefuseWaiting(now, it->work.request,
-                  misses_deadline ? ErrorKind::kDeadlineUnmeetable
-                                  : ErrorKind::kOverloaded,
-                  verdicts);
-    it = queue_.FirstToExpire();
+    const WaitingRequest expired = *queue.Remove(it->work.request);
+    const Work& work = expired.work;
+    if (&queue == &late_queue_) {
+      gate_.OnLateOutcome(false);
+    }
+    if (&queue == &late_queue_ || !QueueAsLate(now, work, expired.issued)) {
+      const Duration answer_time = gate_.Predict(now, work).answer_time;
+      const bool misses_deadline = now + answer_time >= work.deadline;
+      Refuse(now, work,
+             misses_deadline ? ErrorKind::kDeadlineUnmeetable
+                             : ErrorKind::kOverloaded,
+             verdicts);
+    }
+    it = queue.FirstToExpire();
+  }
+}
+
+bool CentralScheduler::QueueAsLate(TimePoint now, const Work& work,
+                                   TimePoint issued) {
+  if (!options_.queue_late_requests ||
+      WaitingRequests() >= options_.max_queue ||
+      !gate_.MayWaitLate(now, work)) {
+    return false;
   }
+  late_queue_.Push({work, issued, gate_.LateExpiryOf(now, work)});
+  return true;
 }
 
 void CentralScheduler::Refuse(TimePoint now, const Work& work, ErrorKind error,
@@ -270,28 +313,35 @@
        .retry_after = state.retry_after_schedule.NextDelay(
            now, backlog, forecast.slot_interval),
        .cause = {.expected_wait = forecast.mean_wait,
-                 .queued = static_cast<std::uint32_t>(queue_.size()),
+                 .queued = static_cast<std::uint32_t>(WaitingRequests()),
                  .usable_slots = pool_.UsableSlots(now),
                  .free_slots = pool_.FreeSlots(now)}});
 }
 
-void CentralScheduler::RefuseWaiting(TimePoint now, RequestId request,
-                                     ErrorKind error,
+void CentralScheduler::RefuseWaiting(TimePoint now, WaitQueue& queue,
+                                     RequestId request, ErrorKind error,
                                      std::vector<Verdict>& verdicts) {
-  const std::optional<WaitingRequest> taken = queue_.Remove(request);
+  const std::optional<WaitingRequest> taken = queue.Remove(request);
   Refuse(now, taken->work, error, verdicts);
 }
 
 bool CentralScheduler::EnsureQueueSpace(TimePoint now, const Work& work,
                                         std::vector<Verdict>& verdicts) {
-  if (queue_.size() < options_.max_queue) {
+  if (WaitingRequests() < options_.max_queue) {
+    return true;
+  }
+  if (late_queue_.size() > 0) {
+    const WaitingRequest* late = late_queue_.FirstToExpire();
+    RefuseWaiting(now, late_queue_, late->work.request, ErrorKind::kOverloaded,
+                  verdicts);
     return true;
   }
   const WaitingRequest* shed = gate_.SelectRequestToShed(now, work);
   if (shed == nullptr) {
     return false;
   }
-  RefuseWaiting(now, shed->work.request, ErrorKind::kOverloaded, verdicts);
+  RefuseWaiting(now, queue_, shed->work.request, ErrorKind::kOverloaded,
+                verdicts);
   return true;
 }
 
@@ -299,6 +349,8 @@
                                             std::vector<Verdict>& verdicts) {
   while (queue_.size() > 0 && StartNext(now, verdicts)) {
   }
+  while (late_queue_.size() > 0 && StartNextLate(now, verdicts)) {
+  }
 }
 
 bool CentralScheduler::StartNext(TimePoint now,
@@ -308,13 +360,25 @@
   for (const ClassState* it :
        classes_.OrderForSlot(now, pool_.UsableSlots(now))) {
     if (StartPinned(now, it->target.id, verdicts) ||
-        (can_start_unpinned && StartUnpinned(now, it->target.id, verdicts))) {
+        (can_start_unpinned &&
+         StartUnpinned(now, queue_, it->target.id, verdicts))) {
       return true;
     }
   }
   return false;
 }
 
+bool CentralScheduler::StartNextLate(TimePoint now,
+                                     std::vector<Verdict>& verdicts) {
+  if (pool_.FreeSlots(now) == 0 && !pool_.AnyProbeDue(now)) {
+    return false;
+  }
+  const auto classes = classes_.by_priority();
+  return std::any_of(classes.begin(), classes.end(), [&](const auto* it) {
+    return StartUnpinned(now, late_queue_, it->target.id, verdicts);
+  });
+}
+
 bool CentralScheduler::StartPinned(TimePoint now, ClassId id,
                                    std::vector<Verdict>& verdicts) {
   for (const auto& [endpoint, queue] : queue_.Pinned(id)) {
@@ -325,10 +389,11 @@
   return false;
 }
 
-bool CentralScheduler::StartUnpinned(TimePoint now, ClassId id,
+bool CentralScheduler::StartUnpinned(TimePoint now, const WaitQueue& queue,
+                                     ClassId id,
                                      std::vector<Verdict>& verdicts) {
   std::size_t tried = 0;
-  for (const WaitingRequest& it : queue_.Unpinned(id)) {
+  for (const WaitingRequest& it : queue.Unpinned(id)) {
     if (++tried > kMaxTriedRequests) {
       return false;
     }
@@ -352,7 +417,10 @@
     const Duration latency =
         classes_.GetOrCreate(work.work_class).target.latency;
     tracked = pool_.Select(now, work,
-                           std::min(work.deadline, waiting.submitted + latency),
+                           late_queue_.Contains(work.request)
+                               ? work.deadline
+                               : std::min(work.deadline,
+                                          waiting.issued + latency),
                            ClassMayProbe(now, work.work_class));
   }
   if (tracked == nullptr) {
@@ -373,14 +441,22 @@
   }
   tracked.Start(now);
   classes_.GetOrCreate(id).slot_use.Start(now);
-  running_.emplace(request,
-                   RunningRequest{endpoint, id, waiting.submitted, now});
-  queue_.Remove(request);  // Invalidates `waiting`.
+  const TimePoint issued = waiting.issued;
+  // Invalidates `waiting`.
+  const bool late =
+      !queue_.Remove(request) && late_queue_.Remove(request).has_value();
+  running_.emplace(request, RunningRequest{endpoint, id, issued, now, late});
+  if (late) {
+    gate_.OnLateOutcome(true);
+  } else {
+    gate_.OnStarted(now);
+  }
   verdicts.push_back({.kind = Verdict::Kind::kStart,
                       .request = request,
                       .endpoint = endpoint,
                       .error = ErrorKind::kOverloaded,
-                      .retry_after = Duration::zero()});
+                      .retry_after = Duration::zero(),
+                      .late = late});
 }
 
 // While the class that is served last has work, only its requests are used as
@@ -392,18 +468,23 @@
 }
 
 TimePoint CentralScheduler::NextWake() const {
-  if (queue_.size() == 0) {
+  if (WaitingRequests() == 0) {
     return kNever;
   }
   if (endpoints_changed_) {
     return last_event_at_;
   }
-  return std::min(queue_.FirstToExpire()->expires,
-                  pool_.NextWake(last_event_at_));
+  TimePoint wake = pool_.NextWake(last_event_at_);
+  for (const WaitQueue* it : {&queue_, &late_queue_}) {
+    if (const WaitingRequest* first = it->FirstToExpire()) {
+      wake = std::min(wake, first->expires);
+    }
+  }
+  return wake;
 }
 
 bool CentralScheduler::TakeRetry(TimePoint now) {
-  if (now < overloaded_until_ || queue_.size() > pool_.UsableSlots(now)) {
+  if (now < overloaded_until_ || WaitingRequests() > pool_.UsableSlots(now)) {
     return false;
   }
   return retry_budget_.Take(now);
@@ -414,7 +495,7 @@
   work.work_class = id;
   const Forecast forecast = gate_.Predict(now, work);
   SlotLoad load;
-  load.queued = static_cast<std::uint32_t>(queue_.size());
+  load.queued = static_cast<std::uint32_t>(WaitingRequests());
   load.expected_wait = forecast.mean_wait;
   load.answer_time = forecast.answer_time;
   load.in_service = pool_.AnyInService();
@@ -431,7 +512,8 @@
   for (const ClassState* it : classes_.by_priority()) {
     pb::ClassReport& out = *report.add_classes();
     out.set_class_id(it->target.id.value());
-    out.set_queued(static_cast<std::uint32_t>(queue_.SizeOf(it->target.id)));
+    out.set_queued(static_cast<std::uint32_t>(
+        queue_.SizeOf(it->target.id) + late_queue_.SizeOf(it->target.id)));
     it->stats.Fill(now, out);
   }
   for (const auto& [id, it] : pool_.endpoints()) {
--- a/src/placement/wait_queue.h
+++ b/src/placement/wait_queue.h
@@ -1,7 +1,7 @@
 // The requests that wait for a slot. Each class has a FIFO queue of its
 // unpinned requests, and one of its pinned requests for each endpoint.
 //
-//   queue.Push({work, now, expires});
+//   queue.Push({work, issued, expires});
 //   for (const WaitingRequest& it : queue.Unpinned(class_id)) ...
 //   std::optional<WaitingRequest> removed = queue.Remove(request);
 #ifndef VANILLALATCH_PLACEMENT_WAIT_QUEUE_H_
@@ -22,8 +22,8 @@
 
 struct WaitingRequest {
   Work work;
-  TimePoint submitted;
-  TimePoint expires;  // Refused if it still waits then.
+  TimePoint issued;   // When the caller sent it.
+  TimePoint expires;  // Leaves the queue if it still waits then.
 };
 
 class WaitQueue {
