Ignore copies from before the placement as evidence of silence

Cause: a flow that waited 0.5 s was moved by the copy that its caller sent 0.6 s after the first transmission, although its endpoint had just received it.

Change: an endpoint has to have had the packet for kMaxSilenceTimeout, and only copies that were sent to it count as retransmissions.

--- a/src/packetflow/flow_dispatcher.cc
+++ b/src/packetflow/flow_dispatcher.cc
@@ -91,12 +91,16 @@
     MoveFromEvacuated(now, flow, actions);
     return;
   }
-  if (opening.copy < kFirstMovedCopy && !flow.move_refused) {
+  // A flow that waited for a slot has not been at its endpoint for long.
+  const bool endpoint_had_time = now - flow.sent_at >= kMaxSilenceTimeout;
+  if ((opening.copy < kFirstMovedCopy || !endpoint_had_time) &&
+      !flow.move_refused) {
     if (resend == Resend::kWait) {
       ++counters_.withheld_from_cold;
       return;
     }
     flow.sent_at = now;
+    flow.repeated = true;
     ++counters_.repeated;
     actions.placements.push_back({flow.endpoint, flow.opening.packet});
     return;
@@ -275,6 +279,7 @@
       ++counters_.placed;
       counters_.placed_late += it.late ? 1 : 0;
       flow.placed = true;
+      flow.repeated = false;
       flow.late = it.late;
       flow.endpoint = it.endpoint;
       flow.sent_at = now;
--- a/src/packetflow/flow_dispatcher_impl.h
+++ b/src/packetflow/flow_dispatcher_impl.h
@@ -102,7 +102,10 @@
     // Its endpoint is silent and the budget for moves was used up: the next
     // retransmission moves it.
     bool move_refused = false;
-    bool late = false;      // As in FlowEvent.
+    bool late = false;  // As in FlowEvent.
+    // Its opening packet was sent to its endpoint again. Copies that the caller
+    // sent before the flow was placed say nothing about the endpoint.
+    bool repeated = false;
     bool accepted = false;  // The caller continued after the opening packet.
     TimePoint accepted_at;  // Valid if accepted.
     bool request_sent = false;  // The caller has sent a request.
--- a/src/packetflow/flow_dispatcher_timers.cc
+++ b/src/packetflow/flow_dispatcher_timers.cc
@@ -32,7 +32,7 @@
     const ServiceId service = flows_.at(ids.front()).opening.service;
     const SilenceEvidence evidence{
         ids.size(), std::any_of(ids.begin(), ids.end(), [&](const FlowId& it) {
-          return flows_.at(it).opening.copy > 0;
+          return flows_.at(it).repeated;
         })};
     const SilenceDetector::Verdict verdict =
         silence_detector_.Evaluate(now, endpoint, service, evidence);
@@ -87,7 +87,7 @@
 }
 
 // An expired flow counts as timed out at its endpoint only if its caller has
-// retransmitted the opening packet, which indicates a silent endpoint.
+// retransmitted the opening packet to it, which indicates a silent endpoint.
 // Otherwise the flow may have ended without a report reaching this VM.
 void FlowDispatcherImpl::ExpireFlows(TimePoint now, FlowActions& actions) {
   absl::erase_if(closed_,
@@ -117,7 +117,7 @@
     }
     Release(
         now, it,
-        it.opening.copy > 0 ? WorkOutcome::kTimedOut : WorkOutcome::kCancelled);
+        it.repeated ? WorkOutcome::kTimedOut : WorkOutcome::kCancelled);
   }
   for (const FlowId& it : unused) {
     MarkIdle(now, flows_.at(it), WorkOutcome::kCancelled);
