Keep packets that arrive before the catalog (try)

Hypothesis: entry VMs drop callers' packets for 0.15 s after a restart of all VMs, as they have no catalog yet; callers retransmit them after up to 1.6 s.

--- a/include/vanillalatch/packetflow/flow_node.h
+++ b/include/vanillalatch/packetflow/flow_node.h
@@ -61,8 +61,9 @@
     kForward,  // Forward it unchanged to `target`.
     kReset,    // Notify the caller that the flow does not exist.
     kDrop,     // Drop it without a notification.
-    kPending,  // Nothing yet: this is an opening packet. The decision appears
-               // in the actions of the VM that places or refuses the flow.
+    kPending,  // Nothing yet. The decision appears in the actions of the VM
+               // that places or refuses the flow of an opening packet, or in
+               // this VM's when it knows the catalog and the endpoints.
   };
   Kind kind = Kind::kDrop;
   const FlowTarget* target = nullptr;  // Only for kForward.
@@ -112,10 +113,11 @@
   std::vector<FlowEvent> flow_events;
   std::vector<IngressEvent> ingress_events;
   std::vector<ShardingChange> sharding_changes;
-  // Send an opening packet to an endpoint.
+  // Send a packet to an endpoint: an opening packet, or one that was received
+  // before its endpoint was known.
   struct Placement {
     FlowTarget target;   // Write its cookie into the packet.
-    std::string packet;  // The opening packet as the caller sent it.
+    std::string packet;  // The packet as the caller sent it.
   };
   std::vector<Placement> placements;
   std::vector<FlowRefusal> refusals;
@@ -150,6 +152,10 @@
   std::uint64_t declined = 0;   // Opening packets that this VM declined.
   // Opening packets received before the endpoints were known.
   std::uint64_t parked = 0;
+  // Packets kept because the catalog or their endpoint was not known yet, and
+  // those of them that were dropped.
+  std::uint64_t kept_early = 0;
+  std::uint64_t dropped_early = 0;
   PeerTraffic received;
   PeerTraffic sent;
   // Opening packets that this VM, as a shard's dispatcher, passed on to another
--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -38,6 +38,7 @@
   peers_->SetEvacuations(now, EvacuationsOf(catalog));
   UpdateEvacuations(now);
   UpdateEndpoints(now);
+  ProcessEarlyPackets(now);
 }
 
 std::vector<pb::OpenFlows> FlowNodeImpl::OpenFlows() const {
@@ -70,13 +71,19 @@
     settled_ = true;
     DispatchParked(now);
   }
+  ProcessEarlyPackets(now);
 }
 
 FlowVerdict FlowNodeImpl::OnPacket(TimePoint now, const FlowPacket& packet,
                                    ByteSpan bytes) {
   ++counters_.packets;
+  return Process(now, now, packet, bytes);
+}
+
+FlowVerdict FlowNodeImpl::Process(TimePoint now, TimePoint received,
+                                  const FlowPacket& packet, ByteSpan bytes) {
   if (revision_ == 0) {
-    return {FlowVerdict::Kind::kDrop};
+    return KeepEarly(now, received, packet, bytes);
   }
   const FlowRoute* route = routes_.Find(packet.route);
   if (route == nullptr) {
@@ -85,10 +92,13 @@
                           : FlowVerdict::Kind::kReset};
   }
   if (packet.opens) {
-    OpenFlow(now, *route, packet, bytes);
+    OpenFlow(now, received, *route, packet, bytes);
     return {FlowVerdict::Kind::kPending};
   }
   const FlowTarget* target = endpoints_.Find(packet.cookie);
+  if (target == nullptr && !settled_) {
+    return KeepEarly(now, received, packet, bytes);
+  }
   if (target == nullptr) {
     ++counters_.unknown_endpoint;
     return {FlowVerdict::Kind::kDrop};
@@ -102,6 +112,29 @@
   return {FlowVerdict::Kind::kForward, target};
 }
 
+FlowVerdict FlowNodeImpl::KeepEarly(TimePoint now, TimePoint received,
+                                    const FlowPacket& packet, ByteSpan bytes) {
+  const std::size_t dropped = early_packets_.Add(now, received, packet, bytes);
+  counters_.dropped_early += dropped;
+  ++counters_.kept_early;
+  return {FlowVerdict::Kind::kPending};
+}
+
+void FlowNodeImpl::ProcessEarlyPackets(TimePoint now) {
+  for (const EarlyPackets::Packet& it : early_packets_.Take(now)) {
+    const ByteSpan bytes(
+        reinterpret_cast<const std::uint8_t*>(it.bytes.data()),
+        it.bytes.size());
+    const FlowVerdict verdict = Process(now, it.received, it.packet, bytes);
+    if (verdict.kind == FlowVerdict::Kind::kForward) {
+      early_forwards_.push_back({*verdict.target, it.bytes});
+    } else if (verdict.kind != FlowVerdict::Kind::kPending) {
+      // The caller retransmits a packet that is dropped here.
+      ++counters_.dropped_early;
+    }
+  }
+}
+
 void FlowNodeImpl::ReportProgress(TimePoint now, const FlowPacket& packet,
                                   const FlowRoute& route,
                                   const FlowTarget& target) {
@@ -231,6 +264,9 @@
   }
   endpoints_present_since_ = endpoints_present_since_.value_or(now);
   settled_ = now >= *endpoints_present_since_ + kEndpointSettleTime;
+  if (settled_) {
+    ProcessEarlyPackets(now);
+  }
 }
 
 void FlowNodeImpl::OnTick(TimePoint now, Outbox& out) {
@@ -365,6 +401,7 @@
 
 FlowNodeActions FlowNodeImpl::TakeActions() {
   FlowNodeActions actions;
+  actions.placements = std::exchange(early_forwards_, {});
   for (FlowPlacement& it : actions_.placements) {
     if (const FlowTarget* target = endpoints_.Find(it.endpoint)) {
       actions.placements.push_back({*target, std::move(it.packet)});
--- a/src/packetflow/flow_node_openings.cc
+++ b/src/packetflow/flow_node_openings.cc
@@ -28,8 +28,9 @@
 
 }  // namespace
 
-void FlowNodeImpl::OpenFlow(TimePoint now, const FlowRoute& route,
-                            const FlowPacket& packet, ByteSpan bytes) {
+void FlowNodeImpl::OpenFlow(TimePoint now, TimePoint received,
+                            const FlowRoute& route, const FlowPacket& packet,
+                            ByteSpan bytes) {
   FlowOpening opening;
   opening.id = packet.id();
   opening.caller = packet.caller;
@@ -40,7 +41,8 @@
   opening.sequence = packet.sequence;
   opening.copy = packet.copy;
   constexpr auto& kTimes = FlowDispatcher::kTransmissionTimes;
-  opening.age = kTimes[std::min<std::size_t>(packet.copy, kTimes.size() - 1)];
+  opening.age = kTimes[std::min<std::size_t>(packet.copy, kTimes.size() - 1)] +
+                (now - received);
   opening.data_center = data_center_;
   SetShard(opening);
   opening.packet.assign(bytes.begin(), bytes.end());
