Count missing reports only at the first dispatcher

Cause: after a restart of all VMs, a VM that dispatched while the first choice declined found eight endpoints silent within 40 ms, because the reports of progress went to the first choice. 290 flows were refused in 0.1 s.

Change: progress counts as reported only at the VM that all VMs select first, and not for callers that give up before the silence timeout.

--- a/include/vanillalatch/packetflow/flow_node.h
+++ b/include/vanillalatch/packetflow/flow_node.h
@@ -113,13 +113,20 @@
   std::vector<FlowEvent> flow_events;
   std::vector<IngressEvent> ingress_events;
   std::vector<ShardingChange> sharding_changes;
-  // Send a packet to an endpoint: an opening packet, or one that was received
-  // before its endpoint was known.
+  // Send an opening packet to an endpoint.
   struct Placement {
     FlowTarget target;   // Write its cookie into the packet.
+    std::string packet;  // The opening packet as the caller sent it.
+  };
+  // Forward a packet of an open flow that was received before its endpoint was
+  // known.
+  struct Forward {
+    FlowTarget target;
+    FlowPacket header;
     std::string packet;  // The packet as the caller sent it.
   };
   std::vector<Placement> placements;
+  std::vector<Forward> forwards;
   std::vector<FlowRefusal> refusals;
   std::vector<EndpointSilence> silences;
   std::vector<EvacuationEvent> evacuation_events;
--- a/src/packetflow/flow_dispatcher_timers.cc
+++ b/src/packetflow/flow_dispatcher_timers.cc
@@ -21,7 +21,11 @@
                                                FlowActions& actions) {
   std::map<EndpointId, std::vector<FlowId>> unanswered;
   for (const auto& [id, it] : flows_) {
+    // A caller that gives up in the meantime says nothing about the endpoint.
+    const bool caller_waits =
+        it.sent_at + kMaxSilenceTimeout < it.opened_at + kOpeningTimeout;
     if (it.placed && !it.accepted && it.opening.progress_reported &&
+        caller_waits &&
         silence_detector_.IsOverdue(now, it.endpoint, it.opening.service,
                                     it.sent_at)) {
       unanswered[it.endpoint].push_back(id);
--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -127,7 +127,7 @@
         it.bytes.size());
     const FlowVerdict verdict = Process(now, it.received, it.packet, bytes);
     if (verdict.kind == FlowVerdict::Kind::kForward) {
-      early_forwards_.push_back({*verdict.target, it.bytes});
+      early_forwards_.push_back({*verdict.target, it.packet, it.bytes});
     } else if (verdict.kind != FlowVerdict::Kind::kPending) {
       // The caller retransmits a packet that is dropped here.
       ++counters_.dropped_early;
@@ -401,7 +401,7 @@
 
 FlowNodeActions FlowNodeImpl::TakeActions() {
   FlowNodeActions actions;
-  actions.placements = std::exchange(early_forwards_, {});
+  actions.forwards = std::exchange(early_forwards_, {});
   for (FlowPlacement& it : actions_.placements) {
     if (const FlowTarget* target = endpoints_.Find(it.endpoint)) {
       actions.placements.push_back({*target, std::move(it.packet)});
--- a/src/packetflow/flow_node_impl.h
+++ b/src/packetflow/flow_node_impl.h
@@ -116,6 +116,12 @@
     return dispatcher_selector_.Select(now, shard, peers_->members().members(),
                                        self());
   }
+  // True if this VM is the first choice of all VMs that see the same members.
+  // Others dispatch only while those before them decline or are silent, which
+  // not all VMs know.
+  bool IsFirstDispatcher(const ShardId& shard) const {
+    return ShardDispatcherOf(shard, peers_->members().members(), 0) == self();
+  }
   // The VM to which the progress and the end of a flow are reported: the one
   // that placed it or, if that VM is unknown or has failed, the present
   // dispatcher of the shard of the flow's endpoint.
@@ -324,7 +330,7 @@
   TimePoint lost_endpoint_check_due_{};
   FlowActions actions_;
   // Early packets that are to be forwarded.
-  std::vector<FlowNodeActions::Placement> early_forwards_;
+  std::vector<FlowNodeActions::Forward> early_forwards_;
   std::vector<IngressEvent> ingress_events_;
   std::vector<EvacuationEvent> evacuation_events_;
   EvacuationState evacuations_;  // As applied.
--- a/src/packetflow/flow_node_openings.cc
+++ b/src/packetflow/flow_node_openings.cc
@@ -106,7 +106,7 @@
 void FlowNodeImpl::Place(TimePoint now, FlowOpening opening) {
   opening.shard = LocalShardFor(now, opening);
   opening.progress_reported =
-      DispatcherFor(now, {opening.service, opening.shard}) == self();
+      IsFirstDispatcher({opening.service, opening.shard});
   dispatcher_->Open(now, std::move(opening), actions_);
 }
 
