Release slots of flows whose end is not reported

Cause: after a restart of all VMs, flows change their ingress and several VMs place them, so that progress is reported to other VMs than the one that counts the slot. 160 flows held slots until their timeout of 2.5 s, while nothing was placed for 0.5 s.

--- a/include/vanillalatch/packetflow/flow_dispatcher.h
+++ b/include/vanillalatch/packetflow/flow_dispatcher.h
@@ -213,6 +213,10 @@
   // An accepted flow without a request for this long loses its slot: callers
   // that open a flow for a single request send it with the handshake.
   static constexpr Duration kUnusedFlowTimeout = std::chrono::milliseconds(100);
+  // A flow whose answer is not reported, although the reports of its progress
+  // may go to another VM, loses its slot after this many mean answer times of
+  // its class, but not before kMaxSilenceTimeout.
+  static constexpr int kUnreportedAnswerTimes = 4;
   // How long a flow is stored after it has released its slot: flows may stay
   // open that long without a request.
   static constexpr Duration kIdleFlowRetention = std::chrono::seconds(60);
--- a/src/packetflow/flow_dispatcher.cc
+++ b/src/packetflow/flow_dispatcher.cc
@@ -58,6 +58,7 @@
   flow.request_sent = false;
   flow.work = RequestId(++last_work_);
   flow.placed = false;
+  flow.idle = false;
   flow.submitted_at = now;
   flow.moved_from = avoid.value_or(EndpointId{});
   flow.expires = now + flow.opening.timeout;
@@ -80,8 +81,9 @@
 void FlowDispatcherImpl::OnRetransmission(TimePoint now, Flow& flow,
                                           const FlowOpening& opening,
                                           FlowActions& actions) {
-  if (!flow.placed || flow.idle || opening.copy <= flow.opening.copy) {
-    // The flow waits for a slot or is idle, or this transmission has already
+  if (!flow.placed || (flow.idle && flow.accepted) ||
+      opening.copy <= flow.opening.copy) {
+    // The flow waits for a slot or is open and idle, or this transmission has already
     // been processed.
     return;
   }
--- a/src/packetflow/flow_dispatcher_impl.h
+++ b/src/packetflow/flow_dispatcher_impl.h
@@ -155,6 +155,9 @@
   // Frees the flow's slot; the flow stays open.
   void MarkIdle(TimePoint now, Flow& flow, WorkOutcome outcome,
                 Duration age = Duration::zero());
+  // True if the flow probably does not use its slot any more, although its end
+  // was not reported.
+  bool HasUnusedSlot(TimePoint now, const Flow& flow);
   // Makes an idle flow occupy a slot of its endpoint again, as its caller has
   // sent another request.
   void TakeSlot(TimePoint now, Flow& flow);
@@ -166,8 +169,8 @@
   // Finds endpoints that do not answer opening packets, and moves their
   // overdue flows to other endpoints.
   void DetectSilentEndpoints(TimePoint now, FlowActions& actions);
-  // Removes expired flows, and frees the slots of accepted flows that have sent
-  // no request for kUnusedFlowTimeout.
+  // Removes expired flows, and frees the slots of flows that probably do not
+  // use them any more.
   void ExpireFlows(TimePoint now, FlowActions& actions);
 
   FlowDispatcherOptions options_;
--- a/src/packetflow/flow_dispatcher_timers.cc
+++ b/src/packetflow/flow_dispatcher_timers.cc
@@ -104,8 +104,7 @@
       expired.push_back(std::move(flow));
       return true;
     }
-    if (flow.accepted && !flow.request_sent && !flow.idle &&
-        now >= flow.accepted_at + kUnusedFlowTimeout) {
+    if (HasUnusedSlot(now, flow)) {
       unused.push_back(it.first);
     }
     return false;
@@ -115,7 +114,7 @@
             [](const Flow& a, const Flow& b) { return a.work < b.work; });
   std::sort(unused.begin(), unused.end());
   for (const Flow& it : expired) {
-    if (!it.idle) {
+    if (!it.idle || !it.accepted) {
       ++counters_.expired;
       AddEvent(FlowEvent::Kind::kExpired, it, now - it.sent_at, actions);
     }
@@ -124,11 +123,41 @@
         it.repeated ? WorkOutcome::kTimedOut : WorkOutcome::kCancelled);
   }
   for (const FlowId& it : unused) {
-    MarkIdle(now, flows_.at(it), WorkOutcome::kCancelled);
+    Flow& flow = flows_.at(it);
+    if (flow.accepted) {
+      MarkIdle(now, flow, WorkOutcome::kCancelled);
+      continue;
+    }
+    // A retransmission may still move the flow.
+    Release(now, flow,
+            flow.repeated ? WorkOutcome::kTimedOut : WorkOutcome::kCancelled);
+    flow.idle = true;
+    flow.expires = flow.opened_at + kOpeningTimeout;
   }
   ApplyVerdicts(now, actions);
 }
 
+bool FlowDispatcherImpl::HasUnusedSlot(TimePoint now, const Flow& flow) {
+  if (!flow.placed || flow.idle) {
+    return false;
+  }
+  if (!flow.accepted) {
+    return now >= flow.sent_at + kMaxSilenceTimeout;
+  }
+  if (!flow.request_sent) {
+    return now >= flow.accepted_at + kUnusedFlowTimeout;
+  }
+  if (flow.opening.progress_reported &&
+      silence_detector_.AreReportsComplete(flow.opening.service,
+                                           flow.sent_at)) {
+    return false;
+  }
+  const Duration answer_time =
+      SchedulerOf(flow.shard()).Load(now, flow.opening.work_class).answer_time;
+  return now >= flow.sent_at + std::max(kMaxSilenceTimeout,
+                                        answer_time * kUnreportedAnswerTimes);
+}
+
 TimePoint FlowDispatcherImpl::NextWake() const {
   TimePoint wake =
       flows_.empty() ? kNever : std::min(expire_due_, silence_check_due_);
--- a/src/packetflow/silence_detector.cc
+++ b/src/packetflow/silence_detector.cc
@@ -44,12 +44,7 @@
 
 bool SilenceDetector::IsOverdue(TimePoint now, EndpointId endpoint,
                                 ServiceId service, TimePoint sent_at) const {
-  if (sent_at <= link_late_at_) {
-    return false;
-  }
-  const auto inconclusive_until = inconclusive_until_.find(service);
-  if (inconclusive_until != inconclusive_until_.end() &&
-      sent_at < inconclusive_until->second) {
+  if (sent_at <= link_late_at_ || !AreReportsComplete(service, sent_at)) {
     return false;
   }
   const auto it = endpoints_.find(endpoint);
--- a/src/packetflow/silence_detector.h
+++ b/src/packetflow/silence_detector.h
@@ -55,6 +55,14 @@
   // `sent_at`. Returns true if the endpoint was silent until now.
   bool OnAnswer(EndpointId endpoint, ServiceId service, TimePoint sent_at);
 
+  // True if all VMs report the progress of a flow of the service that was sent
+  // at `sent_at` to the VM that placed it: not until the end of the grace
+  // period that OnDispatcherChanged() starts.
+  bool AreReportsComplete(ServiceId service, TimePoint sent_at) const {
+    const auto it = inconclusive_until_.find(service);
+    return it == inconclusive_until_.end() || sent_at >= it->second;
+  }
+
   // How long a flow may wait for an answer of its endpoint before it is
   // overdue: derived from the mean handshake time, or kMaxSilenceTimeout if no
   // handshake was recorded recently.
