Measure the use of a slot from the present request

Cause: a later request on a long flow would have released its slot at once, as the time counted from the opening packet; an adopted flow likewise.

--- a/src/packetflow/flow_dispatcher.cc
+++ b/src/packetflow/flow_dispatcher.cc
@@ -187,6 +187,8 @@
     flow.endpoint = established.endpoint;
     flow.opening.shard =
         ShardOf(established.service, established.endpoint).data_center;
+    // The other VMs report to this one, or it would not know the flow.
+    flow.opening.progress_reported = true;
     // Suppresses the kAnswer timing: when the flow was placed is unknown here.
     flow.has_answer = true;
     flow.placed = true;
@@ -227,6 +229,7 @@
 
 void FlowDispatcherImpl::TakeSlot(TimePoint now, Flow& flow) {
   flow.idle = false;
+  flow.slot_taken_at = now;
   flow.work = RequestId(++last_work_);
   flow.expires = now + flow.opening.timeout;
   flow_by_work_[flow.work] = flow.opening.id;
@@ -285,6 +288,7 @@
       flow.late = it.late;
       flow.endpoint = it.endpoint;
       flow.sent_at = now;
+      flow.slot_taken_at = now;
       flow.expires = now + flow.opening.timeout;
       actions.placements.push_back({it.endpoint, flow.opening.packet});
       actions.timings.push_back(
--- a/src/packetflow/flow_dispatcher_impl.h
+++ b/src/packetflow/flow_dispatcher_impl.h
@@ -99,6 +99,7 @@
     TimePoint issued_at;     // The same for the caller's first try.
     TimePoint submitted_at;  // When it began to wait for a slot.
     TimePoint sent_at;       // When its opening packet was last sent.
+    TimePoint slot_taken_at;  // Valid if it is placed and not idle.
     // Its endpoint is silent and the budget for moves was used up: the next
     // retransmission moves it.
     bool move_refused = false;
--- a/src/packetflow/flow_dispatcher_timers.cc
+++ b/src/packetflow/flow_dispatcher_timers.cc
@@ -132,7 +132,7 @@
     Release(now, flow,
             flow.repeated ? WorkOutcome::kTimedOut : WorkOutcome::kCancelled);
     flow.idle = true;
-    flow.expires = flow.opened_at + kOpeningTimeout;
+    flow.expires = std::min(flow.expires, flow.opened_at + kOpeningTimeout);
   }
   ApplyVerdicts(now, actions);
 }
@@ -149,13 +149,14 @@
   }
   if (flow.opening.progress_reported &&
       silence_detector_.AreReportsComplete(flow.opening.service,
-                                           flow.sent_at)) {
+                                           flow.slot_taken_at)) {
     return false;
   }
   const Duration answer_time =
       SchedulerOf(flow.shard()).Load(now, flow.opening.work_class).answer_time;
-  return now >= flow.sent_at + std::max(kMaxSilenceTimeout,
-                                        answer_time * kUnreportedAnswerTimes);
+  return now >= flow.slot_taken_at +
+                    std::max(kMaxSilenceTimeout,
+                             answer_time * kUnreportedAnswerTimes);
 }
 
 TimePoint FlowDispatcherImpl::NextWake() const {
