--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -219,7 +219,6 @@
   UpdateEvacuations(now);
   const NodeId sender = peers_->sender();
   dispatcher_selector_.OnContact(sender);
-  DispatchParked(now);
   CountTraffic(message == nullptr ? pb::FlowMessage() : *message, bytes.size(),
                counters_.received);
   if (message != nullptr) {
@@ -376,9 +375,6 @@
   for (const auto& [id, it] : parked_) {
     wake = std::min(wake, it.due);
   }
-  if (!parked_.empty() && settled_ && first_opening_at_) {
-    wake = std::min(wake, *first_opening_at_ + kMaxJoinWait);
-  }
   for (const auto& [to, it] : messages_) {
     wake = std::min(wake, it.due());
   }
--- a/src/packetflow/flow_node_impl.h
+++ b/src/packetflow/flow_node_impl.h
@@ -126,12 +126,6 @@
   // that placed it or, if that VM is unknown or has failed, the present
   // dispatcher of the shard of the flow's endpoint.
   NodeId PlacerOf(TimePoint now, FlowId id, const FlowTarget& target) const;
-  // A VM that sees no other VM yet waits for this long before it places flows
-  // by itself. VMs that start at the same time see each other within 0.3 s.
-  static constexpr Duration kMaxJoinWait = std::chrono::milliseconds(400);
-  // True if this VM knows the endpoints and the other VMs, or there are none.
-  // After a start, each VM would otherwise dispatch alone.
-  bool CanDispatch(TimePoint now);
   // Places the flow here if this VM is the dispatcher, or hands it over.
   void Dispatch(TimePoint now, FlowOpening opening);
 
@@ -329,7 +323,6 @@
   std::optional<TimePoint> endpoints_present_since_;
   // This VM's data about endpoints is considered complete.
   bool settled_ = false;
-  std::optional<TimePoint> first_opening_at_;
   std::map<NodeId, MessageForm> forms_;
   std::map<NodeId, PendingMessage> messages_;
   FlowTracker flow_tracker_;
--- a/src/packetflow/flow_node_openings.cc
+++ b/src/packetflow/flow_node_openings.cc
@@ -54,7 +54,7 @@
     // A retransmission: the decision on the earlier packet applies to it, too.
     return;
   }
-  if (!CanDispatch(now)) {
+  if (!settled_) {
     ++counters_.parked;
     AddEvent(IngressEvent::Kind::kParked, opening, NodeId{});
     const FlowId id = opening.id;
@@ -65,12 +65,6 @@
   Dispatch(now, std::move(opening));
 }
 
-bool FlowNodeImpl::CanDispatch(TimePoint now) {
-  first_opening_at_ = first_opening_at_.value_or(now);
-  return settled_ && (peers_->members().members().size() > 1 ||
-                      now >= *first_opening_at_ + kMaxJoinWait);
-}
-
 void FlowNodeImpl::Dispatch(TimePoint now, FlowOpening opening) {
   SetShard(opening);
   const NodeId to = DispatcherFor(now, {opening.service, opening.shard});
@@ -86,7 +80,7 @@
 
 void FlowNodeImpl::DispatchParked(TimePoint now) {
   for (auto it = parked_.begin(); it != parked_.end();) {
-    if (!CanDispatch(now) && now < it->second.due) {
+    if (!settled_ && now < it->second.due) {
       ++it;
       continue;
     }
