--- a/src/membership/member_list.cc
+++ b/src/membership/member_list.cc
@@ -31,10 +31,6 @@
 // How often a VM contacts a seed or a failed member while it joins or has no
 // peer.
 constexpr Duration kJoinInterval = milliseconds(300);
-// The same before the first datagram of any VM. Short, as a seed that starts at
-// the same time serves about 0.1 s later, and an entry VM that has not joined
-// can't hand over flows.
-constexpr Duration kFirstJoinInterval = milliseconds(75);
 // A VM whose join no seed completes in this time lists the members that it has.
 constexpr Duration kJoinTimeout = milliseconds(1000);
 // How often a joined VM contacts a seed or a failed member.
@@ -245,10 +241,8 @@
     RebuildView();
   }
   const bool is_joining = !joined_ || table_.LiveCount() == 0;
-  const Duration join_interval =
-      has_received_ ? kJoinInterval : kFirstJoinInterval;
   next_reconnect_ =
-      event.now + (is_joining ? join_interval : kReconnectInterval);
+      event.now + (is_joining ? kJoinInterval : kReconnectInterval);
   std::vector<const Member*> failed;
   for (const auto& [id, record] : table_.records()) {
     if (record.member.state == MemberState::kDead && !record.left_gracefully) {
--- a/src/membership/member_list_impl.h
+++ b/src/membership/member_list_impl.h
@@ -179,7 +179,6 @@
   std::optional<TimePoint> flap_hold_until_;
   TimePoint last_tick_;
   TimePoint last_received_;
-  bool has_received_ = false;  // At least one message since the start.
   TimePoint next_probe_;
   TimePoint next_reconnect_;
   TimePoint join_deadline_;
--- a/src/membership/member_messages.cc
+++ b/src/membership/member_messages.cc
@@ -43,7 +43,6 @@
     last_tick_ = now;
   }
   last_received_ = now;
-  has_received_ = true;
   MergeMembers(event, from, message);
   evacuations_.Merge(now, message);
   if (message.complete() && !joined_) {
