Retry a starting control VM after 50 ms (try); test the load after outages

Hypothesis: entry VMs that meet control VMs which are still starting lose up to 0.2 s by doubling their delay. Only calls without a reply in time double it.

The load world plays callers, endpoints and an outage against FlowDispatcher and compares it with an ideal queue.

--- a/src/packetflow/flow_load_world.h
+++ b/src/packetflow/flow_load_world.h
@@ -69,10 +69,10 @@
 
 // Plays `plan` with FlowDispatcher.
 LoadResult RunFlowLoad(const LoadPlan& plan, std::uint64_t seed);
-// Plays `plan` with one queue that knows every demand: it serves the requests
-// that can still meet their target first, in class order, then those that can
-// only be late, and never a request without a use for its caller. Callers wait
-// for it. Nothing is served during the outage.
+// Plays `plan` with one queue for all slots that knows the mean demands. It
+// first serves the requests that can still meet their target, in class order,
+// then those that can only be late, and none that can't be answered in time.
+// Callers wait for it, and nothing is served during the outage.
 LoadResult RunIdealLoad(const LoadPlan& plan, std::uint64_t seed);
 
 }  // namespace vanillalatch::internal
--- a/src/packetflow/flow_load_world_test.cc
+++ b/src/packetflow/flow_load_world_test.cc
@@ -355,7 +355,8 @@
                                   : plan.classes[n].target.latency;
       const auto it = std::find_if(
           waiting[n].begin(), waiting[n].end(), [&](const Caller& caller) {
-            return now + caller.demand + 2 * kWay <= caller.began + limit;
+            return now + plan.classes[n].mean_demand + 2 * kWay <=
+                   caller.began + limit;
           });
       if (it != waiting[n].end()) {
         const Caller next = *it;
@@ -416,7 +417,10 @@
       }
       --free;
       ends.push(now + it->demand);
-      tally.Add(*it, now + it->demand + 2 * kWay);
+      const TimePoint answered = now + it->demand + 2 * kWay;
+      const TimePoint deadline =
+          it->began + plan.classes[it->work_class].timeout;
+      tally.Add(*it, answered <= deadline ? answered : kNever);
     }
   }
   for (const std::deque<Caller>& queue : waiting) {
--- a/src/runtime/catalog_follower.cc
+++ b/src/runtime/catalog_follower.cc
@@ -22,7 +22,9 @@
 // because it delays the start of a whole fleet.
 constexpr Duration kRetryDelay = std::chrono::milliseconds(50);
 // The delay and the timeout of a VM that has just started double with each
-// failure in a row, at most this often.
+// failure in a row, at most this often. Until it has the endpoints, only calls
+// without a reply in time count: others show that the control VM is still
+// starting or has no data, and not that it has too many calls.
 constexpr int kMaxDoublings = 2;
 
 void LogRefusal(const pb::SyncReply& reply, const char* part,
@@ -48,13 +50,18 @@
 void CatalogFollower::Run(const MakeRequest& make_request,
                           const HandleNews& handle_news) {
   while (!stopped_) {
+    const TimePoint called_at = Now();
+    const bool starting = make_request().wants_endpoints();
     if (SyncOnce(make_request, handle_news)) {
       failures_ = 0;
       continue;
     }
     ++current_index_;
     boost::this_fiber::sleep_for(kRetryDelay * (1 << failures_));
-    failures_ = std::min(failures_ + 1, kMaxDoublings);
+    const bool failed_at_once = Now() - called_at < kStartupSyncTimeout;
+    if (!starting || !failed_at_once) {
+      failures_ = std::min(failures_ + 1, kMaxDoublings);
+    }
   }
 }
 
--- a/src/runtime/flow_log.cc
+++ b/src/runtime/flow_log.cc
@@ -62,6 +62,7 @@
        {"from", NameOf(event.moved_from)},
        {"elapsed_ms", ToMilliseconds(event.elapsed)},
        {"copy", event.copy},
+       {"late", event.late},
        {"answered", event.accepted},
        {"requested", event.request_sent}});
 }
--- a/src/telemetry/log_events.cc
+++ b/src/telemetry/log_events.cc
@@ -49,22 +49,23 @@
      "whole: the list was complete",
      "nothing"},
     {"flow_placed", "info", "entry (dispatcher)",
-     "caller, route, sequence, endpoint, elapsed_ms, copy, revision, left_out",
+     "caller, route, sequence, endpoint, elapsed_ms, copy, late, revision, "
+     "left_out",
      "the opening packet was sent to the endpoint; elapsed_ms: how long it "
-     "waited for a slot",
+     "waited for a slot; late: the latency target was out of reach by then",
      "nothing"},
     {"flow_moved", "warn", "entry (dispatcher)",
-     "caller, route, sequence, endpoint, from, elapsed_ms, copy, revision, "
-     "left_out",
+     "caller, route, sequence, endpoint, from, elapsed_ms, copy, late, "
+     "revision, left_out",
      "the opening packet was sent to another endpoint, as the first one did "
      "not answer",
      "check the endpoint in `from`"},
     {"flow_refused", "warn", "entry (dispatcher)",
      "caller, route, sequence, kind, expected_wait_ms, queued, usable_slots, "
      "free_slots, revision, left_out",
-     "the flow was refused immediately and the caller was notified; no "
-     "endpoint received it. kind overloaded: the expected wait exceeds the "
-     "target of the class; no_endpoint: this VM has no endpoint of the "
+     "the flow was refused and the caller was notified; no endpoint received "
+     "it. kind overloaded: the expected wait exceeds the target of the class, "
+     "and other work leaves no slot for a late answer; no_endpoint: this VM has no endpoint of the "
      "service; not_found: the route was removed in a newer catalog",
      "overloaded: if there are fewer slots than usual, look for "
      "`endpoint_silent`, else start backend servers; no_endpoint: check that "
