--- a/src/runtime/catalog_follower.cc
+++ b/src/runtime/catalog_follower.cc
@@ -56,9 +56,9 @@
       failures_ = 0;
       continue;
     }
+    const bool failed_at_once = Now() - called_at < kStartupSyncTimeout;
     ++current_index_;
     boost::this_fiber::sleep_for(kRetryDelay * (1 << failures_));
-    const bool failed_at_once = Now() - called_at < kStartupSyncTimeout;
     if (!starting || !failed_at_once) {
       failures_ = std::min(failures_ + 1, kMaxDoublings);
     }
