--- a/include/vanillalatch/packetflow/flow_node.h
+++ b/include/vanillalatch/packetflow/flow_node.h
@@ -61,9 +61,8 @@
     kForward,  // Forward it unchanged to `target`.
     kReset,    // Notify the caller that the flow does not exist.
     kDrop,     // Drop it without a notification.
-    kPending,  // Nothing yet. The decision appears in the actions of the VM
-               // that places or refuses the flow of an opening packet, or in
-               // this VM's when it knows the catalog and the endpoints.
+    kPending,  // Nothing yet: this is an opening packet. The decision appears
+               // in the actions of the VM that places or refuses the flow.
   };
   Kind kind = Kind::kDrop;
   const FlowTarget* target = nullptr;  // Only for kForward.
@@ -118,15 +117,7 @@
     FlowTarget target;   // Write its cookie into the packet.
     std::string packet;  // The opening packet as the caller sent it.
   };
-  // Forward a packet of an open flow that was received before its endpoint was
-  // known.
-  struct Forward {
-    FlowTarget target;
-    FlowPacket header;
-    std::string packet;  // The packet as the caller sent it.
-  };
   std::vector<Placement> placements;
-  std::vector<Forward> forwards;
   std::vector<FlowRefusal> refusals;
   std::vector<EndpointSilence> silences;
   std::vector<EvacuationEvent> evacuation_events;
@@ -159,10 +150,6 @@
   std::uint64_t declined = 0;   // Opening packets that this VM declined.
   // Opening packets received before the endpoints were known.
   std::uint64_t parked = 0;
-  // Packets kept because the catalog or their endpoint was not known yet, and
-  // those of them that were dropped.
-  std::uint64_t kept_early = 0;
-  std::uint64_t dropped_early = 0;
   PeerTraffic received;
   PeerTraffic sent;
   // Opening packets that this VM, as a shard's dispatcher, passed on to another
--- a/include/vanillalatch/runtime/flow_shell.h
+++ b/include/vanillalatch/runtime/flow_shell.h
@@ -78,8 +78,6 @@
   virtual std::size_t ReceivePackets(TimePoint now) = 0;
   // Sends a packet to the endpoint on which its flow was placed.
   virtual void SendPlaced(const FlowNodeActions::Placement& place) = 0;
-  // Sends a packet of an open flow to its endpoint.
-  virtual void SendForward(const FlowNodeActions::Forward& forward) = 0;
   // Answers a refused opening packet with a reset, and logs the refusal.
   virtual void SendRefusal(const FlowRefusal& refusal) = 0;
 
@@ -187,13 +185,6 @@
     Send(place.target.address, std::move(bytes));
   }
 
-  void SendForward(const FlowNodeActions::Forward& forward) override {
-    std::vector<std::uint8_t> bytes(Codec::kPrefixBytes);
-    Codec::WritePrefix(forward.target.instance, bytes.data());
-    bytes.insert(bytes.end(), forward.packet.begin(), forward.packet.end());
-    Send(forward.target.address, std::move(bytes));
-  }
-
   void SendRefusal(const FlowRefusal& refusal) override {
     const auto* data =
         reinterpret_cast<const std::uint8_t*>(refusal.packet.data());
--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -38,7 +38,6 @@
   peers_->SetEvacuations(now, EvacuationsOf(catalog));
   UpdateEvacuations(now);
   UpdateEndpoints(now);
-  ProcessEarlyPackets(now);
 }
 
 std::vector<pb::OpenFlows> FlowNodeImpl::OpenFlows() const {
@@ -71,19 +70,13 @@
     settled_ = true;
     DispatchParked(now);
   }
-  ProcessEarlyPackets(now);
 }
 
 FlowVerdict FlowNodeImpl::OnPacket(TimePoint now, const FlowPacket& packet,
                                    ByteSpan bytes) {
   ++counters_.packets;
-  return Process(now, now, packet, bytes);
-}
-
-FlowVerdict FlowNodeImpl::Process(TimePoint now, TimePoint received,
-                                  const FlowPacket& packet, ByteSpan bytes) {
   if (revision_ == 0) {
-    return KeepEarly(now, received, packet, bytes);
+    return {FlowVerdict::Kind::kDrop};
   }
   const FlowRoute* route = routes_.Find(packet.route);
   if (route == nullptr) {
@@ -92,13 +85,10 @@
                           : FlowVerdict::Kind::kReset};
   }
   if (packet.opens) {
-    OpenFlow(now, received, *route, packet, bytes);
+    OpenFlow(now, *route, packet, bytes);
     return {FlowVerdict::Kind::kPending};
   }
   const FlowTarget* target = endpoints_.Find(packet.cookie);
-  if (target == nullptr && !settled_) {
-    return KeepEarly(now, received, packet, bytes);
-  }
   if (target == nullptr) {
     ++counters_.unknown_endpoint;
     return {FlowVerdict::Kind::kDrop};
@@ -112,29 +102,6 @@
   return {FlowVerdict::Kind::kForward, target};
 }
 
-FlowVerdict FlowNodeImpl::KeepEarly(TimePoint now, TimePoint received,
-                                    const FlowPacket& packet, ByteSpan bytes) {
-  const std::size_t dropped = early_packets_.Add(now, received, packet, bytes);
-  counters_.dropped_early += dropped;
-  ++counters_.kept_early;
-  return {FlowVerdict::Kind::kPending};
-}
-
-void FlowNodeImpl::ProcessEarlyPackets(TimePoint now) {
-  for (const EarlyPackets::Packet& it : early_packets_.Take(now)) {
-    const ByteSpan bytes(
-        reinterpret_cast<const std::uint8_t*>(it.bytes.data()),
-        it.bytes.size());
-    const FlowVerdict verdict = Process(now, it.received, it.packet, bytes);
-    if (verdict.kind == FlowVerdict::Kind::kForward) {
-      early_forwards_.push_back({*verdict.target, it.packet, it.bytes});
-    } else if (verdict.kind != FlowVerdict::Kind::kPending) {
-      // The caller retransmits a packet that is dropped here.
-      ++counters_.dropped_early;
-    }
-  }
-}
-
 void FlowNodeImpl::ReportProgress(TimePoint now, const FlowPacket& packet,
                                   const FlowRoute& route,
                                   const FlowTarget& target) {
@@ -264,9 +231,6 @@
   }
   endpoints_present_since_ = endpoints_present_since_.value_or(now);
   settled_ = now >= *endpoints_present_since_ + kEndpointSettleTime;
-  if (settled_) {
-    ProcessEarlyPackets(now);
-  }
 }
 
 void FlowNodeImpl::OnTick(TimePoint now, Outbox& out) {
@@ -401,7 +365,6 @@
 
 FlowNodeActions FlowNodeImpl::TakeActions() {
   FlowNodeActions actions;
-  actions.forwards = std::exchange(early_forwards_, {});
   for (FlowPlacement& it : actions_.placements) {
     if (const FlowTarget* target = endpoints_.Find(it.endpoint)) {
       actions.placements.push_back({*target, std::move(it.packet)});
--- a/src/packetflow/flow_node_impl.h
+++ b/src/packetflow/flow_node_impl.h
@@ -15,7 +15,6 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "src/packetflow/dispatcher_selector.h"
-#include "src/packetflow/early_packets.h"
 #include "src/packetflow/flow_messages.h"
 #include "src/packetflow/link_meter.h"
 #include "src/packetflow/pending_message.h"
@@ -97,19 +96,9 @@
     ingress_events_.push_back(
         {kind, opening.caller, opening.route, opening.sequence, dispatcher});
   }
-  // Processes a packet that was received at `received`, which is earlier than
-  // `now` if the packet was kept.
-  FlowVerdict Process(TimePoint now, TimePoint received,
-                      const FlowPacket& packet, ByteSpan bytes);
-  // Keeps a packet until the catalog or its endpoint is known.
-  FlowVerdict KeepEarly(TimePoint now, TimePoint received,
-                        const FlowPacket& packet, ByteSpan bytes);
-  // Processes the packets that were kept, after something became known. Those
-  // whose endpoint is still unknown are kept on.
-  void ProcessEarlyPackets(TimePoint now);
-  // Processes a caller's opening packet that was received at `received`.
-  void OpenFlow(TimePoint now, TimePoint received, const FlowRoute& route,
-                const FlowPacket& packet, ByteSpan bytes);
+  // Processes a caller's opening packet.
+  void OpenFlow(TimePoint now, const FlowRoute& route, const FlowPacket& packet,
+                ByteSpan bytes);
   // The VM that is to place new flows of a shard; this one if no other is
   // usable.
   NodeId DispatcherFor(TimePoint now, const ShardId& shard) const {
@@ -315,7 +304,6 @@
   bool link_late_ = false;  // As of the last UpdateLinkLate().
   std::vector<LinkLate> link_events_;
   std::map<FlowId, Parked> parked_;
-  EarlyPackets early_packets_;
   DispatcherSelector dispatcher_selector_;
   // The VM of rank 0 for each shard, as of the last UpdateFirstDispatchers().
   std::map<ShardId, NodeId> first_dispatchers_;
@@ -329,8 +317,6 @@
   TimePoint generation_due_{};
   TimePoint lost_endpoint_check_due_{};
   FlowActions actions_;
-  // Early packets that are to be forwarded.
-  std::vector<FlowNodeActions::Forward> early_forwards_;
   std::vector<IngressEvent> ingress_events_;
   std::vector<EvacuationEvent> evacuation_events_;
   EvacuationState evacuations_;  // As applied.
--- a/src/packetflow/flow_node_openings.cc
+++ b/src/packetflow/flow_node_openings.cc
@@ -28,9 +28,8 @@
 
 }  // namespace
 
-void FlowNodeImpl::OpenFlow(TimePoint now, TimePoint received,
-                            const FlowRoute& route, const FlowPacket& packet,
-                            ByteSpan bytes) {
+void FlowNodeImpl::OpenFlow(TimePoint now, const FlowRoute& route,
+                            const FlowPacket& packet, ByteSpan bytes) {
   FlowOpening opening;
   opening.id = packet.id();
   opening.caller = packet.caller;
@@ -41,8 +40,7 @@
   opening.sequence = packet.sequence;
   opening.copy = packet.copy;
   constexpr auto& kTimes = FlowDispatcher::kTransmissionTimes;
-  opening.age = kTimes[std::min<std::size_t>(packet.copy, kTimes.size() - 1)] +
-                (now - received);
+  opening.age = kTimes[std::min<std::size_t>(packet.copy, kTimes.size() - 1)];
   opening.data_center = data_center_;
   SetShard(opening);
   opening.packet.assign(bytes.begin(), bytes.end());
--- a/src/packetflow/flow_world_test.cc
+++ b/src/packetflow/flow_world_test.cc
@@ -318,14 +318,6 @@
     const std::string name = FormatInstanceName(it.target.instance);
     SendToEndpoint(vm, name, packet, flow, it.packet.size());
   }
-  for (const FlowNodeActions::Forward& it : actions.forwards) {
-    const auto flow =
-        std::find_if(flows_.begin(), flows_.end(), [&](const auto& entry) {
-          return entry.second.packet.id() == it.header.id();
-        });
-    const std::string name = FormatInstanceName(it.target.instance);
-    SendToEndpoint(vm, name, it.header, flow->first, kCallerPacketBytes);
-  }
   for (const FlowRefusal& it : actions.refusals) {
     Reset(ParseFlowNumber(it.packet));
   }
--- a/src/runtime/flow_shell.cc
+++ b/src/runtime/flow_shell.cc
@@ -158,9 +158,6 @@
   for (const FlowNodeActions::Placement& it : actions.placements) {
     SendPlaced(it);
   }
-  for (const FlowNodeActions::Forward& it : actions.forwards) {
-    SendForward(it);
-  }
   for (const FlowRefusal& it : actions.refusals) {
     SendRefusal(it);
   }
--- a/src/runtime/publisher.cc
+++ b/src/runtime/publisher.cc
@@ -128,8 +128,6 @@
       {"placed_alone", flows.placed_alone},
       {"declined", flows.declined},
       {"parked", flows.parked},
-      {"kept_early", flows.kept_early},
-      {"dropped_early", flows.dropped_early},
       {"passed_on_full", flows.passed_on_full},
       {"passed_on_no_endpoint", flows.passed_on_no_endpoint},
       {"returned", flows.returned},
