--- a/include/vanillalatch/packetflow/flow_dispatcher.h
+++ b/include/vanillalatch/packetflow/flow_dispatcher.h
@@ -176,7 +176,6 @@
   // Placed though the latency target of the class can't be met any more;
   // included in `placed`.
   std::uint64_t placed_late = 0;
-  std::uint64_t withdrawn = 0;  // Placed by another VM while they waited here.
   std::uint64_t ended = 0;    // Ended or given up by the caller.
   std::uint64_t expired = 0;  // Timed out without a report of their end.
   std::uint64_t endpoints_found_silent = 0;
@@ -283,9 +282,6 @@
   // Processes the end of a flow: the caller ended it, or gave it up, `age` ago.
   virtual void End(TimePoint now, FlowId id, bool given_up, Duration age,
                    FlowActions& actions) = 0;
-  // Removes a flow that waits for a slot here, as another VM has placed it. No
-  // effect on a flow that is placed here.
-  virtual void Withdraw(TimePoint now, FlowId id) = 0;
   // True if the flow waits for a slot here, or occupied one here, and has
   // neither ended nor expired.
   virtual bool Contains(FlowId id) const = 0;
--- a/src/packetflow/flow_dispatcher.cc
+++ b/src/packetflow/flow_dispatcher.cc
@@ -36,8 +36,8 @@
   Flow& flow = flows_[id];
   flow.opening = std::move(opening);
   flow.opened_at = now - flow.opening.age;
-  flow.issued_at = recent_refusals_.TakeIssued(now, flow.opening)
-                       .value_or(flow.opened_at);
+  flow.issued_at =
+      recent_refusals_.TakeIssued(now, flow.opening).value_or(flow.opened_at);
   Submit(now, flow, std::nullopt, actions);
 }
 
@@ -83,8 +83,8 @@
                                           FlowActions& actions) {
   if (!flow.placed || (flow.idle && flow.accepted) ||
       opening.copy <= flow.opening.copy) {
-    // The flow waits for a slot or is open and idle, or this transmission has already
-    // been processed.
+    // The flow waits for a slot or is open and idle, or this transmission has
+    // already been processed.
     return;
   }
   const Resend resend = SchedulerOf(flow.shard()).TryResend(now, flow.endpoint);
@@ -261,17 +261,6 @@
   ApplyVerdicts(now, actions);
 }
 
-void FlowDispatcherImpl::Withdraw(TimePoint now, FlowId id) {
-  const auto it = flows_.find(id);
-  if (it == flows_.end() || it->second.placed) {
-    return;
-  }
-  ++counters_.withdrawn;
-  closed_[id] = {it->second.opening.sequence, now + kRetransmissionWindow};
-  Release(now, it->second, WorkOutcome::kCancelled);
-  flows_.erase(it);
-}
-
 void FlowDispatcherImpl::ApplyVerdicts(TimePoint now, FlowActions& actions) {
   for (const Verdict& it : std::exchange(verdicts_, {})) {
     const auto flow_id = flow_by_work_.find(it.request);
--- a/src/packetflow/flow_dispatcher_impl.h
+++ b/src/packetflow/flow_dispatcher_impl.h
@@ -68,7 +68,6 @@
   void StopSilenceDetection(const ShardId& shard) override;
   void End(TimePoint now, FlowId id, bool given_up, Duration age,
            FlowActions& actions) override;
-  void Withdraw(TimePoint now, FlowId id) override;
   bool Contains(FlowId id) const override { return flows_.contains(id); }
   std::vector<FlowOpening> TakeWaiting(TimePoint now,
                                        const ShardId& shard) override;
@@ -94,11 +93,11 @@
     RequestId work;
     bool placed = false;
     EndpointId endpoint;
-    EndpointId moved_from;   // 0: it was never moved.
-    TimePoint opened_at;     // When the caller first sent its opening packet.
-    TimePoint issued_at;     // The same for the caller's first try.
-    TimePoint submitted_at;  // When it began to wait for a slot.
-    TimePoint sent_at;       // When its opening packet was last sent.
+    EndpointId moved_from;    // 0: it was never moved.
+    TimePoint opened_at;      // When the caller first sent its opening packet.
+    TimePoint issued_at;      // The same for the caller's first try.
+    TimePoint submitted_at;   // When it began to wait for a slot.
+    TimePoint sent_at;        // When its opening packet was last sent.
     TimePoint slot_taken_at;  // Valid if it is placed and not idle.
     // Its endpoint is silent and the budget for moves was used up: the next
     // retransmission moves it.
--- a/src/packetflow/flow_dispatcher_timers.cc
+++ b/src/packetflow/flow_dispatcher_timers.cc
@@ -118,9 +118,8 @@
       ++counters_.expired;
       AddEvent(FlowEvent::Kind::kExpired, it, now - it.sent_at, actions);
     }
-    Release(
-        now, it,
-        it.repeated ? WorkOutcome::kTimedOut : WorkOutcome::kCancelled);
+    Release(now, it,
+            it.repeated ? WorkOutcome::kTimedOut : WorkOutcome::kCancelled);
   }
   for (const FlowId& it : unused) {
     Flow& flow = flows_.at(it);
@@ -154,9 +153,9 @@
   }
   const Duration answer_time =
       SchedulerOf(flow.shard()).Load(now, flow.opening.work_class).answer_time;
-  return now >= flow.slot_taken_at +
-                    std::max(kMaxSilenceTimeout,
-                             answer_time * kUnreportedAnswerTimes);
+  return now >=
+         flow.slot_taken_at +
+             std::max(kMaxSilenceTimeout, answer_time * kUnreportedAnswerTimes);
 }
 
 TimePoint FlowDispatcherImpl::NextWake() const {
--- a/src/packetflow/flow_load_world.h
+++ b/src/packetflow/flow_load_world.h
@@ -19,9 +19,9 @@
 
 struct LoadClass {
   ClassTarget target;
-  Duration timeout{};      // The caller's time for the request and its tries.
+  Duration timeout{};  // The caller's time for the request and its tries.
   Duration mean_demand{};
-  double part = 0;         // Of the offered load.
+  double part = 0;  // Of the offered load.
 };
 
 // The load as a part of the capacity from a time on.
--- a/src/packetflow/flow_load_world_test.cc
+++ b/src/packetflow/flow_load_world_test.cc
@@ -1,3 +1,5 @@
+#include "src/packetflow/flow_load_world.h"
+
 #include <algorithm>
 #include <deque>
 #include <functional>
@@ -5,8 +7,6 @@
 #include <queue>
 #include <random>
 
-#include "src/packetflow/flow_load_world.h"
-
 namespace vanillalatch::internal {
 namespace {
 
@@ -318,11 +318,10 @@
     const LoadClass& load_class =
         plan_.classes[callers_[flows_.at(flow)].work_class];
     FlowActions actions;
-    dispatcher_->OnFlowUpdate(
-        now_, {FlowId(flow), !answered, answered},
-        {kService, load_class.target.id, load_class.timeout,
-         EndpointId(server + 1)},
-        actions);
+    dispatcher_->OnFlowUpdate(now_, {FlowId(flow), !answered, answered},
+                              {kService, load_class.target.id,
+                               load_class.timeout, EndpointId(server + 1)},
+                              actions);
     Apply(actions);
   }
 
@@ -351,8 +350,8 @@
                                std::vector<std::deque<Caller>>& waiting) {
   for (const bool late : {false, true}) {
     for (std::size_t n = 0; n < waiting.size(); ++n) {
-      const Duration limit = late ? plan.classes[n].timeout
-                                  : plan.classes[n].target.latency;
+      const Duration limit =
+          late ? plan.classes[n].timeout : plan.classes[n].target.latency;
       const auto it = std::find_if(
           waiting[n].begin(), waiting[n].end(), [&](const Caller& caller) {
             return now + plan.classes[n].mean_demand + 2 * kWay <=
--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -203,10 +203,6 @@
       OnSeen(now, it);
     }
     for (const pb::FlowEnd& it : message->ends()) {
-      if (it.placed_elsewhere()) {
-        dispatcher_->Withdraw(now, FlowId(it.id()));
-        continue;
-      }
       dispatcher_->End(now, FlowId(it.id()), it.given_up(), DecodeAge(it.age()),
                        actions_);
     }
--- a/src/packetflow/flow_node_openings.cc
+++ b/src/packetflow/flow_node_openings.cc
@@ -246,13 +246,6 @@
     if (link_meter_.enabled()) {
       late_handovers_[it->first] = {handover.dispatcher, handover.sent_at};
     }
-    // Without this, the dispatcher would open the flow a second time when a
-    // slot is free.
-    pb::FlowEnd withdrawal;
-    withdrawal.set_id(it->first.value());
-    withdrawal.set_given_up(true);
-    withdrawal.set_placed_elsewhere(true);
-    PendingMessageTo(handover.dispatcher).AddEnd(now, std::move(withdrawal));
     handover.opening.age += now - handover.sent_at;
     overdue.push_back(std::move(handover.opening));
     it = pending_handovers_.erase(it);
--- a/src/packetflow/flow_outage_load_test.cc
+++ b/src/packetflow/flow_outage_load_test.cc
@@ -59,9 +59,8 @@
   // Callers that gave up during the outage look like new ones when they try
   // again. The last of them were due to retransmit just before its end, and
   // give up 0.8 s after it. Recovery is measured in steps of 0.1 s.
-  const Duration last_return =
-      FlowDispatcher::kOpeningTimeout -
-      FlowDispatcher::kTransmissionTimes.back();
+  const Duration last_return = FlowDispatcher::kOpeningTimeout -
+                               FlowDispatcher::kTransmissionTimes.back();
   INFO("recovered after " << ToMilliseconds(ours.recovery) << " ms, ideal "
                           << ToMilliseconds(ideal.recovery) << " ms");
   CHECK(ours.recovery <=
--- a/src/placement/slot_scheduler.cc
+++ b/src/placement/slot_scheduler.cc
@@ -220,8 +220,7 @@
     const TimePoint ended = std::max(now - report_age, running.started);
     if (outcome == WorkOutcome::kAnswered) {
       state.answer_time.Add(now, ended - running.started);
-      state.stats.OnAnswered(now, ended - running.issued,
-                             state.target.latency);
+      state.stats.OnAnswered(now, ended - running.issued, state.target.latency);
     } else if (outcome == WorkOutcome::kRefused) {
       state.stats.OnRefused();
     } else if (outcome != WorkOutcome::kCancelled) {
@@ -416,12 +415,12 @@
   } else {
     const Duration latency =
         classes_.GetOrCreate(work.work_class).target.latency;
-    tracked = pool_.Select(now, work,
-                           late_queue_.Contains(work.request)
-                               ? work.deadline
-                               : std::min(work.deadline,
-                                          waiting.issued + latency),
-                           ClassMayProbe(now, work.work_class));
+    tracked =
+        pool_.Select(now, work,
+                     late_queue_.Contains(work.request)
+                         ? work.deadline
+                         : std::min(work.deadline, waiting.issued + latency),
+                     ClassMayProbe(now, work.work_class));
   }
   if (tracked == nullptr) {
     return false;
--- a/src/runtime/publisher.cc
+++ b/src/runtime/publisher.cc
@@ -140,7 +140,6 @@
       {"withheld_from_cold", placed.withheld_from_cold},
       {"moves_refused", placed.moves_refused},
       {"refused", placed.refused},
-      {"withdrawn", placed.withdrawn},
       {"ended", placed.ended},
       {"expired", placed.expired},
       {"endpoint_silent", placed.endpoints_found_silent},
--- a/src/telemetry/log_events.cc
+++ b/src/telemetry/log_events.cc
@@ -65,7 +65,8 @@
      "free_slots, revision, left_out",
      "the flow was refused and the caller was notified; no endpoint received "
      "it. kind overloaded: the expected wait exceeds the target of the class, "
-     "and other work leaves no slot for a late answer; no_endpoint: this VM has no endpoint of the "
+     "and other work leaves no slot for a late answer; no_endpoint: this VM "
+     "has no endpoint of the "
      "service; not_found: the route was removed in a newer catalog",
      "overloaded: if there are fewer slots than usual, look for "
      "`endpoint_silent`, else start backend servers; no_endpoint: check that "
