--- a/src/runtime/catalog_follower.cc
+++ b/src/runtime/catalog_follower.cc
@@ -22,9 +22,7 @@
 // because it delays the start of a whole fleet.
 constexpr Duration kRetryDelay = std::chrono::milliseconds(50);
 // The delay and the timeout of a VM that has just started double with each
-// failure in a row, at most this often. Until it has the endpoints, only calls
-// without a reply in time count: others show that the control VM is still
-// starting or has no data, and not that it has too many calls.
+// failure in a row, at most this often.
 constexpr int kMaxDoublings = 2;
 
 void LogRefusal(const pb::SyncReply& reply, const char* part,
@@ -50,18 +48,13 @@
 void CatalogFollower::Run(const MakeRequest& make_request,
                           const HandleNews& handle_news) {
   while (!stopped_) {
-    const TimePoint called_at = Now();
-    const bool starting = make_request().wants_endpoints();
     if (SyncOnce(make_request, handle_news)) {
       failures_ = 0;
       continue;
     }
-    const bool failed_at_once = Now() - called_at < kStartupSyncTimeout;
     ++current_index_;
     boost::this_fiber::sleep_for(kRetryDelay * (1 << failures_));
-    if (!starting || !failed_at_once) {
-      failures_ = std::min(failures_ + 1, kMaxDoublings);
-    }
+    failures_ = std::min(failures_ + 1, kMaxDoublings);
   }
 }
 
