--- a/src/packetflow/flow_dispatcher_test.cc
+++ b/src/packetflow/flow_dispatcher_test.cc
@@ -37,7 +37,7 @@
   // Processes an opening packet. Returns true if it was sent to the endpoint
   // immediately.
   bool Open(std::uint64_t id, std::uint32_t sequence = 1,
-            std::uint32_t copy = 0) {
+            std::uint32_t copy = 0, Duration age = Duration::zero()) {
     actions_ = {};
     FlowOpening opening;
     opening.id = FlowId(id);
@@ -47,6 +47,7 @@
     opening.timeout = seconds(1);
     opening.sequence = sequence;
     opening.copy = copy;
+    opening.age = age;
     opening.packet = std::to_string(id);
     opening.progress_reported = true;
     dispatcher_->Open(now_, opening, actions_);
@@ -221,6 +222,86 @@
   CHECK(one.actions().placements.front().endpoint == EndpointId(8));
 }
 
+// Guards against slots that stay occupied until the caller's timeout when no VM
+// reports the progress of a flow, as after a restart of all VMs.
+TEST_CASE("a flow whose progress is not reported gives its slot back") {
+  struct Row {
+    bool request_sent;        // Otherwise the endpoint has not accepted it.
+    bool reports_incomplete;  // The dispatcher has just changed.
+    bool released;
+  };
+  const auto row = GENERATE(values<Row>({{false, false, true},
+                                         {false, true, true},
+                                         {true, true, true},
+                                         {true, false, false}}));
+  OneEndpoint one;
+  if (row.reports_incomplete) {
+    one.dispatcher().OnDispatcherChanged(one.now(), kService);
+  }
+  for (const std::uint64_t id : {1, 2}) {
+    REQUIRE(one.Open(id));
+    if (row.request_sent) {
+      one.Report(id, true, false);
+    }
+  }
+  CHECK(!one.Open(3));
+  one.Run(FlowDispatcher::kMaxSilenceTimeout + milliseconds(60));
+  CHECK(one.IsPlaced(3) == row.released);
+}
+
+// Guards against a flow that is opened at two endpoints although the first one
+// had no time to answer.
+TEST_CASE("copies from before the placement don't move a flow") {
+  OneEndpoint one;
+  one.Open(1);
+  one.Open(2);
+  one.Report(1, true, false);
+  one.Report(2, true, false);
+  CHECK(!one.Open(3));
+  CHECK(!one.Open(3, 1, 1));
+  one.Run(milliseconds(590));
+  one.End(1);
+  REQUIRE(one.IsPlaced(3));
+  one.Run(milliseconds(10));
+  CHECK(one.Open(3, 1, 2));  // Sent to the same endpoint again.
+  CHECK(one.dispatcher().counters().moved == 0);
+  CHECK(one.dispatcher().counters().repeated == 1);
+}
+
+// Guards against callers that waited during an outage and make the next ones
+// late.
+TEST_CASE("late flows get the slots that others leave") {
+  OneEndpoint one;
+  one.Open(1);
+  one.Open(2);
+  one.Report(1, true, false);
+  one.Report(2, true, false);
+  CHECK(!one.Open(3, 1, 2, FlowDispatcher::kTransmissionTimes[2]));
+  CHECK(one.actions().refusals.empty());
+  CHECK(!one.Open(4));
+  one.End(1);
+  CHECK(one.IsPlaced(4));
+  CHECK(!one.IsPlaced(3));
+  one.End(2);
+  CHECK(one.IsPlaced(3));
+  CHECK(one.actions().events.back().late);
+  CHECK(one.dispatcher().counters().placed_late == 1);
+}
+
+TEST_CASE("a late flow is refused when its caller is about to give up") {
+  OneEndpoint one;
+  one.Open(1);
+  one.Open(2);
+  one.Report(1, true, false);
+  one.Report(2, true, false);
+  CHECK(!one.Open(3, 1, 2, FlowDispatcher::kTransmissionTimes[2]));
+  one.Run(milliseconds(300));
+  CHECK(one.actions().refusals.empty());
+  // The route's timeout of 1 s passes before kOpeningTimeout.
+  one.Run(milliseconds(110));
+  CHECK(one.actions().refusals.size() == 1);
+}
+
 TEST_CASE("an endpoint takes at least one flow a slot") {
   FlowDispatcherOptions options;
   options.overlap_percent = 99;
