Set the fields of a request's work by name

Cause: two new fields of Work stand before the pinned endpoint, and two places of the CoAP door set the fields by position, so that each request had to start before time zero and was refused as overloaded.

--- a/src/entry/collection.cc
+++ b/src/entry/collection.cc
@@ -318,9 +318,11 @@
   if (endpoint != EndpointId{} && !record->adopted &&
       IsLiveEndpointOf(endpoint, service)) {
     record->adopted = true;
-    service.scheduler->AddRunning(
-        now_, Work{record->id, record->work_class, record->deadline, {}, {}},
-        endpoint);
+    Work work;
+    work.request = record->id;
+    work.work_class = record->work_class;
+    work.deadline = record->deadline;
+    service.scheduler->AddRunning(now_, work, endpoint);
   }
 }
 
--- a/src/entry/dispatch.cc
+++ b/src/entry/dispatch.cc
@@ -64,7 +64,10 @@
     GiveUp(record, ErrorKind::kOutcomeUnknown, kRetryAfter);
     return;
   }
-  Work work{record.id, record.work_class, record.deadline, {}, {}};
+  Work work;
+  work.request = record.id;
+  work.work_class = record.work_class;
+  work.deadline = record.deadline;
   if (record.attempts > 0) {
     work.avoid = record.endpoint;
   }
