--- a/include/vanillalatch/consensus/replica.h
+++ b/include/vanillalatch/consensus/replica.h
@@ -39,6 +39,7 @@
 #include "vanillalatch/base/strong.h"
 #include "vanillalatch/base/time.h"
 #include "vanillalatch/consensus/replicated_log.h"
+#include "vanillalatch/feature/feature_level.h"
 
 namespace vanillalatch {
 
@@ -78,6 +79,9 @@
   // the same time. The first election after a start, and a repeated one, come
   // sooner.
   Duration election_timeout = std::chrono::milliseconds(1000);
+  // The level of this build. Below kStatedLevel the replica behaves as a build
+  // that states no level; only tests use that.
+  FeatureLevel level = kCurrentLevel;
 };
 
 // The state of a replica as read from its disk.
@@ -122,6 +126,8 @@
   // Errors: kInvalidArgument if a time is not positive, if the election timeout
   // is not above the heartbeat interval, if this VM is not configured and
   // membership is not open, or if the role chart does not match ReplicaRole.
+  // kUnsupported if `stored` has forms that need a build of a higher level;
+  // nothing is changed then.
   static Result<std::unique_ptr<Replica>> Create(ReplicaOptions options,
                                                  StoredReplica stored,
                                                  TimePoint now,
@@ -174,6 +180,19 @@
   // received a leader's message within two election timeouts: an ordinary
   // election takes no longer.
   virtual bool HasQuorumContact(TimePoint now) const = 0;
+  // The level that the fleet has committed; zero before the first one.
+  virtual const pb::FleetLevel& fleet_level() const = 0;
+  // The level that a replica has stated with its last message; kUnstatedLevel
+  // if it has stated none. For the own id, the level of this build.
+  virtual FeatureLevel LevelOf(ReplicaId id) const = 0;
+  // The highest level that any replica has stated to this one.
+  virtual FeatureLevel newest_level() const = 0;
+  // The level that a build needs to take part in the fleet, as stated by
+  // another replica, if it is above the level of this build; nullopt otherwise.
+  // This replica then handles no message of the fleet.
+  virtual std::optional<FeatureLevel> missing_level() const = 0;
+  // True if `id` has answered this leader within the last election timeout.
+  virtual bool IsReachable(ReplicaId id, TimePoint now) const = 0;
   // When the last message from `vm` was received; nullopt if none was.
   virtual std::optional<TimePoint> LastContact(std::string_view vm) const = 0;
 };
--- a/include/vanillalatch/control/control_node.h
+++ b/include/vanillalatch/control/control_node.h
@@ -24,10 +24,18 @@
 #include "vanillalatch/base/result.h"
 #include "vanillalatch/base/strong.h"
 #include "vanillalatch/base/time.h"
+#include "vanillalatch/feature/feature_level.h"
 #include "vanillalatch/storage/disk.h"
 
 namespace vanillalatch {
 
+// A call that every build refuses without an effect, but builds that apply
+// evacuation orders for another reason than earlier ones: an order inside a
+// change that is invalid otherwise.
+pb::ApplyRequest MakeLevelProbe();
+// The lowest level that a VM with this answer to the probe can have.
+FeatureLevel LevelFromProbe(const pb::ApplyReply& reply);
+
 // Identifies one open call of an operator or entry VM. Assigned by the shell.
 using Ticket = Strong<struct TicketTag, std::uint64_t>;
 
@@ -64,6 +72,8 @@
   std::size_t snapshot_bytes = std::size_t{1} << 20;
   // The data centres that may be evacuated; empty: all.
   std::vector<std::string> data_centers;
+  // The level of this build. See ReplicaOptions.
+  FeatureLevel level = kCurrentLevel;
 };
 
 // What the shell has to carry out, in this order. Each reply belongs to the
@@ -73,7 +83,14 @@
     std::string address;  // gRPC address of the receiver.
     pb::ConsensusMessage message;
   };
+  // Asks a control VM that states no feature level for it, by the Apply call
+  // MakeLevelProbe(). The answer goes to OnProbeAnswered().
+  struct Probe {
+    std::uint64_t replica = 0;  // Id.
+    std::string address;        // gRPC address of the receiver.
+  };
   std::vector<Send> sends;
+  std::vector<Probe> probes;
   std::vector<std::pair<Ticket, pb::ApplyReply>> applies;
   std::vector<std::pair<Ticket, pb::GetReply>> gets;
   std::vector<std::pair<Ticket, pb::HistoryReply>> histories;
@@ -97,6 +114,9 @@
   // Handles a message from another control VM.
   virtual void OnMessage(TimePoint now,
                          const pb::ConsensusMessage& message) = 0;
+  // Handles the answer to a probe. `level` is that of LevelFromProbe().
+  virtual void OnProbeAnswered(TimePoint now, std::uint64_t replica,
+                               FeatureLevel level) = 0;
   // Handles timeouts that are due. To be called at NextWake().
   virtual void OnTick(TimePoint now) = 0;
   virtual TimePoint NextWake() const = 0;
--- a/include/vanillalatch/jsonc/document.h
+++ b/include/vanillalatch/jsonc/document.h
@@ -73,7 +73,8 @@
   // Returns the elements of an array.
   const std::vector<JsonValue>& Items() const;
 
-  // Throws if an object has a member whose key is not in `allowed_keys`.
+  // Throws if an object has a member whose key is not in `allowed_keys`, unless
+  // the document ignores unknown keys; it then records the key.
   void CheckKeys(std::initializer_list<std::string_view> allowed_keys) const;
   // Returns a member of an object, or nullptr if it is absent.
   const JsonValue* Find(std::string_view key) const;
@@ -89,6 +90,10 @@
  private:
   friend class internal::JsonTreeBuilder;
 
+  friend class JsonDocument;
+
+  // Makes CheckKeys() of this value and of all values in it add to `keys`.
+  void RecordUnknownKeys(const std::shared_ptr<std::vector<std::string>>& keys);
   // Throws unless the value has `type`.
   void CheckType(Type type) const;
   // Returns the value as error messages show it.
@@ -101,7 +106,9 @@
   // The content of a string; for other types the text shown in error messages.
   std::string text_;
   std::int64_t integer_ = 0;
-  std::string key_;                  // Set if the parent is an object.
+  std::string key_;  // Set if the parent is an object.
+  // Shared by all values of the document. Absent: unknown keys are errors.
+  std::shared_ptr<std::vector<std::string>> ignored_keys_;
   std::vector<JsonValue> children_;  // Array elements or object members.
 };
 
@@ -116,6 +123,10 @@
 
   const JsonValue& root() const { return root_; }
 
+  // From now on, CheckKeys() does not throw. It adds "FILE:LINE: PATH" of each
+  // unknown key to the returned list.
+  std::shared_ptr<const std::vector<std::string>> IgnoreUnknownKeys();
+
  private:
   explicit JsonDocument(JsonValue root) : root_(std::move(root)) {}
 
--- a/include/vanillalatch/rpc/control_client.h
+++ b/include/vanillalatch/rpc/control_client.h
@@ -10,6 +10,7 @@
 
 #include <grpcpp/grpcpp.h>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -41,6 +42,11 @@
   // retransmits what matters.
   void Send(const std::string& address, const pb::ConsensusMessage& message);
 
+  // Calls Apply without waiting for the reply. `callback` is called on a thread
+  // of gRPC with the reply; not at all if the call fails or takes too long.
+  void Apply(const std::string& address, const pb::ApplyRequest& request,
+             std::function<void(const pb::ApplyReply&)> callback);
+
   // Requests a newer catalog and suspends the fiber until the reply arrives.
   // Returns nullopt if the call fails or `timeout` passes.
   std::optional<pb::SyncReply> Sync(const std::string& address,
--- a/include/vanillalatch/runtime/control_api.h
+++ b/include/vanillalatch/runtime/control_api.h
@@ -36,6 +36,9 @@
   // Reads the current catalog. On failure, the reply contains the kind of the
   // error and no catalog.
   virtual void Get(Callback<pb::GetReply> callback) = 0;
+  // True if another control VM has stated a higher feature level than that of
+  // this build, so that it may know calls that this one does not.
+  virtual bool HasNewerPeer() const = 0;
 };
 
 }  // namespace vanillalatch
--- a/include/vanillalatch/settings/settings.h
+++ b/include/vanillalatch/settings/settings.h
@@ -1,5 +1,7 @@
 // The settings file of one process: JSON with comments. Unknown keys, values of
-// the wrong type and values out of range are errors.
+// the wrong type and values out of range are errors. A file for a build of a
+// higher feature level says so with the key "level"; its unknown keys are
+// ignored, so that it can be installed before the new build.
 //
 //   Result<Settings> settings = ParseSettings("vm.json", text);
 //
@@ -17,6 +19,7 @@
 #include "vanillalatch/base/address.h"
 #include "vanillalatch/base/result.h"
 #include "vanillalatch/base/time.h"
+#include "vanillalatch/feature/feature_level.h"
 
 namespace vanillalatch {
 
@@ -114,7 +117,7 @@
 
 // The whole file:
 //
-// {"vm": "NAME", "data_center": "NAME",
+// {"vm": "NAME", "data_center": "NAME", "level": N,
 //  "data_centers": [{"name": "NAME", "region": "NAME"}],
 //  "entry": {...}, "control": {...},
 //  "fleet": {...}, "flows": {...}, "doors": {...},
@@ -124,6 +127,11 @@
 struct Settings {
   std::string vm;
   std::string data_center;
+  // The feature level of the builds that know every key of the file.
+  FeatureLevel level = kCurrentLevel;
+  // "FILE:LINE: KEY" of each key that this build does not know. Empty unless
+  // `level` is above that of this build.
+  std::vector<std::string> ignored_keys;
   // All data centres. Empty: not known, and no region is known either.
   std::vector<DataCenterSettings> data_centers;
   std::optional<EntrySettings> entry;
--- a/src/cli/command_line.cc
+++ b/src/cli/command_line.cc
@@ -85,6 +85,11 @@
 void CheckSettings(const std::string& path, const std::string& text,
                    Console console) {
   const Settings settings = ParseSettings(path, text).value();
+  for (const std::string& it : settings.ignored_keys) {
+    console.err << it << ": unknown key, ignored by this build of level "
+                << kCurrentLevel.value() << "; the file is for level "
+                << settings.level.value() << "\n";
+  }
   console.out << path << ": settings of VM " << settings.vm
               << " in data centre " << settings.data_center << ", role "
               << (settings.entry ? "entry" : "")
--- a/src/cli/status_text.cc
+++ b/src/cli/status_text.cc
@@ -1,8 +1,10 @@
 #include "src/cli/status_text.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <ctime>
+#include <utility>
 #include <vector>
 
 #include "src/cli/text_table.h"
@@ -57,13 +59,45 @@
   return nullptr;
 }
 
+// Builds from before levels were stated state none.
+std::string LevelText(std::uint32_t level) {
+  return level == 0 ? "not stated" : std::to_string(level);
+}
+
+// Shows the level up to which the fleet writes, and the VMs whose builds hold
+// it back: those with a lower level than others.
+void PrintLevels(const pb::StatusReply& status, std::ostream& out) {
+  std::uint32_t fleet = 0;
+  std::uint32_t newest = 0;
+  std::vector<std::pair<std::string, std::uint32_t>> levels;
+  for (const pb::ControlStatus& it : status.controls()) {
+    fleet = std::max(fleet, it.fleet_level());
+    levels.emplace_back(it.vm(), it.level());
+  }
+  for (const pb::EntryStatus& it : status.entries()) {
+    levels.emplace_back(it.last_sync().vm(), it.last_sync().level());
+  }
+  for (const auto& [vm, level] : levels) {
+    newest = std::max(newest, level);
+  }
+  std::string older;
+  for (const auto& [vm, level] : levels) {
+    if (level < newest) {
+      older += (older.empty() ? "; older builds: " : ", ") + vm + " (" +
+               LevelText(level) + ")";
+    }
+  }
+  out << "Feature level: " << LevelText(fleet) << ", newest build "
+      << LevelText(newest) << older << "\n\n";
+}
+
 void PrintControlVms(const pb::StatusReply& status, std::ostream& out) {
-  TextTable table(
-      {"CONTROL VM", "DATA CENTRE", "ROLE", "TERM", "LOG INDEX", "REVISION"});
+  TextTable table({"CONTROL VM", "DATA CENTRE", "ROLE", "TERM", "LOG INDEX",
+                   "REVISION", "LEVEL"});
   for (const pb::ControlStatus& it : status.controls()) {
     table.Add({it.vm(), it.data_center(), it.role(), std::to_string(it.term()),
                std::to_string(it.committed_index()),
-               std::to_string(it.revision())});
+               std::to_string(it.revision()), LevelText(it.level())});
   }
   table.Print(out);
 }
@@ -194,7 +228,8 @@
 
 void PrintStatus(const pb::StatusReply& status, std::ostream& out) {
   out << "Catalog: revision " << status.catalog().revision() << ", "
-      << status.catalog().services_size() << " services\n\n";
+      << status.catalog().services_size() << " services\n";
+  PrintLevels(status, out);
   PrintControlVms(status, out);
   out << "\n";
   if (!status.catalog().evacuations().empty()) {
--- a/src/consensus/group_change.cc
+++ b/src/consensus/group_change.cc
@@ -67,6 +67,10 @@
     message.set_term(current_term());
     *message.mutable_introduce()->mutable_replica() = options_.self;
     message.mutable_introduce()->set_empty_log(log_.empty());
+    if (StatesLevel()) {
+      message.mutable_introduce()->set_level(options_.level.value());
+    }
+    AddLevel(message);
     sends_.push_back({it, std::move(message)});
   }
 }
@@ -85,7 +89,8 @@
     SendTo(leader_id_, message);
   }
   introductions_[body.replica().vm()] =
-      Introduction{body.replica(), body.empty_log(), message.term(), now};
+      Introduction{body.replica(), body.empty_log(), message.term(),
+                   FeatureLevel{body.level()}, now};
   last_contact_[body.replica().vm()] = now;
   TryBootstrap(now);
   MaintainGroup(now);
@@ -155,6 +160,7 @@
   if (!AdmitLearner(now) && !PromoteLearner(now)) {
     RemoveSilentVoter(now);
   }
+  RaiseFleetLevel(now);
 }
 
 // Removes a silent voter if the number of voters is even. Such a voter makes
@@ -183,7 +189,8 @@
   for (const auto& [vm, introduction] : introductions_) {
     const pb::Replica& newcomer = introduction.replica;
     if (now >= introduction.received_at + kIntroductionLifetime ||
-        FindReplica(configuration_, newcomer.id()) != nullptr) {
+        FindReplica(configuration_, newcomer.id()) != nullptr ||
+        !CanReadFleet(introduction)) {
       continue;
     }
     pb::Configuration next = configuration_;
--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -6,6 +6,7 @@
 
 #include "src/consensus/quorum.h"
 #include "src/consensus/replica_impl.h"
+#include "src/consensus/stored_level.h"
 
 namespace vanillalatch {
 
@@ -26,6 +27,13 @@
     return Error(ErrorKind::kInvalidArgument,
                  options.self.vm() + " is not among the control VMs");
   }
+  if (const FeatureLevel needed = internal::OldestReaderOfStored(stored);
+      needed > options.level) {
+    return Error(ErrorKind::kUnsupported,
+                 "the stored data need a build of feature level " +
+                     std::to_string(needed.value()) + ", this one has level " +
+                     std::to_string(options.level.value()));
+  }
   Result<internal::RoleMachine> roles = internal::RoleMachine::Create();
   if (!roles.ok()) {
     return roles.error();
@@ -49,6 +57,7 @@
   if (snapshot_) {
     commit_index_ = snapshot_->index();
     delivered_index_ = commit_index_;
+    AdoptFleetLevel(snapshot_->fleet_level());
   }
   commit_index_ =
       std::max(commit_index_, std::min(stored.commit_index, log_.last_index()));
@@ -59,6 +68,9 @@
 
 void ReplicaImpl::OnMessage(TimePoint now,
                             const pb::ConsensusMessage& message) {
+  if (!CanRead(message)) {
+    return;
+  }
   if (message.has_introduce()) {
     HandleIntroduce(now, message);
     return;
@@ -68,6 +80,7 @@
     return;
   }
   RecordContact(now, message.from());
+  RecordLevel(message);
   if (AcceptTerm(now, message)) {
     Dispatch(now, message);
   }
@@ -132,6 +145,9 @@
   actions.sends = std::exchange(sends_, {});
   while (delivered_index_ < commit_index_) {
     actions.committed.push_back(log_.At(++delivered_index_));
+    if (actions.committed.back().has_fleet_level()) {
+      AdoptFleetLevel(actions.committed.back().fleet_level());
+    }
   }
   return actions;
 }
@@ -189,6 +205,7 @@
   if (message.term() == 0) {
     message.set_term(current_term());
   }
+  AddLevel(message);
   sends_.push_back({to.address(), std::move(message)});
 }
 
@@ -257,9 +274,11 @@
   for (const pb::Replica& it : configuration_.replicas()) {
     peers_.try_emplace(it.id(), Peer{.next_index = log_.last_index() + 1});
   }
-  std::erase_if(peers_, [&](const auto& it) {
+  const auto is_gone = [&](const auto& it) {
     return FindReplica(configuration_, it.first) == nullptr;
-  });
+  };
+  std::erase_if(peers_, is_gone);
+  std::erase_if(stated_levels_, is_gone);
 }
 
 }  // namespace internal
--- a/src/consensus/replica_impl.h
+++ b/src/consensus/replica_impl.h
@@ -1,6 +1,7 @@
-// The implementation of Replica. It is split into four files: replica.cc
+// The implementation of Replica. It is split into five files: replica.cc
 // (events and actions), election.cc (votes and roles), replication.cc (log and
-// reads) and group_change.cc (bootstrap, joining, leadership transfer).
+// reads), group_change.cc (bootstrap, joining, leadership transfer) and
+// fleet_level.cc (feature levels).
 #ifndef VANILLALATCH_SRC_CONSENSUS_REPLICA_IMPL_H_
 #define VANILLALATCH_SRC_CONSENSUS_REPLICA_IMPL_H_
 
@@ -33,6 +34,7 @@
   pb::Replica replica;
   bool empty_log = false;
   std::uint64_t term = 0;  // The current term of the sender.
+  FeatureLevel level;      // Stated by the sender.
   TimePoint received_at;
 };
 
@@ -64,6 +66,15 @@
   std::optional<pb::Replica> leader() const override;
   bool HasQuorumContact(TimePoint now) const override;
   std::optional<TimePoint> LastContact(std::string_view vm) const override;
+  const pb::FleetLevel& fleet_level() const override { return fleet_level_; }
+  FeatureLevel LevelOf(ReplicaId id) const override;
+  FeatureLevel newest_level() const override { return newest_level_; }
+  std::optional<FeatureLevel> missing_level() const override {
+    return missing_level_;
+  }
+  bool IsReachable(ReplicaId id, TimePoint now) const override {
+    return IsActive(id.value(), now);
+  }
 
  private:
   bool IsLeader() const { return role() == ReplicaRole::kLeader; }
@@ -134,6 +145,15 @@
   const pb::Replica* FindSilentVoter(TimePoint now) const;
   void TransferLeadership(TimePoint now);
 
+  // Feature levels (fleet_level.cc).
+  bool StatesLevel() const { return options_.level >= kStatedLevel; }
+  void RecordLevel(const pb::ConsensusMessage& message);
+  bool CanRead(const pb::ConsensusMessage& message);
+  bool CanReadFleet(const Introduction& newcomer) const;
+  void AddLevel(pb::ConsensusMessage& message) const;
+  void AdoptFleetLevel(const pb::FleetLevel& level);
+  void RaiseFleetLevel(TimePoint now);
+
   const ReplicaOptions options_;
   RoleMachine roles_;
   std::mt19937_64 random_;
@@ -168,6 +188,12 @@
   TimePoint introduce_due_;
   std::map<std::string, TimePoint, std::less<>> last_contact_;  // By VM.
 
+  pb::FleetLevel fleet_level_;           // The highest one that is committed.
+  std::uint64_t fleet_level_index_ = 0;  // Of the last entry proposed for it.
+  std::map<std::uint64_t, FeatureLevel> stated_levels_;  // By replica id.
+  FeatureLevel newest_level_;
+  std::optional<FeatureLevel> missing_level_;
+
   // To be returned by the next TakeActions().
   std::optional<std::uint64_t> first_unsaved_index_;
   bool has_unsaved_vote_ = false;
--- a/src/consensus/replication.cc
+++ b/src/consensus/replication.cc
@@ -237,6 +237,7 @@
       installed_snapshot_ = snapshot;
       first_unsaved_index_.reset();
       delivered_index_ = index;
+      AdoptFleetLevel(snapshot.fleet_level());
     }
     commit_index_ = index;
     ReloadConfiguration(now);
--- a/src/control/control_callers_test.cc
+++ b/src/control/control_callers_test.cc
@@ -156,6 +156,10 @@
     if (request.change().has_evacuation() && std::exchange(*arrived, true)) {
       return;
     }
+    if (request.change().has_evacuation() &&
+        Control(to).level < kEvacuationLevel) {
+      return;
+    }
     Deliver(to, [this, id, to, from, attempt, request] {
       const std::uint64_t ticket = ++next_ticket_;
       applies_[ticket] = [this, id, to, from,
--- a/src/control/control_checks_test.cc
+++ b/src/control/control_checks_test.cc
@@ -62,6 +62,23 @@
   vm.checked_index = n;
 }
 
+// Builds below kEvacuationLevel take an evacuation order for a conflicting
+// change, so that their catalog differs from that of the others.
+void ControlWorld::CheckReadable(const ControlVm& vm,
+                                 const pb::ConsensusMessage& message) {
+  if (vm.level >= kEvacuationLevel) {
+    return;
+  }
+  const auto& entries = message.append_request().entries();
+  const bool has_order = std::any_of(
+      entries.begin(), entries.end(),
+      [](const pb::LogEntry& it) { return it.change().has_evacuation(); });
+  const pb::Snapshot& snapshot = message.install_snapshot().snapshot();
+  if (has_order || snapshot.catalog().evacuations_size() > 0) {
+    throw Failure(vm.name + " gets an evacuation that its build can't apply");
+  }
+}
+
 void ControlWorld::CheckCatalog(const pb::Catalog& catalog) {
   const std::string bytes = catalog.SerializeAsString();
   const auto [it, added] = catalogs_.try_emplace(catalog.revision(), bytes);
@@ -232,6 +249,22 @@
     }
   } else if (what == "evacuated") {
     ExpectEvacuated(step);
+  } else if (what == "fleet-level") {
+    if (!RunUntil(step.NamedTime("within", Duration::zero()),
+                  [&] { return FleetLevel().value() == step.Number(1); })) {
+      throw Failure("the fleet's level is " +
+                    std::to_string(FleetLevel().value()));
+    }
+  } else if (what == "down") {
+    if (Control(step.Word(1)).node) {
+      throw Failure(step.Word(1) + " is up");
+    }
+  } else if (what == "missing-level") {
+    const std::uint64_t level =
+        Control(step.Word(1)).node->Status().missing_level();
+    if (level != step.Number(2)) {
+      throw Failure("the missing level is " + std::to_string(level));
+    }
   } else if (what == "one-wins") {
     ExpectOneWins(step);
   } else {
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -29,6 +29,7 @@
     }
   }
   out.may_bootstrap = options.may_bootstrap;
+  out.level = options.level;
   out.open_membership = options.open_membership;
   if (out.self.address().empty()) {
     out.self = ToReplica({options.vm, options.address, options.data_center});
@@ -95,12 +96,33 @@
 
 void ControlNodeImpl::OnMessage(TimePoint now,
                                 const pb::ConsensusMessage& message) {
-  if (!HandleReportMessage(now, message)) {
+  const bool refused =
+      message.has_introduce() && !MayJoin(now, message.introduce());
+  if (!refused && !HandleReportMessage(now, message)) {
     replica_->OnMessage(now, message);
   }
   ProcessPending(now);
 }
 
+// False if the replica that asks to join runs, or may run, a build that does
+// not apply evacuation orders while there may be one in the log. A replica that
+// states no level is asked first; it repeats its request to join.
+bool ControlNodeImpl::MayJoin(TimePoint now, const pb::Introduce& newcomer) {
+  const bool has_orders =
+      replica_->fleet_level().oldest_reader() >= kEvacuationLevel.value() ||
+      state_.catalog().evacuations_size() > 0;
+  if (!has_orders || newcomer.level() != kUnstatedLevel.value()) {
+    return true;
+  }
+  const pb::Replica& replica = newcomer.replica();
+  const std::optional<FeatureLevel> level =
+      probed_levels_.Find(now, replica.id());
+  if (!level && probed_levels_.BeginProbe(now, replica.id())) {
+    actions_.probes.push_back({replica.id(), replica.address()});
+  }
+  return level && *level >= kEvacuationLevel;
+}
+
 void ControlNodeImpl::OnTick(TimePoint now) {
   replica_->OnTick(now);
   ProcessPending(now);
@@ -157,6 +179,11 @@
   status.set_revision(state_.catalog().revision());
   status.set_evacuations(
       static_cast<std::uint32_t>(state_.catalog().evacuations_size()));
+  status.set_level(replica_->LevelOf(replica_->id()).value());
+  status.set_fleet_level(replica_->fleet_level().level());
+  status.set_newest_level(replica_->newest_level().value());
+  status.set_missing_level(
+      replica_->missing_level().value_or(kUnstatedLevel).value());
   return status;
 }
 
@@ -234,6 +261,9 @@
   for (const pb::ChangeOutcome& it : state_.outcomes()) {
     *snapshot.add_outcomes() = it;
   }
+  if (replica_->fleet_level().level() > 0) {
+    *snapshot.mutable_fleet_level() = replica_->fleet_level();
+  }
   replica_->Compact(snapshot, LastDroppedEntry(applied_index_));
   disk_failed_ = true;
   store_.Compact(snapshot, replica_->log());
--- a/src/control/control_node_impl.h
+++ b/src/control/control_node_impl.h
@@ -1,6 +1,7 @@
-// The implementation of ControlNode. It is split into three files:
+// The implementation of ControlNode. It is split into four files:
 // control_node.cc (events, disk, state machine), operator_calls.cc (Apply, Get,
-// History) and entry_calls.cc (Sync, Status).
+// History), evacuation_calls.cc (Apply with an evacuation order) and
+// entry_calls.cc (Sync, Status).
 #ifndef VANILLALATCH_SRC_CONTROL_CONTROL_NODE_IMPL_H_
 #define VANILLALATCH_SRC_CONTROL_CONTROL_NODE_IMPL_H_
 
@@ -12,6 +13,7 @@
 #include <vector>
 
 #include "src/control/entry_reports.h"
+#include "src/control/probed_levels.h"
 #include "vanillalatch/catalog/catalog_feed.h"
 #include "vanillalatch/catalog/state_machine.h"
 #include "vanillalatch/consensus/replica.h"
@@ -39,6 +41,12 @@
   std::string message;
 };
 
+// Whether every replica applies evacuation orders.
+struct OrderSupport {
+  std::string unsupported;  // VM that does not; empty: none is known.
+  std::string unknown;      // VM of which that is not known; empty: none.
+};
+
 enum class ReadKind : std::uint8_t { kGet, kHistory };
 
 // An open Get or History call. It waits for a leader while `round` is zero,
@@ -79,6 +87,8 @@
   void Restore(const pb::Snapshot& snapshot);
 
   void OnMessage(TimePoint now, const pb::ConsensusMessage& message) override;
+  void OnProbeAnswered(TimePoint now, std::uint64_t replica,
+                       FeatureLevel level) override;
   void OnTick(TimePoint now) override;
   TimePoint NextWake() const override;
   void OnApply(TimePoint now, Ticket ticket, const pb::ApplyRequest& request,
@@ -99,6 +109,7 @@
 
   // Events, disk and state machine (control_node.cc).
   void ProcessPending(TimePoint now);
+  bool MayJoin(TimePoint now, const pb::Introduce& newcomer);
   void ExecuteReplicaActions(ReplicaActions actions);
   void ApplyEntry(const pb::LogEntry& entry);
   void CompactIfDue();
@@ -107,14 +118,17 @@
   std::string LeaderAddress() const;
   std::string DescribeMissingQuorum(TimePoint now) const;
 
-  // Apply, Get and History calls (operator_calls.cc).
-  void AdvanceApplies(TimePoint now);
-  bool AdvanceApply(TimePoint now, ApplyCall& call);
+  // Apply calls with an evacuation order (evacuation_calls.cc).
   bool AdvanceOrder(TimePoint now, ApplyCall& call);
   std::optional<Refusal> FindOrderRefusal(TimePoint now,
                                           const ApplyCall& call) const;
   std::optional<Refusal> FindNameRefusal(
       const pb::EvacuationOrder& order) const;
+  OrderSupport FindOrderSupport(TimePoint now);
+
+  // Apply, Get and History calls (operator_calls.cc).
+  void AdvanceApplies(TimePoint now);
+  bool AdvanceApply(TimePoint now, ApplyCall& call);
   bool AnswerIfApplied(ApplyCall& call);
   void ProposeChange(TimePoint now, ApplyCall& call);
   void AnswerApply(Ticket ticket, pb::ChangeOutcome outcome);
@@ -144,6 +158,7 @@
   Term applied_term_;
   LogIndex snapshot_index_;  // The last entry in the last snapshot.
   std::size_t bytes_since_snapshot_ = 0;  // Of the entries applied since.
+  ProbedLevels probed_levels_;
   EntryReports reports_;
   std::vector<ApplyCall> applies_;
   std::vector<ReadCall> reads_;
--- a/src/control/control_random_test.cc
+++ b/src/control/control_random_test.cc
@@ -14,12 +14,16 @@
 
 class RandomRun {
  public:
-  // With `with_orders`, operators also order evacuations.
-  explicit RandomRun(std::uint64_t seed, bool with_orders = false)
+  // With `with_orders`, operators also order evacuations. The VMs start with
+  // builds of `first_level` and get other ones meanwhile if it is not the
+  // current level.
+  explicit RandomRun(std::uint64_t seed, bool with_orders = false,
+                     FeatureLevel first_level = kCurrentLevel)
       : world_(seed),
         random_(world_.network().random()),
-        with_orders_(with_orders) {
-    world_.AddControls(seed % 5 == 0 ? 5 : 3, 8);
+        with_orders_(with_orders),
+        first_level_(first_level) {
+    world_.AddControls(seed % 5 == 0 ? 5 : 3, 8, first_level);
     names_ = world_.ControlNames();
     world_.AddEntry("e1", names_);
     world_.AddEntry("e2", {names_.rbegin(), names_.rend()});
@@ -43,6 +47,9 @@
   }
 
   void TakeRandomStep() {
+    if (first_level_ != kCurrentLevel && random_() % 4 == 0) {
+      return ReplaceBuild(RandomControl());
+    }
     if (with_orders_ && random_() % 2 == 0) {
       return GiveOrder();
     }
@@ -103,6 +110,14 @@
     }
   }
 
+  // Replaces a build by the current one. Goes back to the first one only if
+  // that reads what a fleet of the current level writes.
+  void ReplaceBuild(const std::string& name) {
+    const bool may_go_back = first_level_ >= OldestReaderOf(kCurrentLevel);
+    const bool goes_back = may_go_back && random_() % 4 == 0;
+    world_.ReplaceBuild(name, goes_back ? first_level_ : kCurrentLevel);
+  }
+
   // Gives a new order, or an earlier one again with its change id.
   void GiveOrder() {
     const bool again = !world_.orders().empty() && random_() % 4 == 0;
@@ -149,6 +164,9 @@
     world_.network().SetFaults(0, 0, std::chrono::milliseconds(1));
     for (const std::string& it : names_) {
       world_.Control(it).disk.CancelCrash();
+      if (world_.Control(it).level != kCurrentLevel) {
+        world_.ReplaceBuild(it, kCurrentLevel);
+      }
       if (!world_.Control(it).node) {
         world_.Start(it);
       }
@@ -169,6 +187,11 @@
     if (!answered) {
       throw scenario::Failure("not settled in time");
     }
+    if (!world_.RunUntil(kRecoveryLimit, [&] {
+          return world_.FleetLevel() == kCurrentLevel;
+        })) {
+      throw scenario::Failure("the level of the fleet was not raised");
+    }
     if (with_orders_) {
       CheckFinalEvacuations();
     }
@@ -210,6 +233,7 @@
   ControlWorld world_;
   std::mt19937_64& random_;
   const bool with_orders_;
+  const FeatureLevel first_level_;
   std::vector<std::string> names_;
   std::uint64_t changes_ = 0;
 };
@@ -255,5 +279,30 @@
   CHECK(acknowledged > 5 * kSeeds);
 }
 
+// Guards against replicas of two builds that apply the same log differently,
+// against an order that is lost or reverted by the replacement of builds, and
+// against a level of the fleet that never rises.
+TEST_CASE("builds of two levels side by side never lose an order",
+          "[control][random][levels]") {
+  constexpr std::uint64_t kSeeds = 1000;
+  const FeatureLevel first_level =
+      GENERATE(FeatureLevel{2}, FeatureLevel{3}, FeatureLevel{4});
+  std::uint64_t acknowledged = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    RandomRun run(seed, true, first_level);
+    INFO("seed " << seed << ", first level " << first_level.value());
+    try {
+      run.Execute();
+    } catch (const std::exception& e) {
+      FAIL(e.what() << "\n" << run.world().Journal());
+    }
+    for (const ObservedOrder& it : run.world().orders()) {
+      acknowledged += it.acknowledged ? 1 : 0;
+    }
+  }
+  WARN(acknowledged << " orders acknowledged");
+  CHECK(acknowledged > 2 * kSeeds);
+}
+
 }  // namespace
 }  // namespace vanillalatch
--- a/src/control/control_scenario_test.cc
+++ b/src/control/control_scenario_test.cc
@@ -22,6 +22,12 @@
   return items;
 }
 
+// The level of the builds of new VMs.
+FeatureLevel LevelOf(const Step& step) {
+  return FeatureLevel{static_cast<std::uint32_t>(
+      step.NamedNumber("level", kCurrentLevel.value()))};
+}
+
 }  // namespace
 
 void ControlWorld::Do(const Step& step) {
@@ -32,10 +38,15 @@
 
 bool ControlWorld::DoControlStep(Arguments step) {
   if (step.verb == "control") {
-    AddControls(step.Number(0), step.NamedNumber("snapshot", 256));
+    AddControls(step.Number(0), step.NamedNumber("snapshot", 256),
+                LevelOf(step));
+  } else if (step.verb == "build") {
+    ReplaceBuild(step.Word(0),
+                 FeatureLevel{static_cast<std::uint32_t>(step.Number(1))});
   } else if (step.verb == "fleet") {
     seeds_ = SplitList(step.Named("seeds", "c1,c2,c3"));
-    AddControls(step.Number(0), step.NamedNumber("snapshot", 256));
+    AddControls(step.Number(0), step.NamedNumber("snapshot", 256),
+                LevelOf(step));
   } else if (step.verb == "seeds") {
     seeds_ = SplitList(step.Word(0));
   } else if (step.verb == "data-centers") {
--- a/src/control/control_world.h
+++ b/src/control/control_world.h
@@ -31,6 +31,9 @@
   bool may_bootstrap = false;
   bool frozen = false;
   bool stopping = false;
+  // Of the build that the next start runs. Builds below kEvacuationLevel drop
+  // evacuation orders of operators.
+  FeatureLevel level = kCurrentLevel;
   std::vector<std::function<void()>> queued_events;  // Arrived while frozen.
   std::uint64_t checked_index = 0;  // Last log entry that was checked.
   std::uint64_t last_term = 0;
@@ -82,12 +85,17 @@
   std::string Journal() const { return journal_; }
 
   // Used by the scenario steps and by the randomized test.
-  void AddControls(std::size_t count, std::uint64_t snapshot_every);
+  void AddControls(std::size_t count, std::uint64_t snapshot_every,
+                   FeatureLevel level = kCurrentLevel);
   void AddControl(const std::string& name);
   void AddEntry(const std::string& name, std::vector<std::string> controls);
   void Start(const std::string& name);
   void Crash(const std::string& name, bool torn);
   void LoseDisk(const std::string& name);  // Crashes the VM, too.
+  // Crashes the VM if it is up, and starts it with a build of `level`.
+  void ReplaceBuild(const std::string& name, FeatureLevel level);
+  // The level that the fleet has committed, as the leader knows it.
+  FeatureLevel FleetLevel() const;
   // True if the leader has committed a configuration in which all control VMs
   // are voters with their current identities.
   bool IsRepaired() const;
@@ -138,6 +146,9 @@
   // node. A crash at a sync crashes the VM.
   void RunOnNode(ControlVm& vm, const std::function<void(ControlNode&)>& work);
   void ExecuteActions(ControlVm& vm, ControlActions actions);
+  void SendProbe(const std::string& from, const ControlActions::Probe& probe);
+  // The answer of a build from before evacuation orders.
+  static pb::ApplyReply AnswerProbeAsOldBuild();
   void ScheduleTick(ControlVm& vm);
   std::string NameOfAddress(const std::string& address) const;
 
@@ -155,6 +166,9 @@
   void CheckAll();
   static const Replica& ReplicaOf(const ControlVm& vm);
   void CheckNode(ControlVm& vm);
+  // Checks that the build of the VM can read the message.
+  static void CheckReadable(const ControlVm& vm,
+                            const pb::ConsensusMessage& message);
   void CheckCatalog(const pb::Catalog& catalog);
   // Checks the evacuations in a catalog that was read since `begin` against the
   // orders that operators saw acknowledged.
--- a/src/control/control_world_test.cc
+++ b/src/control/control_world_test.cc
@@ -30,13 +30,14 @@
   journal_ += FormatTime(network_.now()) + line + "\n";
 }
 
-void ControlWorld::AddControls(std::size_t count,
-                               std::uint64_t snapshot_every) {
+void ControlWorld::AddControls(std::size_t count, std::uint64_t snapshot_every,
+                               FeatureLevel level) {
   snapshot_every_ = snapshot_every;
   for (std::size_t n = 1; n <= count; ++n) {
     const std::string name = "c" + std::to_string(n);
     controls_[name].name = name;
     controls_[name].may_bootstrap = true;
+    controls_[name].level = level;
   }
   for (const std::string& it : ControlNames()) {
     Start(it);
@@ -61,6 +62,7 @@
   options.vm = name;
   options.snapshot_every = snapshot_every_;
   options.data_centers = data_centers_;
+  options.level = controls_.at(name).level;
   if (!seeds_.empty()) {
     options.open_membership = true;
     options.may_bootstrap = controls_.at(name).may_bootstrap;
@@ -98,9 +100,13 @@
   vm.frozen = false;
   vm.queued_events.clear();
   try {
-    vm.node =
-        ControlNode::Create(OptionsOf(name), vm.disk, network_.now(), seed)
-            .value();
+    Result<std::unique_ptr<ControlNode>> node =
+        ControlNode::Create(OptionsOf(name), vm.disk, network_.now(), seed);
+    if (!node.ok() && node.error().kind() == ErrorKind::kUnsupported) {
+      AppendJournal(name + " does not start: " + node.error().what());
+      return;
+    }
+    vm.node = std::move(node).value();
     vm.identity = ReplicaOf(vm).id().value();
     vm.first_identity = vm.starts == 1 ? vm.identity : vm.first_identity;
     AppendJournal(name + " starts at revision " +
@@ -228,12 +234,16 @@
     vm.sent_bytes += it.message.ByteSizeLong();
     network_.Send(vm.name, to, [this, to, message = it.message] {
       Deliver(to, [this, to, message] {
+        CheckReadable(Control(to), message);
         RunOnNode(Control(to), [&](ControlNode& node) {
           node.OnMessage(network_.now(), message);
         });
       });
     });
   }
+  for (const ControlActions::Probe& it : actions.probes) {
+    SendProbe(vm.name, it);
+  }
   const auto answer = [&](auto& replies, auto& callers) {
     for (auto& [ticket, reply] : replies) {
       auto caller = callers.extract(ticket.value());
@@ -250,6 +260,56 @@
   answer(actions.statuses, statuses_);
 }
 
+void ControlWorld::SendProbe(const std::string& from,
+                             const ControlActions::Probe& probe) {
+  const std::string to = NameOfAddress(probe.address);
+  const auto answer = [this, from, to,
+                       id = probe.replica](const pb::ApplyReply& reply) {
+    network_.Send(to, from, [this, from, id, level = LevelFromProbe(reply)] {
+      Deliver(from, [this, from, id, level] {
+        RunOnNode(Control(from), [&](ControlNode& node) {
+          node.OnProbeAnswered(network_.now(), id, level);
+        });
+      });
+    });
+  };
+  network_.Send(from, to, [this, to, answer] {
+    Deliver(to, [this, to, answer] {
+      if (Control(to).level < kEvacuationLevel) {
+        return answer(AnswerProbeAsOldBuild());
+      }
+      const std::uint64_t ticket = ++next_ticket_;
+      applies_[ticket] = answer;
+      RunOnNode(Control(to), [&](ControlNode& node) {
+        node.OnApply(network_.now(), Ticket{ticket}, MakeLevelProbe());
+      });
+    });
+  });
+}
+
+pb::ApplyReply ControlWorld::AnswerProbeAsOldBuild() {
+  pb::ApplyReply reply;
+  reply.mutable_outcome()->set_message("a service has no name");
+  return reply;
+}
+
+void ControlWorld::ReplaceBuild(const std::string& name, FeatureLevel level) {
+  if (Control(name).node) {
+    Crash(name, false);
+  }
+  Control(name).level = level;
+  AppendJournal(name + " gets a build of level " +
+                std::to_string(level.value()));
+  Start(name);
+}
+
+FeatureLevel ControlWorld::FleetLevel() const {
+  const std::string leader = Leader();
+  return leader.empty()
+             ? kUnstatedLevel
+             : FeatureLevel{controls_.at(leader).node->Status().fleet_level()};
+}
+
 void ControlWorld::Run(Duration duration) {
   const TimePoint end = network_.now() + duration;
   while (network_.Step(end)) {
--- a/src/control/operator_calls.cc
+++ b/src/control/operator_calls.cc
@@ -13,9 +13,6 @@
 constexpr LogIndex kNotProposed{};
 constexpr ReadRound kNotBegun{};
 
-// Bounds what an author's name adds to the catalog.
-constexpr std::size_t kMaxOrderAuthorBytes = 256;
-
 // True if `change` needs no log entry of its own once `logged` is committed. An
 // evacuation order always needs one, and covers no other change.
 bool Covers(const pb::Change& logged, const pb::Change& change) {
@@ -71,90 +68,6 @@
   }
 }
 
-// Returns why the name of an order is refused. The end of an evacuation that is
-// in force is accepted for any name.
-std::optional<Refusal> ControlNodeImpl::FindNameRefusal(
-    const pb::EvacuationOrder& order) const {
-  const std::string& name = order.data_center();
-  const std::vector<std::string>& known = options_.data_centers;
-  if (std::find(known.begin(), known.end(), name) != known.end()) {
-    return std::nullopt;
-  }
-  if (order.end()) {
-    if (IsEvacuated(state_.catalog(), name)) {
-      return std::nullopt;
-    }
-    if (applied_term_ != replica_->term()) {
-      return Refusal{ErrorKind::kNoQuorum,
-                     options_.vm + " has just become the leader"};
-    }
-  }
-  if (!known.empty()) {
-    return Refusal{ErrorKind::kNotFound,
-                   "there is no data centre of this name"};
-  }
-  if (!IsDataCenterName(name)) {
-    return Refusal{ErrorKind::kInvalidArgument,
-                   "the name of a data centre has 1 to 64 characters of "
-                   "A-Z a-z 0-9 . _ -"};
-  }
-  return std::nullopt;
-}
-
-// Returns why an evacuation order is not proposed now. It is not held until
-// there is a leader: the operator tries another control VM at once, and a late
-// order could revert a newer one.
-std::optional<Refusal> ControlNodeImpl::FindOrderRefusal(
-    TimePoint now, const ApplyCall& call) const {
-  if (call.change.author().size() > kMaxOrderAuthorBytes) {
-    return Refusal{ErrorKind::kInvalidArgument,
-                   "the author's name is too long"};
-  }
-  if (!IsLeader() && !LeaderAddress().empty()) {
-    return Refusal{ErrorKind::kNotLeader, "another control VM leads"};
-  }
-  if (!IsLeader() || !replica_->HasQuorumContact(now)) {
-    return Refusal{ErrorKind::kNoQuorum,
-                   DescribeMissingQuorum(now) + "; the order was not taken"};
-  }
-  if (now >= call.deadline || now < orders_from_) {
-    return Refusal{ErrorKind::kNoQuorum,
-                   "the order may have waited too long in " + options_.vm +
-                       "; it was not taken"};
-  }
-  return FindNameRefusal(call.change.evacuation());
-}
-
-// Advances the call of an evacuation order. Returns true once it is answered.
-// It is proposed at most once, and answered after its own entry is applied.
-bool ControlNodeImpl::AdvanceOrder(TimePoint now, ApplyCall& call) {
-  if (call.outcome) {
-    AnswerApply(call.ticket, std::move(*call.outcome));
-    return true;
-  }
-  if (call.index == kNotProposed) {
-    if (const std::optional<Refusal> refusal = FindOrderRefusal(now, call)) {
-      RefuseApply(call, refusal->kind, refusal->message);
-      return true;
-    }
-    call.index = replica_->Propose(now, call.change).value_or(kNotProposed);
-    call.term = replica_->term();
-    if (call.index == kNotProposed) {
-      RefuseApply(call, ErrorKind::kNoQuorum,
-                  options_.vm + " hands its leadership over");
-      return true;
-    }
-    return false;
-  }
-  if (applied_index_ < call.index && now < call.deadline) {
-    return false;
-  }
-  RefuseApply(call, ErrorKind::kOutcomeUnknown,
-              "no majority has confirmed the order; send it again. " +
-                  DescribeMissingQuorum(now));
-  return true;
-}
-
 // Advances one Apply call. Returns true once the call is answered.
 bool ControlNodeImpl::AdvanceApply(TimePoint now, ApplyCall& call) {
   if (call.change.has_evacuation()) {
--- a/src/jsonc/document.cc
+++ b/src/jsonc/document.cc
@@ -214,6 +214,11 @@
         allowed_keys.end()) {
       continue;
     }
+    if (ignored_keys_ != nullptr) {
+      ignored_keys_->push_back(*file_ + ":" + std::to_string(it.line_) + ": " +
+                               it.path_);
+      continue;
+    }
     std::string keys;
     for (const std::string_view key : allowed_keys) {
       keys += (keys.empty() ? "" : ", ") + std::string(key);
@@ -225,6 +230,21 @@
   }
 }
 
+void JsonValue::RecordUnknownKeys(
+    const std::shared_ptr<std::vector<std::string>>& keys) {
+  ignored_keys_ = keys;
+  for (JsonValue& it : children_) {
+    it.RecordUnknownKeys(keys);
+  }
+}
+
+std::shared_ptr<const std::vector<std::string>>
+JsonDocument::IgnoreUnknownKeys() {
+  auto keys = std::make_shared<std::vector<std::string>>();
+  root_.RecordUnknownKeys(keys);
+  return keys;
+}
+
 const JsonValue* JsonValue::Find(std::string_view key) const {
   CheckType(Type::kObject);
   const auto it =
--- a/src/rpc/control_client.cc
+++ b/src/rpc/control_client.cc
@@ -82,6 +82,29 @@
       [send](const grpc::Status&) { send->peer->open_sends.fetch_sub(1); });
 }
 
+void ControlClient::Apply(const std::string& address,
+                          const pb::ApplyRequest& request,
+                          std::function<void(const pb::ApplyReply&)> callback) {
+  struct OpenApply {
+    std::shared_ptr<Peer> peer;
+    grpc::ClientContext context;
+    pb::ApplyRequest request;
+    pb::ApplyReply reply;
+  };
+  FindOrAddPeer(address);
+  auto call = std::make_shared<OpenApply>();
+  call->peer = state_->peers[address];
+  call->request = request;
+  call->context.set_deadline(std::chrono::system_clock::now() + kSendTimeout);
+  call->peer->stub->async()->Apply(
+      &call->context, &call->request, &call->reply,
+      [call, callback = std::move(callback)](const grpc::Status& status) {
+        if (status.ok()) {
+          callback(call->reply);
+        }
+      });
+}
+
 std::optional<pb::SyncReply> ControlClient::Sync(const std::string& address,
                                                  const pb::SyncRequest& request,
                                                  Duration timeout) {
--- a/src/runtime/catalog_follower.cc
+++ b/src/runtime/catalog_follower.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "vanillalatch/catalog/packed.h"
+#include "vanillalatch/feature/feature_level.h"
 #include "vanillalatch/runtime/reactor.h"
 #include "vanillalatch/telemetry/log.h"
 
@@ -93,6 +94,7 @@
   const std::string address = addresses_[current_index_ % addresses_.size()];
   pb::SyncRequest request = make_request();
   request.set_accepts_packed(true);
+  request.set_level(kCurrentLevel.value());
   if (receiver_.revision() == 0) {
     request.set_revision(0);  // Differences need an image to start from.
   }
--- a/src/runtime/control_shell.cc
+++ b/src/runtime/control_shell.cc
@@ -1,6 +1,7 @@
 #include "src/runtime/control_shell.h"
 
 #include <boost/fiber/operations.hpp>
+#include <functional>
 #include <random>
 #include <utility>
 
@@ -15,6 +16,8 @@
 constexpr Duration kStopTimeout = std::chrono::seconds(3);
 constexpr Duration kStopPollInterval = std::chrono::milliseconds(20);
 constexpr const char* kDiskFailed = "the disk of this control VM refuses";
+constexpr const char* kBuildTooOld =
+    "the build of this control VM can't read its data";
 constexpr std::size_t kJobQueueCapacity = 4096;  // A power of two.
 // How long after a failure the disk is opened again: well within the time for
 // which operators wait for an acknowledgement.
@@ -123,7 +126,8 @@
     : settings_(settings),
       mailbox_(kMailboxCapacity),
       sync_mailbox_(kMailboxCapacity),
-      jobs_(kJobQueueCapacity) {
+      jobs_(std::make_shared<boost::fibers::buffered_channel<Job>>(
+          kJobQueueCapacity)) {
   status_.set_vm(settings.vm);
   status_.set_data_center(settings.data_center);
   status_.set_role("learner");
@@ -179,7 +183,7 @@
   }
   mailbox_.close();
   sync_mailbox_.close();
-  jobs_.close();
+  jobs_->close();
   stopped_ = true;
   wakeup_.Interrupt();
 }
@@ -203,13 +207,13 @@
 
 void ControlShell::RunJobs() {
   Job job;
-  while (jobs_.pop(job) == boost::fibers::channel_op_status::success) {
+  while (jobs_->pop(job) == boost::fibers::channel_op_status::success) {
     job();
   }
 }
 
 bool ControlShell::Post(Job job) {
-  if (jobs_.try_push(std::move(job)) ==
+  if (jobs_->try_push(std::move(job)) ==
       boost::fibers::channel_op_status::success) {
     return true;
   }
@@ -254,6 +258,14 @@
 }
 
 void ControlShell::CloseNode(const Error& error) {
+  if (error.kind() == ErrorKind::kUnsupported) {
+    LogEvent(LogLevel::kError, "build_too_old",
+             {{"build_level", kCurrentLevel.value()},
+              {"reason", std::string(error.what())}});
+    reopen_at_ = kNever;
+    RefuseOpenCalls(ErrorKind::kStorage, kBuildTooOld);
+    return;
+  }
   LogEvent(LogLevel::kError, "disk_refused",
            {{"reason", std::string(error.what())},
             {"kind", ErrorKindName(error.kind())},
@@ -286,7 +298,8 @@
 void ControlShell::RunOnNode(
     const std::function<void(ControlNode&)>& operation) {
   if (node_ == nullptr) {
-    RefuseOpenCalls(ErrorKind::kStorage, kDiskFailed);
+    RefuseOpenCalls(ErrorKind::kStorage,
+                    reopen_at_ == kNever ? kBuildTooOld : kDiskFailed);
     return;
   }
   try {
@@ -416,14 +429,45 @@
   for (const ControlActions::Send& it : actions.sends) {
     client_.Send(it.address, it.message);
   }
+  for (const ControlActions::Probe& it : actions.probes) {
+    SendProbe(it);
+  }
   SendReplies(applies_, actions.applies);
   SendReplies(gets_, actions.gets);
   SendReplies(histories_, actions.histories);
   SendReplies(statuses_, actions.statuses);
   SendReplies(syncs_, actions.syncs);
   wakeup_.BringForward(node_->NextWake());
+  UpdateStatus(node_->Status());
+}
+
+void ControlShell::SendProbe(const ControlActions::Probe& probe) {
+  const auto handle = [this, id = probe.replica](FeatureLevel level) {
+    RunOnNode(
+        [&](ControlNode& node) { node.OnProbeAnswered(Now(), id, level); });
+  };
+  client_.Apply(
+      probe.address, MakeLevelProbe(),
+      [handle, jobs = jobs_](const pb::ApplyReply& reply) {
+        // A full queue drops the answer; the node asks again.
+        jobs->try_push(std::bind_front(handle, LevelFromProbe(reply)));
+      });
+}
+
+void ControlShell::UpdateStatus(const pb::ControlStatus& status) {
   const std::lock_guard<std::mutex> lock(status_mutex_);
-  status_ = node_->Status();
+  if (status.fleet_level() > status_.fleet_level()) {
+    LogEvent(LogLevel::kInfo, "fleet_level_raised",
+             {{"fleet_level", status.fleet_level()},
+              {"build_level", kCurrentLevel.value()}});
+  }
+  if (status.missing_level() > status_.missing_level()) {
+    LogEvent(LogLevel::kError, "build_too_old",
+             {{"build_level", kCurrentLevel.value()},
+              {"needed_level", status.missing_level()},
+              {"reason", "the fleet writes what this build can't read"}});
+  }
+  status_ = status;
 }
 
 }  // namespace vanillalatch
--- a/src/runtime/control_shell.h
+++ b/src/runtime/control_shell.h
@@ -85,11 +85,16 @@
   void RunOnNode(const std::function<void(ControlNode&)>& operation);
   // Opens the disk and creates the node from it.
   void OpenNode();
-  // Destroys the node after a disk failure, and schedules OpenNode().
+  // Destroys the node after a disk failure, and schedules OpenNode(). A build
+  // that can't read the stored data does not try again.
   void CloseNode(const Error& error);
   void RefuseOpenCalls(ErrorKind refusal, const std::string& reason);
   // Sends the messages and replies that the node requested.
   void ExecuteActions();
+  // Asks a control VM for its feature level.
+  void SendProbe(const ControlActions::Probe& probe);
+  // Stores the status and logs changes of feature levels.
+  void UpdateStatus(const pb::ControlStatus& status);
   // Queues a job for the control thread. Returns false if the queue is full or
   // closed.
   bool Post(Job job);
@@ -117,7 +122,8 @@
   std::unique_ptr<ControlNode> node_;  // nullptr while the disk fails.
   ControlMailbox mailbox_;
   SyncMailbox sync_mailbox_;
-  boost::fibers::buffered_channel<Job> jobs_;
+  // Shared with open probes, which may be answered after the shell has ended.
+  std::shared_ptr<boost::fibers::buffered_channel<Job>> jobs_;
   ControlClient client_;
   Wakeup wakeup_;
   TimePoint reopen_at_{};  // When to call OpenNode() again if node_ is nullptr.
--- a/src/runtime/fleet_shell.cc
+++ b/src/runtime/fleet_shell.cc
@@ -260,6 +260,10 @@
   control_.Get(std::move(callback));
 }
 
+bool FleetShell::HasNewerPeer() const {
+  return control_.Status().newest_level() > kCurrentLevel.value();
+}
+
 void FleetShell::Flush() {
   socket_.SendAll(out_);
   wakeup_.BringForward(peers_->NextWake());
--- a/src/runtime/fleet_shell.h
+++ b/src/runtime/fleet_shell.h
@@ -43,6 +43,7 @@
                        Callback<Result<EndpointId>> callback) override;
   void Apply(pb::Change change, Callback<pb::ApplyReply> callback) override;
   void Get(Callback<pb::GetReply> callback) override;
+  bool HasNewerPeer() const override;
 
  private:
   using Job = std::function<void()>;
--- a/src/runtime/serve.cc
+++ b/src/runtime/serve.cc
@@ -104,6 +104,12 @@
              const CreatePlatformAdapterFunction& create_platform_adapter) {
   const SignalFd signals;
   StartLogging(settings.log_level, settings.log_file, settings.vm);
+  for (const std::string& it : settings.ignored_keys) {
+    LogEvent(LogLevel::kWarn, "setting_ignored",
+             {{"key", it},
+              {"settings_level", settings.level.value()},
+              {"build_level", kCurrentLevel.value()}});
+  }
   Reactor& reactor = Reactor::StartOnThisThread();
   Publisher publisher = Publisher::Create(settings).value();
   std::unique_ptr<ControlShell> control;
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::int64_t kMaxPort = 65535;
+// Far above the number of builds that will ever exist; catches a port or a year
+// that is written by mistake.
+constexpr std::int64_t kMaxLevel = 1000;
 // A crashed endpoint is detected when it does not answer flows, so the lease
 // only has to remove endpoints to which no caller opens flows. It spans several
 // heartbeats, as a network partition between VMs lasts for some of them.
@@ -228,8 +231,9 @@
 }
 
 Settings ReadRoot(const JsonValue& root) {
-  root.CheckKeys({"vm", "data_center", "data_centers", "entry", "control",
-                  "fleet", "flows", "doors", "log", "trace_file", "metrics"});
+  root.CheckKeys({"vm", "data_center", "level", "data_centers", "entry",
+                  "control", "fleet", "flows", "doors", "log", "trace_file",
+                  "metrics"});
   Settings settings;
   ListenAddresses sockets;
   settings.vm = root.At("vm").Name();
@@ -276,16 +280,31 @@
   return settings;
 }
 
+FeatureLevel ReadLevel(const JsonValue& root) {
+  const JsonValue* level = root.Find("level");
+  return level == nullptr ? kCurrentLevel
+                          : FeatureLevel{static_cast<std::uint32_t>(
+                                level->Integer(1, kMaxLevel))};
+}
+
 }  // namespace
 
 Result<Settings> ParseSettings(std::string_view file_name,
                                std::string_view text) {
-  const Result<JsonDocument> file = JsonDocument::Parse(file_name, text);
+  Result<JsonDocument> file = JsonDocument::Parse(file_name, text);
   if (!file.ok()) {
     return file.error();
   }
   try {
-    return ReadRoot(file->root());
+    const FeatureLevel level = ReadLevel(file->root());
+    const auto ignored_keys =
+        level > kCurrentLevel ? file->IgnoreUnknownKeys() : nullptr;
+    Settings settings = ReadRoot(file->root());
+    settings.level = level;
+    if (ignored_keys != nullptr) {
+      settings.ignored_keys = *ignored_keys;
+    }
+    return settings;
   } catch (const Error& e) {
     return e;
   }
--- a/src/settings/settings_test.cc
+++ b/src/settings/settings_test.cc
@@ -97,12 +97,50 @@
     "expected a name of 1 to 63 letters, digits, '.', '_' or '-', a letter or "
     "digit first, got ";
 
+struct LevelCase {
+  std::string_view level;    // Member of the file.
+  std::string_view unknown;  // Member with an unknown key.
+  std::string_view error;    // Part of the message; empty: accepted.
+  std::vector<std::string> ignored_keys;
+};
+
+// Guards against a process that exits when the settings of the next version are
+// installed before its binary, and against a typo that goes unnoticed.
+TEST_CASE("only a file for a newer build may have unknown keys", "[settings]") {
+  const std::string current =
+      "\"level\": " + std::to_string(kCurrentLevel.value()) + ",";
+  const auto row = GENERATE_COPY(values<LevelCase>({
+      {"", "", "", {}},
+      {current, "", "", {}},
+      {"\"level\": 999,", "", "", {}},
+      {"\"level\": 999,", "\"depth\": 3,", "", {"vm.json:5: entry.depth"}},
+      {"", "\"depth\": 3,", "entry.depth: expected one of the keys", {}},
+      {current, "\"depth\": 3,", "entry.depth: expected one of the keys", {}},
+      {"\"level\": 0,", "", "level: expected", {}},
+      {"\"level\": \"6\",", "", "level: expected", {}},
+      {"\"level\": 2026000,", "", "level: expected", {}},
+  }));
+  CAPTURE(row.level, row.unknown);
+  std::string text =
+      ReplaceInValid("\"entry\": {", "\"entry\": {" + std::string(row.unknown));
+  text.insert(text.find("\"vm\""), row.level);
+  const Result<Settings> settings = ParseSettings("vm.json", text);
+  if (!row.error.empty()) {
+    REQUIRE_FALSE(settings.ok());
+    CHECK_THAT(std::string(settings.error().what()),
+               Catch::Contains(std::string(row.error)));
+    return;
+  }
+  REQUIRE(settings.ok());
+  CHECK(settings->ignored_keys == row.ignored_keys);
+}
+
 TEST_CASE("each fault is refused with its line and key", "[settings]") {
   const auto row = GENERATE(values<InvalidSetting>({
       // Keys.
       {"\"vm\": \"one\"", "\"name\": \"one\"",
-       "3: name: expected one of the keys vm, data_center, data_centers, "
-       "entry, control, "
+       "3: name: expected one of the keys vm, data_center, level, "
+       "data_centers, entry, control, "
        "fleet, flows, doors, log, trace_file, metrics, got an unknown key"},
       {"\"vm\": \"one\",", "", "1: vm: expected this key, got nothing"},
       {"\"data_center\"", "\"vm\"",
--- a/src/telemetry/log_events.cc
+++ b/src/telemetry/log_events.cc
@@ -18,6 +18,18 @@
     {"settings_refused", "error", "all", "reason",
      "the settings file has an error; the old settings stay in use",
      "run `vanillalatch check FILE`"},
+    {"setting_ignored", "warn", "all", "key, settings_level, build_level",
+     "the settings file is for a newer version, and this one does not know the "
+     "key",
+     "nothing during an upgrade"},
+    {"fleet_level_raised", "info", "control", "fleet_level, build_level",
+     "every control VM runs a build of this feature level; the fleet now uses "
+     "the messages and stored forms of that level",
+     "nothing"},
+    {"build_too_old", "error", "control", "build_level, needed_level, reason",
+     "this build can't read its data, or what the fleet writes; the VM neither "
+     "votes nor serves, and loses nothing",
+     "start the version that the other control VMs run"},
     {"log_lines_left_out", "warn", "all", "count, reason",
      "lines were dropped, as the reader of the log was too slow",
      "check the program that reads the log"},
