--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -8,6 +8,9 @@
 #   trap fleet_end EXIT
 #   fleet_start
 #
+# $fleet_program, if set, is the program that the VMs run, such as one that
+# scripts/build_version has built.
+#
 # Every process has a name; its process id is in $fleet_folder/NAME.pid.
 
 ip=127.0.0.1
@@ -121,8 +124,13 @@
 pid_of() {
   cat "$fleet_folder/$1.pid"
 }
+# The program of a VM: the one that `replace` has set, else $fleet_program.
+program_of() {
+  cat "$fleet_folder/$1.program" 2>/dev/null ||
+    echo "${fleet_program:-build/vanillalatch}"
+}
 serve() {
-  spawn "$1" build/vanillalatch serve --config "$fleet_folder/$1.json"
+  spawn "$1" "$(program_of "$1")" serve --config "$fleet_folder/$1.json"
 }
 
 # Waits up to 20 seconds until the text $1 is in at least $2 lines of
