--- a/src/feature/feature_level.cc
+++ b/src/feature/feature_level.cc
@@ -15,7 +15,8 @@
     {FeatureLevel{3}, FeatureLevel{3}, "8202a02",
      "evacuations, warm-up bounds, regions and data centres of members",
      "MembershipMessage, MemberUpdate, FlowMessage, FlowOpening, FlowTaken, "
-     "FlowSeen, FlowEnd, SyncRequest, Transfer",
+     "FlowSeen, FlowEnd, SyncRequest, ControlStatus, CollectReply, Done, "
+     "RequestMessage, Transfer",
      "Change, Catalog, FlowTable, FlowRoute, Service, LeaseUpdate"},
     {FeatureLevel{4}, FeatureLevel{3}, "0608a9a", "the age of an opening",
      "FlowOpening", ""},
--- a/src/placement/rendezvous_test.cc
+++ b/src/placement/rendezvous_test.cc
@@ -2,8 +2,11 @@
 
 #include <catch2/catch.hpp>
 #include <map>
+#include <string>
 #include <vector>
 
+#include "vanillalatch/base/hash.h"
+
 namespace vanillalatch {
 namespace {
 
@@ -48,5 +51,36 @@
   CHECK(DispatcherOf(ServiceId(1), members, 1) == std::nullopt);
 }
 
+// Guards against two builds that choose different dispatchers for one service,
+// and then both place its flows. The builds of 27ac5a3, e3d5096, 8202a02 and
+// 0608a9a all choose these.
+TEST_CASE("Every build since 27ac5a3 chooses the same dispatchers") {
+  std::vector<Member> members;
+  for (int n = 1; n <= 6; ++n) {
+    Member member;
+    member.id = NodeId(StableHash("entry-" + std::to_string(n)));
+    members.push_back(member);
+  }
+  members[3].state = MemberState::kSuspect;
+  members[4].state = MemberState::kDead;
+  members[5].dispatches = false;
+  struct Row {
+    std::uint32_t service;
+    std::vector<std::size_t> ranked;  // Numbers of the VMs, by rank.
+  };
+  const std::vector<Row> rows = {
+      {1, {1, 2, 3, 4}}, {2, {4, 3, 1, 2}}, {3, {4, 2, 3, 1}},
+      {4, {2, 4, 1, 3}}, {5, {2, 1, 3, 4}}, {6, {1, 4, 3, 2}},
+      {7, {2, 1, 4, 3}}, {8, {4, 3, 1, 2}},
+  };
+  for (const Row& row : rows) {
+    for (std::size_t rank = 0; rank < row.ranked.size(); ++rank) {
+      CAPTURE(row.service, rank);
+      CHECK(DispatcherOf(ServiceId(row.service), members, rank) ==
+            members[row.ranked[rank] - 1].id);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace vanillalatch
