Update the endpoints of a service in linear time

Change: registered endpoints are looked up in a hash set, known endpoints are found before one is constructed, and leases are in a hash map with stable addresses.

--- a/src/packetflow/endpoint_table.cc
+++ b/src/packetflow/endpoint_table.cc
@@ -1,9 +1,10 @@
 #include "vanillalatch/packetflow/endpoint_table.h"
 
-#include <algorithm>
 #include <array>
 #include <charconv>
 
+#include "absl/container/flat_hash_set.h"
+
 namespace vanillalatch {
 namespace {
 
@@ -31,13 +32,14 @@
 
 void EndpointTable::SetEndpoints(TimePoint now, ServiceId service,
                                  std::span<const Endpoint> endpoints) {
+  absl::flat_hash_set<EndpointId> registered;
+  registered.reserve(endpoints.size());
+  for (const Endpoint& it : endpoints) {
+    registered.insert(it.id);
+  }
   for (auto& [cookie, entry] : by_cookie_) {
-    const EndpointId id = entry.target.endpoint;
-    const bool registered =
-        entry.target.service != service ||
-        std::any_of(endpoints.begin(), endpoints.end(),
-                    [&](const Endpoint& it) { return it.id == id; });
-    if (!registered && !entry.lost_at) {
+    if (entry.target.service == service && !entry.lost_at &&
+        !registered.contains(entry.target.endpoint)) {
       entry.lost_at = now;
     }
   }
--- a/src/placement/endpoint_pool.cc
+++ b/src/placement/endpoint_pool.cc
@@ -37,18 +37,21 @@
 
 std::pair<TrackedEndpoint*, bool> EndpointPool::Add(TimePoint now,
                                                     const Endpoint& endpoint) {
-  const auto [entry, added] = endpoints_.try_emplace(
-      endpoint.id, TrackedEndpoint(now, endpoint, ramp_));
-  if (added) {
-    ColdStart& cold = entry->second.cold();
-    cold.SetWarmUp(now, warm_up_);
-    cold.SetUse(now, cold_use_);
-    const auto ended = evacuation_ended_.find(endpoint.data_center);
-    if (ended != evacuation_ended_.end()) {
-      cold.OnEvacuationEnded(now, ended->second);
-    }
-  }
-  return {&entry->second, added};
+  const auto known = endpoints_.find(endpoint.id);
+  if (known != endpoints_.end()) {
+    return {&known->second, false};
+  }
+  TrackedEndpoint& tracked =
+      endpoints_.emplace(endpoint.id, TrackedEndpoint(now, endpoint, ramp_))
+          .first->second;
+  ColdStart& cold = tracked.cold();
+  cold.SetWarmUp(now, warm_up_);
+  cold.SetUse(now, cold_use_);
+  const auto ended = evacuation_ended_.find(endpoint.data_center);
+  if (ended != evacuation_ended_.end()) {
+    cold.OnEvacuationEnded(now, ended->second);
+  }
+  return {&tracked, true};
 }
 
 void EndpointPool::SetEvacuated(TimePoint now,
--- a/src/registry/lease_store.h
+++ b/src/registry/lease_store.h
@@ -5,13 +5,13 @@
 
 #include <array>
 #include <cstdint>
-#include <map>
 #include <span>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/node_hash_map.h"
 #include "src/registry/lease.h"
 
 namespace vanillalatch::internal {
@@ -72,8 +72,8 @@
     std::uint64_t version = 0;
   };
 
-  // A std::map, because buckets_ contains pointers to its values.
-  std::map<EndpointId, Lease> leases_;
+  // With stable addresses, because buckets_ contains pointers to its values.
+  absl::node_hash_map<EndpointId, Lease> leases_;
   absl::flat_hash_map<SocketAddress, EndpointId> by_address_;
   absl::flat_hash_map<std::pair<ServiceId, std::string>, EndpointId> by_name_;
   absl::flat_hash_map<ServiceId, View> views_;
