Bound how often a VM goes over all of its endpoints (try)

Cause: with 3,000 endpoints, an entry VM updates its tables, schedulers and shards after nearly every message while the endpoints register.

Change: after an update, the next one of OnTick() is due 30 us for each endpoint later (0.5 ms with 18, 4.5 ms with 150, 90 ms with 3,000). Catalogs and lists of a control VM are applied at once, as before.

packetflow_tests: as before.

--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -14,6 +14,10 @@
 // How long a VM that has just started waits for further endpoints: membership
 // sends them in several messages, within its byte budget.
 constexpr Duration kEndpointSettleTime = std::chrono::seconds(2);
+// The time from one update of the endpoints to the next, for each endpoint.
+// While thousands of them register, each message changes some, and an update
+// goes over all of them; this bounds its share of a small VM's processor.
+constexpr Duration kUpdateIntervalPerEndpoint = std::chrono::microseconds(30);
 // The state of a flow is removed one to two generations after its last packet;
 // most flows are shorter than that.
 constexpr Duration kFlowTrackerGeneration = std::chrono::seconds(30);
@@ -234,7 +238,9 @@
   peers_->OnTick(now, out);
   CountMembershipSent(out, sent_before);
   UpdateEvacuations(now);
-  UpdateEndpoints(now);
+  if (now >= endpoints_due_) {
+    UpdateEndpoints(now);
+  }
   if (peers_->members().version() != members_version_) {
     members_version_ = peers_->members().version();
     for (auto& [service, it] : shards_) {
@@ -281,8 +287,18 @@
   }
 }
 
+bool FlowNodeImpl::HasEndpointChanges() const {
+  return std::any_of(routes_.services().begin(), routes_.services().end(),
+                     [&](ServiceId it) {
+                       const auto known = endpoint_versions_.find(it);
+                       return known == endpoint_versions_.end() ||
+                              known->second != peers_->registry().VersionOf(it);
+                     });
+}
+
 void FlowNodeImpl::UpdateEndpoints(TimePoint now) {
   const Registry& registry = peers_->registry();
+  std::size_t updated = 0;
   if (TakeEndpointRefresh(now)) {
     endpoint_versions_.clear();
   }
@@ -301,11 +317,13 @@
         usable.push_back(endpoint);
       }
     }
+    updated += usable.size();
     dispatcher_->SetEndpoints(now, it, usable, actions_);
     for (FlowOpening& opening : waiting) {
       Dispatch(now, std::move(opening));
     }
   }
+  endpoints_due_ = now + kUpdateIntervalPerEndpoint * updated;
 }
 
 void FlowNodeImpl::UpdateFirstDispatchers(TimePoint now) {
@@ -329,6 +347,9 @@
 
 TimePoint FlowNodeImpl::NextWake() const {
   TimePoint wake = std::min(peers_->NextWake(), dispatcher_->NextWake());
+  if (HasEndpointChanges()) {
+    wake = std::min(wake, endpoints_due_);
+  }
   for (const auto& [id, it] : pending_handovers_) {
     wake = std::min(wake, it.due);
   }
--- a/src/packetflow/flow_node_impl.h
+++ b/src/packetflow/flow_node_impl.h
@@ -206,6 +206,8 @@
   // Copies the endpoints of services that have changed from the registry to
   // the endpoint table and the dispatcher.
   void UpdateEndpoints(TimePoint now);
+  // True if the registry has changes that UpdateEndpoints() has not applied.
+  bool HasEndpointChanges() const;
   // Notifies dispatcher_ of the shards whose first-ranked VM has changed.
   void UpdateFirstDispatchers(TimePoint now);
   // Applies the evacuations of the catalog or of a peer's notice.
@@ -295,6 +297,8 @@
   std::vector<std::string> reported_data_centers_;
   RouteTable routes_;
   EndpointTable endpoints_;
+  // OnTick() updates the endpoints from then on.
+  TimePoint endpoints_due_ = TimePoint::min();
   // Registry version of each service as of the last UpdateEndpoints().
   std::map<ServiceId, std::uint64_t> endpoint_versions_;
   std::uint64_t members_version_ = 0;
