Report what damage of the log hides and what follows it

Cause: customers saw "damaged record at byte 10529 before the last record" and nothing else: the line names an offset, not what was damaged or what follows, and its repetition every 0.5 s filled the record.

Change: FindRecordDamage() describes the first damaged record and returns the intact ones after it. disk_refused says how many bytes are damaged and how many of the records that follow have entries or a vote (written with a sync), and the highest commit index; a reason that repeats is logged after 1, 2, 4, 8 ... times. control_opened has the number of records, the bytes of a dropped end, the last and the commit index. No decision changes: DecodeRecords() accepts and refuses as before, and its tests are untouched.

--- a/include/vanillalatch/consensus/replica_store.h
+++ b/include/vanillalatch/consensus/replica_store.h
@@ -19,6 +19,14 @@
 
 namespace vanillalatch {
 
+// What Open() has found in the log file, for the log.
+struct LogFileSummary {
+  std::size_t records = 0;
+  std::size_t dropped_bytes = 0;  // Of a damaged end.
+  std::uint64_t last_index = 0;
+  std::uint64_t commit_index = 0;
+};
+
 class ReplicaStore {
  public:
   // Reads the stored state. An empty disk gets a new identity, made from
@@ -31,6 +39,7 @@
   std::uint64_t id() const { return id_; }
   // Returns the state that Open() has read. May be called once.
   StoredReplica TakeStoredReplica() { return std::move(stored_); }
+  const LogFileSummary& log_file() const { return log_file_; }
 
   // Makes the snapshot, vote and entries of `actions` durable. Throws
   // Error(kStorage); it is then unknown what was stored, and the replica must
@@ -53,6 +62,7 @@
   std::uint64_t id_;
   pb::Vote vote_;
   StoredReplica stored_;
+  LogFileSummary log_file_;
 };
 
 }  // namespace vanillalatch
--- a/include/vanillalatch/control/control_node.h
+++ b/include/vanillalatch/control/control_node.h
@@ -24,6 +24,7 @@
 #include "vanillalatch/base/result.h"
 #include "vanillalatch/base/strong.h"
 #include "vanillalatch/base/time.h"
+#include "vanillalatch/consensus/replica_store.h"
 #include "vanillalatch/feature/feature_level.h"
 #include "vanillalatch/storage/disk.h"
 
@@ -147,6 +148,8 @@
   virtual ControlActions TakeActions() = 0;
   // The role, term, commit index and catalog revision of this VM.
   virtual pb::ControlStatus Status() const = 0;
+  // What Create() has found in the log file.
+  virtual const LogFileSummary& log_file() const = 0;
 };
 
 }  // namespace vanillalatch
--- a/include/vanillalatch/storage/record_file.h
+++ b/include/vanillalatch/storage/record_file.h
@@ -31,6 +31,17 @@
   bool torn = false;            // The last record was incomplete or damaged.
 };
 
+// What follows the intact records at the start of a file.
+struct RecordDamage {
+  std::size_t offset = 0;  // Of the first damaged record, in bytes.
+  std::size_t bytes = 0;   // Up to the next intact record or the end; 0: none.
+  // Size of the damaged record's payload; 0 if its header is damaged, too.
+  std::size_t payload_bytes = 0;
+  bool is_last = true;  // The end of the file may be a single torn record.
+  // Payloads of the intact records after the damage; they point into the text.
+  std::vector<std::string_view> later;
+};
+
 // Encodes `payload`, which must not be empty, as a record.
 std::string EncodeRecord(std::string_view payload);
 
@@ -40,6 +51,9 @@
 // to the length of the record before it makes both of them count as torn.
 Result<RecordScan> DecodeRecords(std::string_view text);
 
+// Finds the first damaged record and the intact records after it.
+RecordDamage FindRecordDamage(std::string_view text);
+
 }  // namespace vanillalatch
 
 #endif  // VANILLALATCH_STORAGE_RECORD_FILE_H_
--- a/src/consensus/replica_store.cc
+++ b/src/consensus/replica_store.cc
@@ -48,6 +48,26 @@
   }
 }
 
+// Describes damage before the last record. The kind of the records after it
+// tells whether they were written with a sync.
+std::string DescribeDamage(const RecordDamage& damage) {
+  std::size_t with_state = 0;
+  std::uint64_t last_commit = 0;
+  for (const std::string_view it : damage.later) {
+    const auto batch = ParseRecord<pb::StoredBatch>(kLogFile, it);
+    with_state += batch.has_vote() || batch.entries_size() > 0 ? 1 : 0;
+    last_commit = std::max(last_commit, batch.commit());
+  }
+  return "damaged record at byte " + std::to_string(damage.offset) +
+         " before the last record: " + std::to_string(damage.bytes) +
+         " bytes are damaged (stated payload: " +
+         std::to_string(damage.payload_bytes) + " bytes), " +
+         std::to_string(damage.later.size()) + " records follow, " +
+         std::to_string(with_state) +
+         " of them with entries or a vote, highest commit index " +
+         std::to_string(last_commit);
+}
+
 }  // namespace
 
 Result<ReplicaStore> ReplicaStore::Open(Disk& disk, std::string_view vm,
@@ -86,6 +106,10 @@
 }
 
 void ReplicaStore::LoadLog(const std::string& content) {
+  const RecordDamage damage = FindRecordDamage(content);
+  if (!damage.is_last) {
+    throw Error(ErrorKind::kCorrupt, DescribeDamage(damage));
+  }
   const RecordScan scan = DecodeRecords(content).value();
   bool first = true;
   for (const std::string_view payload : scan.payloads) {
@@ -103,6 +127,8 @@
   if (first) {
     throw Error(ErrorKind::kCorrupt, "the log has no first record");
   }
+  log_file_ = {scan.payloads.size(), content.size() - scan.valid_bytes,
+               stored_.log.last_index(), stored_.commit_index};
   if (scan.torn) {
     disk_->Replace(kLogFile, content.substr(0, scan.valid_bytes));
   }
--- a/src/consensus/replica_store_test.cc
+++ b/src/consensus/replica_store_test.cc
@@ -100,6 +100,23 @@
   CHECK(stored.log.last_index() == 9);
 }
 
+TEST_CASE("damage before the last record is reported with what follows it",
+          "[store]") {
+  FakeDisk disk;
+  ReplicaStore store = OpenStore(disk);
+  const std::size_t offset = disk.Read("log")->size();
+  store.Save(Append(1, 2, 1));
+  const std::size_t damaged_bytes = disk.Read("log")->size() - offset;
+  store.Save(Append(3, 4, 1));
+  disk.FlipBit("log", offset);
+  const Result<ReplicaStore> result = ReplicaStore::Open(disk, "c1", 1);
+  CHECK(std::string(result.error().what()) ==
+        "damaged record at byte " + std::to_string(offset) +
+            " before the last record: " + std::to_string(damaged_bytes) +
+            " bytes are damaged (stated payload: 0 bytes), 1 records follow, 1 "
+            "of them with entries or a vote, highest commit index 0");
+}
+
 TEST_CASE("damage is refused", "[store]") {
   FakeDisk disk;
   ReplicaStore store = OpenStore(disk);
--- a/src/runtime/control_shell.cc
+++ b/src/runtime/control_shell.cc
@@ -1,5 +1,6 @@
 #include "src/runtime/control_shell.h"
 
+#include <bit>
 #include <boost/fiber/operations.hpp>
 #include <functional>
 #include <random>
@@ -248,9 +249,15 @@
     return;
   }
   node_ = std::move(*node);
+  refusal_reason_.clear();
+  const LogFileSummary& log_file = node_->log_file();
   LogEvent(LogLevel::kInfo, "control_opened",
            {{"revision", node_->Status().revision()},
-            {"term", node_->Status().term()}});
+            {"term", node_->Status().term()},
+            {"records", log_file.records},
+            {"dropped_bytes", log_file.dropped_bytes},
+            {"last_index", log_file.last_index},
+            {"commit_index", log_file.commit_index}});
   if (on_note_read_) {
     std::exchange(on_note_read_,
                   {})(disk_->Read(kNoteFile).value_or(std::string()));
@@ -266,15 +273,26 @@
     RefuseOpenCalls(ErrorKind::kStorage, kBuildTooOld);
     return;
   }
-  LogEvent(LogLevel::kError, "disk_refused",
-           {{"reason", std::string(error.what())},
-            {"kind", ErrorKindName(error.kind())},
-            {"leads", node_ != nullptr && node_->Status().role() == "leader"}});
+  LogRefusal(error);
   node_.reset();
   reopen_at_ = Now() + kReopenDelay;
   RefuseOpenCalls(ErrorKind::kStorage, kDiskFailed);
 }
 
+void ControlShell::LogRefusal(const Error& error) {
+  const std::string reason = error.what();
+  refusals_ = reason == refusal_reason_ ? refusals_ + 1 : 1;
+  refusal_reason_ = reason;
+  if (!std::has_single_bit(refusals_)) {
+    return;
+  }
+  LogEvent(LogLevel::kError, "disk_refused",
+           {{"reason", reason},
+            {"kind", ErrorKindName(error.kind())},
+            {"leads", node_ != nullptr && node_->Status().role() == "leader"},
+            {"times", refusals_}});
+}
+
 void ControlShell::RefuseOpenCalls(ErrorKind refusal,
                                    const std::string& reason) {
   const std::string kind = ErrorKindName(refusal);
--- a/src/runtime/control_shell.h
+++ b/src/runtime/control_shell.h
@@ -88,6 +88,9 @@
   // Destroys the node after a disk failure, and schedules OpenNode(). A build
   // that can't read the stored data does not try again.
   void CloseNode(const Error& error);
+  // Logs an error of the disk. One that repeats is logged after 1, 2, 4, 8 ...
+  // times, so that it does not displace what preceded it.
+  void LogRefusal(const Error& error);
   void RefuseOpenCalls(ErrorKind refusal, const std::string& reason);
   // Sends the messages and replies that the node requested.
   void ExecuteActions();
@@ -127,6 +130,8 @@
   ControlClient client_;
   Wakeup wakeup_;
   TimePoint reopen_at_{};  // When to call OpenNode() again if node_ is nullptr.
+  std::string refusal_reason_;  // Empty once the node has been opened.
+  std::uint64_t refusals_ = 0;  // With this reason.
   std::uint64_t last_ticket_ = 0;
   OpenCalls<pb::ApplyReply> applies_;
   OpenCalls<pb::GetReply> gets_;
--- a/src/storage/record_file.cc
+++ b/src/storage/record_file.cc
@@ -53,23 +53,34 @@
          StableHash(text.substr(kRecordHeaderBytes, length));
 }
 
-// True if an intact record starts anywhere after the first byte of `text`.
-bool HasLaterRecord(std::string_view text) {
+// Returns the payload of the record at the start of `text`; empty if the record
+// is incomplete or damaged.
+std::string_view IntactPayload(std::string_view text) {
+  const std::size_t length = PayloadLength(text);
+  return IsPayloadIntact(text, length) ? text.substr(kRecordHeaderBytes, length)
+                                       : std::string_view();
+}
+
+// Returns the position of the first intact record after the first byte of
+// `text`; its size if there is none.
+std::size_t FindLaterRecord(std::string_view text) {
   for (std::size_t n = 1; n + kRecordHeaderBytes < text.size(); ++n) {
-    const std::string_view rest = text.substr(n);
-    if (IsPayloadIntact(rest, PayloadLength(rest))) {
-      return true;
+    if (!IntactPayload(text.substr(n)).empty()) {
+      return n;
     }
   }
-  return false;
+  return text.size();
 }
 
-// True if the damaged record at the start of `text` is not the last record.
-bool IsDamageBeforeLastRecord(std::string_view text, std::size_t length) {
-  if (length != 0 && text.size() > kRecordHeaderBytes + length) {
-    return true;
+// Takes the intact records from the start of `text`.
+std::vector<std::string_view> TakeIntactRecords(std::string_view& text) {
+  std::vector<std::string_view> payloads;
+  for (std::string_view it = IntactPayload(text); !it.empty();
+       it = IntactPayload(text)) {
+    payloads.push_back(it);
+    text.remove_prefix(kRecordHeaderBytes + it.size());
   }
-  return HasLaterRecord(text);
+  return payloads;
 }
 
 }  // namespace
@@ -85,23 +96,33 @@
 }
 
 Result<RecordScan> DecodeRecords(std::string_view text) {
-  RecordScan scan;
-  while (scan.valid_bytes < text.size()) {
-    const std::string_view rest = text.substr(scan.valid_bytes);
-    const std::size_t length = PayloadLength(rest);
-    if (!IsPayloadIntact(rest, length)) {
-      if (IsDamageBeforeLastRecord(rest, length)) {
-        return Error(ErrorKind::kCorrupt, "damaged record at byte " +
-                                              std::to_string(scan.valid_bytes) +
-                                              " before the last record");
-      }
-      scan.torn = true;
-      break;
+  const RecordDamage damage = FindRecordDamage(text);
+  if (!damage.is_last) {
+    return Error(ErrorKind::kCorrupt, "damaged record at byte " +
+                                          std::to_string(damage.offset) +
+                                          " before the last record");
+  }
+  return RecordScan{TakeIntactRecords(text), damage.offset, damage.bytes > 0};
+}
+
+RecordDamage FindRecordDamage(std::string_view text) {
+  RecordDamage damage;
+  std::string_view rest = text;
+  TakeIntactRecords(rest);
+  damage.offset = text.size() - rest.size();
+  damage.payload_bytes = PayloadLength(rest);
+  damage.bytes = FindLaterRecord(rest);
+  const std::size_t stated_bytes = kRecordHeaderBytes + damage.payload_bytes;
+  damage.is_last = damage.bytes == rest.size() &&
+                   (damage.payload_bytes == 0 || rest.size() <= stated_bytes);
+  rest.remove_prefix(damage.bytes);
+  while (!rest.empty()) {
+    for (const std::string_view it : TakeIntactRecords(rest)) {
+      damage.later.push_back(it);
     }
-    scan.payloads.push_back(rest.substr(kRecordHeaderBytes, length));
-    scan.valid_bytes += kRecordHeaderBytes + length;
+    rest.remove_prefix(FindLaterRecord(rest));
   }
-  return scan;
+  return damage;
 }
 
 }  // namespace vanillalatch
--- a/src/storage/storage_test.cc
+++ b/src/storage/storage_test.cc
@@ -68,6 +68,50 @@
   }
 }
 
+struct DamageRow {
+  const char* name;
+  std::size_t first;  // First damaged byte.
+  std::size_t size;   // Number of damaged bytes.
+  std::size_t offset;
+  std::size_t bytes;
+  std::size_t payload_bytes;
+  std::vector<std::string_view> later;
+};
+
+TEST_CASE("damage is described by what it hides and what follows it",
+          "[storage]") {
+  constexpr std::size_t kFirst = kRecordHeaderBytes + 5;
+  constexpr std::size_t kSecond = kRecordHeaderBytes + 6;
+  constexpr std::size_t kThird = kRecordHeaderBytes + 5;
+  const auto row = GENERATE_COPY(values<DamageRow>(
+      {{"nothing", 0, 0, kFirst + kSecond + kThird, 0, 0, {}},
+       {"first payload",
+        kRecordHeaderBytes,
+        1,
+        0,
+        kFirst,
+        5,
+        {"second", "third"}},
+       {"first record", 0, kFirst, 0, kFirst, 0, {"second", "third"}},
+       {"two records", 0, kFirst + kSecond, 0, kFirst + kSecond, 0, {"third"}},
+       {"last record",
+        kFirst + kSecond,
+        kThird,
+        kFirst + kSecond,
+        kThird,
+        0,
+        {}}}));
+  CAPTURE(row.name);
+  std::string text = ThreeRecords();
+  text.replace(row.first, row.size, row.size, '\0');
+  const RecordDamage damage = FindRecordDamage(text);
+  CHECK(damage.offset == row.offset);
+  CHECK(damage.bytes == row.bytes);
+  CHECK(damage.payload_bytes == row.payload_bytes);
+  CHECK(damage.later == row.later);
+  CHECK(damage.is_last == row.later.empty());
+}
+
 TEST_CASE("files of a folder are appended, replaced and removed", "[storage]") {
   const std::string folder = "build/test-data/storage/nested";
   std::filesystem::remove_all(folder);
--- a/src/telemetry/log_events.cc
+++ b/src/telemetry/log_events.cc
@@ -155,8 +155,10 @@
      "ready, revision, endpoints, members_alive, packets, unknown_endpoint, "
      "placed_alone, declined, placed, moved, refused, expired",
      "totals since the start, logged every 5 s", "nothing"},
-    {"control_opened", "info", "control", "revision, term",
-     "the replicated log was read from the disk, up to this revision",
+    {"control_opened", "info", "control",
+     "revision, term, records, dropped_bytes, last_index, commit_index",
+     "the replicated log was read from the disk, up to this revision; "
+     "dropped_bytes: size of a damaged end, which a crash has left",
      "nothing"},
     {"control_role_changed", "info", "control", "role, term",
      "this VM is now leader, voter or learner",
@@ -170,10 +172,13 @@
     {"door_call_dropped", "warn", "control", "reason, limit",
      "a call of an endpoint was dropped, as too many calls wait",
      "add control VMs, or reduce the number of callers"},
-    {"disk_refused", "error", "control", "reason, kind, leads",
-     "the disk reports an error; the control VM tries to reopen its state from "
-     "the disk every 0.5 s",
-     "free space on the disk, or replace it"},
+    {"disk_refused", "error", "control", "reason, kind, leads, times",
+     "the disk reports an error (kind storage), or a file is damaged (kind "
+     "corrupt; for the log, reason says what follows the damage); the control "
+     "VM tries to reopen its state from the disk every 0.5 s; the same reason "
+     "is logged after 1, 2, 4, 8 ... times",
+     "storage: free space on the disk, or replace it; corrupt: see \"Lost "
+     "disk\" in docs/OPERATING.md"},
     {"note_not_kept", "warn", "control", "reason",
      "the list of endpoints could not be stored; after a restart it is rebuilt "
      "from reports",
