Store the commit index with the next synced record

What callers saw: a control VM that had lost power refused its log until the end ("damaged record at byte N before the last record"); a second such VM, or one lost disk, left the group without a majority, so changes got no acknowledgement and the configuration could not be read back.

Cause: ReplicaStore::Save() appended a record with only the commit index without a sync. Writes after the last sync are kept, lost or torn one by one, so a loss of power could lose such a record and keep the next one, although record_file.h says that a record is synced before the next is written. FakeDisk only cut off the unsynced end of a file, so no test saw a hole.

Change: a commit index is stored with the next vote or entries. After a restart a replica may know an earlier commit index until it hears from a leader, as it could before. FakeDisk::Crash() keeps, loses or tears each unsynced write.

--- a/include/vanillalatch/consensus/replica.h
+++ b/include/vanillalatch/consensus/replica.h
@@ -104,8 +104,8 @@
   std::optional<pb::Vote> vote;
   // These entries replace the stored log from the first one's index on.
   std::vector<pb::LogEntry> append;
-  // The new commit index, if it has grown. It is stored without a sync: losing
-  // it only means that a VM waits for a leader after a restart.
+  // The new commit index, if it has grown. It needs no sync: losing it only
+  // means that a VM waits for a leader after a restart.
   std::optional<std::uint64_t> commit_index;
   // Second: send the messages, then apply the committed entries in order.
   std::vector<Send> sends;
--- a/include/vanillalatch/consensus/replica_store.h
+++ b/include/vanillalatch/consensus/replica_store.h
@@ -41,9 +41,10 @@
   StoredReplica TakeStoredReplica() { return std::move(stored_); }
   const LogFileSummary& log_file() const { return log_file_; }
 
-  // Makes the snapshot, vote and entries of `actions` durable. Throws
-  // Error(kStorage); it is then unknown what was stored, and the replica must
-  // not continue.
+  // Makes the snapshot, vote and entries of `actions` durable. The commit index
+  // is stored with the next vote or entries: a record that is not synced could
+  // be lost while a later one is kept. Throws Error(kStorage); it is then
+  // unknown what was stored, and the replica must not continue.
   void Save(const ReplicaActions& actions);
 
   // Stores `snapshot` and replaces the log file by the entries of `log`. Throws
@@ -61,6 +62,7 @@
   Disk* disk_;
   std::uint64_t id_;
   pb::Vote vote_;
+  std::uint64_t commit_index_ = 0;  // Known to be committed.
   StoredReplica stored_;
   LogFileSummary log_file_;
 };
--- a/src/consensus/replica_store.cc
+++ b/src/consensus/replica_store.cc
@@ -1,5 +1,6 @@
 #include "vanillalatch/consensus/replica_store.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "vanillalatch/base/hash.h"
@@ -102,6 +103,7 @@
   }
   LoadLog(*content);
   vote_ = stored_.vote;
+  commit_index_ = stored_.commit_index;
   ReconcileWithSnapshot();
 }
 
@@ -166,14 +168,12 @@
     base.set_term(actions.installed_snapshot->term());
     RewriteLog(ReplicatedLog(base, {}));
   }
-  const bool sync = actions.vote || !actions.append.empty();
-  if (!sync && !actions.commit_index) {
+  commit_index_ = actions.commit_index.value_or(commit_index_);
+  if (!actions.vote && actions.append.empty()) {
     return;
   }
   pb::StoredBatch batch;
-  if (actions.commit_index) {
-    batch.set_commit(*actions.commit_index);
-  }
+  batch.set_commit(commit_index_);
   if (actions.vote) {
     *batch.mutable_vote() = *actions.vote;
   }
@@ -181,9 +181,7 @@
     *batch.add_entries() = it;
   }
   disk_->Append(kLogFile, EncodeRecord(batch.SerializeAsString()));
-  if (sync) {
-    disk_->Sync(kLogFile);
-  }
+  disk_->Sync(kLogFile);
 }
 
 void ReplicaStore::Compact(const pb::Snapshot& snapshot,
@@ -196,6 +194,7 @@
   pb::StoredBatch batch;
   *batch.mutable_base() = log.base();
   *batch.mutable_vote() = vote_;
+  batch.set_commit(std::min(commit_index_, log.last_index()));
   for (const pb::LogEntry& it : log.entries()) {
     *batch.add_entries() = it;
   }
--- a/src/consensus/replica_store_test.cc
+++ b/src/consensus/replica_store_test.cc
@@ -61,6 +61,29 @@
   CHECK(stored.log.TermAt(3) == 2);
 }
 
+ReplicaActions Commit(std::uint64_t index) {
+  ReplicaActions actions;
+  actions.commit_index = index;
+  return actions;
+}
+
+TEST_CASE("a loss of power after several commits leaves a log that opens",
+          "[store]") {
+  const auto seed = GENERATE(range(1U, 65U));
+  CAPTURE(seed);
+  FakeDisk disk;
+  std::mt19937_64 random(seed);
+  ReplicaStore store = OpenStore(disk);
+  store.Save(Append(1, 3, 1));
+  for (std::uint64_t n = 1; n <= 3; ++n) {
+    store.Save(Commit(n));
+  }
+  disk.Crash(random, true);
+  Result<ReplicaStore> reopened = ReplicaStore::Open(disk, "c1", 1);
+  REQUIRE(reopened.ok());
+  CHECK(reopened->TakeStoredReplica().log.last_index() == 3);
+}
+
 TEST_CASE("a crash between the files of an installed snapshot is mended",
           "[store]") {
   const std::uint64_t stored_entries = GENERATE(0, 3, 5, 9);
--- a/src/storage/fake_disk.h
+++ b/src/storage/fake_disk.h
@@ -1,5 +1,6 @@
-// An in-memory disk for tests. A simulated crash loses unsynced data or leaves
-// a torn write, and can be armed to happen at a given sync.
+// An in-memory disk for tests. A simulated loss of power keeps, loses or tears
+// each write since the last sync, whatever became of the writes before it. It
+// can be armed to happen at a given sync.
 //
 //   FakeDisk disk;
 //   disk.CrashAtSync(3, FakeDisk::CrashTiming::kBefore);
@@ -8,6 +9,8 @@
 #ifndef VANILLALATCH_SRC_STORAGE_FAKE_DISK_H_
 #define VANILLALATCH_SRC_STORAGE_FAKE_DISK_H_
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -15,6 +18,8 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include "vanillalatch/storage/disk.h"
 
@@ -39,13 +44,17 @@
   }
 
   void Append(std::string_view name, std::string_view bytes) override {
-    files_[std::string(name)].content.append(bytes);
+    File& file = files_[std::string(name)];
+    file.unsynced.push_back({file.content.size(), bytes.size()});
+    file.content.append(bytes);
   }
 
   void Sync(std::string_view name) override {
     RunSyncPoint([&] {
       File& file = files_[std::string(name)];
-      file.synced = file.content;
+      for (const Write& it : std::exchange(file.unsynced, {})) {
+        file.StoreDurably(it.offset, file.content.substr(it.offset, it.size));
+      }
       file.is_durable = true;
     });
   }
@@ -53,7 +62,7 @@
   void Replace(std::string_view name, std::string_view bytes) override {
     RunSyncPoint([&] {
       files_[std::string(name)] =
-          File{std::string(bytes), std::string(bytes), true};
+          File{std::string(bytes), std::string(bytes), {}, true};
     });
   }
 
@@ -70,21 +79,19 @@
 
   void CancelCrash() { crash_at_sync_ = 0; }
 
-  // Simulates a power failure: unsynced bytes are lost. With `torn`, a random
-  // part of them stays, and its last byte is damaged.
+  // Simulates a loss of power: unsynced writes are lost. With `torn`, each of
+  // them is stored whole, stored in part or lost.
   void Crash(std::mt19937_64& random, bool torn) {
     crash_at_sync_ = 0;
     for (auto it = files_.begin(); it != files_.end();) {
       File& file = it->second;
-      const std::string tail = file.content.substr(
-          std::min(file.synced.size(), file.content.size()));
-      file.content = file.synced;
-      if (torn && !tail.empty() && file.is_durable) {
-        const std::size_t kept_bytes = 1 + random() % tail.size();
-        file.content += tail.substr(0, kept_bytes);
-        file.content.back() = static_cast<char>(file.content.back() ^ 0x40);
+      for (const Write& write : file.unsynced) {
+        if (torn) {
+          file.StorePart(write, random);
+        }
       }
-      file.synced = file.content;
+      file.unsynced.clear();
+      file.content = file.synced;
       it = file.is_durable ? std::next(it) : files_.erase(it);
     }
   }
@@ -101,10 +108,35 @@
   std::uint64_t syncs() const { return syncs_; }
 
  private:
+  struct Write {
+    std::size_t offset = 0;
+    std::size_t size = 0;
+  };
   struct File {
-    std::string content;
-    std::string synced;
-    bool is_durable = false;  // The file itself survives a crash.
+    std::string content;          // As read by a process.
+    std::string synced;           // What a loss of power leaves.
+    std::vector<Write> unsynced;  // In the order of the writes.
+    bool is_durable = false;      // The file itself survives a loss of power.
+
+    void StoreDurably(std::size_t offset, std::string_view bytes) {
+      synced.resize(std::max(synced.size(), offset + bytes.size()));
+      synced.replace(offset, bytes.size(), bytes);
+    }
+
+    void StorePart(const Write& write, std::mt19937_64& random) {
+      std::string bytes = content.substr(write.offset, write.size);
+      switch (random() % 3) {
+        case 0:
+          return;
+        case 1:
+          bytes.resize(1 + random() % bytes.size());
+          bytes.back() = static_cast<char>(bytes.back() ^ 0x40);
+          break;
+        default:
+          break;
+      }
+      StoreDurably(write.offset, bytes);
+    }
   };
 
   // Runs `work`, which makes data durable, unless an armed crash comes first.
