Make the stored state durable before a replica acts on it

Cause: a replica took what it read from its log as durable. It need not be: the process before may have been killed between the write and the sync of a record, or the sync failed, after which the system may drop the written pages. The replica then confirmed those entries to the leader, and later records were written behind a hole.

Change: ControlNode::Create() writes the log anew and syncs it once the replica has accepted the stored data, before it handles any event. ReplicaStore::Open() changes nothing any more. The tests can kill a process without a loss of power and make a sync fail; the random run does both.

--- a/include/vanillalatch/consensus/replica_store.h
+++ b/include/vanillalatch/consensus/replica_store.h
@@ -2,7 +2,8 @@
 // its last snapshot.
 //
 //   ReplicaStore store = ReplicaStore::Open(disk, "control-1", seed).value();
-//   StoredReplica stored = store.TakeStoredReplica();
+//   auto replica = Replica::Create(options, store.TakeStoredReplica(), ...);
+//   store.MakeDurable(replica->log());  // Before the replica acts.
 //   ...
 //   store.Save(replica.TakeActions());  // Durable when it returns.
 #ifndef VANILLALATCH_CONSENSUS_REPLICA_STORE_H_
@@ -29,9 +30,10 @@
 
 class ReplicaStore {
  public:
-  // Reads the stored state. An empty disk gets a new identity, made from
-  // `seed`, which must differ at every start of the process. Errors: kCorrupt
-  // if a file is damaged or missing, kStorage if the disk fails.
+  // Reads the stored state and does not change it. An empty disk gets a new
+  // identity, made from `seed`, which must differ at every start of the
+  // process. Errors: kCorrupt if a file is damaged or missing, kStorage if the
+  // disk fails.
   static Result<ReplicaStore> Open(Disk& disk, std::string_view vm,
                                    std::uint64_t seed);
 
@@ -39,6 +41,11 @@
   std::uint64_t id() const { return id_; }
   // Returns the state that Open() has read. May be called once.
   StoredReplica TakeStoredReplica() { return std::move(stored_); }
+  // Stores again what Open() has read, which may not be durable: the process
+  // before may have ended between a write and its sync, or a sync has failed.
+  // Drops a damaged end. `log` is that of the stored replica. Throws
+  // Error(kStorage).
+  void MakeDurable(const ReplicatedLog& log) { RewriteLog(log); }
   const LogFileSummary& log_file() const { return log_file_; }
 
   // Makes the snapshot, vote and entries of `actions` durable. The commit index
--- a/src/consensus/replica_store.cc
+++ b/src/consensus/replica_store.cc
@@ -131,9 +131,6 @@
   }
   log_file_ = {scan.payloads.size(), content.size() - scan.valid_bytes,
                stored_.log.last_index(), stored_.commit_index};
-  if (scan.torn) {
-    disk_->Replace(kLogFile, content.substr(0, scan.valid_bytes));
-  }
 }
 
 // Resets the log if it does not fit the snapshot. This happens after a crash
@@ -151,7 +148,6 @@
     next.set_index(index);
     next.set_term(stored_.snapshot->term());
     stored_.log.Reset(next);
-    RewriteLog(stored_.log);
   }
 }
 
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -63,6 +63,11 @@
   if (!replica.ok()) {
     return replica.error();
   }
+  try {
+    store->MakeDurable((*replica)->log());
+  } catch (const Error& e) {
+    return e;
+  }
   auto node = std::make_unique<internal::ControlNodeImpl>(
       std::move(options), std::move(*store), std::move(*replica));
   if (snapshot) {
--- a/src/control/control_random_test.cc
+++ b/src/control/control_random_test.cc
@@ -53,7 +53,7 @@
     if (with_orders_ && random_() % 2 == 0) {
       return GiveOrder();
     }
-    switch (random_() % 13) {
+    switch (random_() % 14) {
       case 0:
         return CrashOrStart(RandomControl());
       case 1:
@@ -69,30 +69,37 @@
             random_() % 20, random_() % 20,
             std::chrono::milliseconds(random_() % 60));
       case 6:
-        return world_.Control(RandomControl())
-            .disk.CrashAtSync(1 + random_() % 4,
-                              random_() % 2 == 0
-                                  ? FakeDisk::CrashTiming::kBefore
-                                  : FakeDisk::CrashTiming::kAfter);
+        return CrashAtSync(world_.Control(RandomControl()));
       case 7:
         return LoseDisk(RandomControl());
       case 8:
         return world_.Get(RandomControl());
       case 9:
         return ResendRandomChange();
+      case 10:
+        return world_.Control(RandomControl()).disk.FailNextSync();
       default:
         return RaceChanges();
     }
   }
 
   void CrashOrStart(const std::string& name) {
-    if (world_.Control(name).node) {
-      world_.Crash(name, random_() % 2 == 0);
-    } else {
+    if (!world_.Control(name).node) {
       world_.Start(name);
+    } else if (random_() % 3 == 0) {
+      world_.Kill(name);
+    } else {
+      world_.Crash(name, random_() % 2 == 0);
     }
   }
 
+  void CrashAtSync(ControlVm& vm) {
+    vm.is_killed_at_sync = random_() % 2 == 0;
+    vm.disk.CrashAtSync(1 + random_() % 4, random_() % 2 == 0
+                                               ? FakeDisk::CrashTiming::kBefore
+                                               : FakeDisk::CrashTiming::kAfter);
+  }
+
   void FreezeOrThaw(const std::string& name) {
     if (world_.Control(name).frozen) {
       world_.Thaw(name, random_() % 2 == 0);
--- a/src/control/control_scenario_test.cc
+++ b/src/control/control_scenario_test.cc
@@ -69,6 +69,11 @@
                           step.Named("when", "before") == "before"
                               ? FakeDisk::CrashTiming::kBefore
                               : FakeDisk::CrashTiming::kAfter);
+    Control(step.Word(0)).is_killed_at_sync = step.NamedNumber("kill", 0) != 0;
+  } else if (step.verb == "kill") {
+    Kill(step.Word(0));
+  } else if (step.verb == "fail-sync") {
+    Control(step.Word(0)).disk.FailNextSync();
   } else if (step.verb == "freeze") {
     Freeze(step.Word(0));
   } else if (step.verb == "thaw") {
--- a/src/control/control_world.h
+++ b/src/control/control_world.h
@@ -31,6 +31,8 @@
   bool may_bootstrap = false;
   bool frozen = false;
   bool stopping = false;
+  // A crash at a sync ends only the process; otherwise the VM loses power.
+  bool is_killed_at_sync = false;
   // Of the build that the next start runs. Builds below kEvacuationLevel drop
   // evacuation orders of operators.
   FeatureLevel level = kCurrentLevel;
@@ -90,7 +92,10 @@
   void AddControl(const std::string& name);
   void AddEntry(const std::string& name, std::vector<std::string> controls);
   void Start(const std::string& name);
+  // A loss of power.
   void Crash(const std::string& name, bool torn);
+  // Ends the process; its files stay as they are.
+  void Kill(const std::string& name);
   void LoseDisk(const std::string& name);  // Crashes the VM, too.
   // Crashes the VM if it is up, and starts it with a build of `level`.
   void ReplaceBuild(const std::string& name, FeatureLevel level);
@@ -150,6 +155,9 @@
   // The answer of a build from before evacuation orders.
   static pb::ApplyReply AnswerProbeAsOldBuild();
   void ScheduleTick(ControlVm& vm);
+  void HandleDiskCrash(ControlVm& vm);
+  // Destroys the node after a disk error and opens it again later.
+  void Reopen(ControlVm& vm, const Error& error);
   std::string NameOfAddress(const std::string& address) const;
 
   // Entry VMs and operators.
--- a/src/control/control_world_test.cc
+++ b/src/control/control_world_test.cc
@@ -12,6 +12,8 @@
 // Minimum time between two ticks of a control VM.
 constexpr Duration kMinTickInterval = std::chrono::microseconds(100);
 constexpr std::string_view kPort = ":7400";
+// As in the shell.
+constexpr Duration kReopenDelay = std::chrono::milliseconds(500);
 
 std::string FormatTime(TimePoint at) {
   const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -106,6 +108,9 @@
       AppendJournal(name + " does not start: " + node.error().what());
       return;
     }
+    if (!node.ok() && node.error().kind() == ErrorKind::kStorage) {
+      return Reopen(vm, node.error());
+    }
     vm.node = std::move(node).value();
     vm.identity = ReplicaOf(vm).id().value();
     vm.first_identity = vm.starts == 1 ? vm.identity : vm.first_identity;
@@ -113,10 +118,37 @@
                   std::to_string(vm.node->Status().revision()));
     RunOnNode(vm, [&](ControlNode& node) { node.OnTick(network_.now()); });
   } catch (const DiskCrash&) {
-    Crash(name, true);
+    HandleDiskCrash(vm);
+  }
+}
+
+void ControlWorld::HandleDiskCrash(ControlVm& vm) {
+  if (vm.is_killed_at_sync) {
+    Kill(vm.name);
+  } else {
+    Crash(vm.name, true);
   }
 }
 
+void ControlWorld::Reopen(ControlVm& vm, const Error& error) {
+  AppendJournal(vm.name + " closes its disk: " + error.what());
+  vm.node.reset();
+  network_.Schedule(network_.now() + kReopenDelay,
+                    [this, name = vm.name, starts = vm.starts] {
+                      if (Control(name).starts == starts) {
+                        Start(name);
+                      }
+                    });
+}
+
+void ControlWorld::Kill(const std::string& name) {
+  ControlVm& vm = Control(name);
+  vm.node.reset();
+  vm.queued_events.clear();
+  vm.disk.CancelCrash();
+  AppendJournal(name + " is killed");
+}
+
 void ControlWorld::Crash(const std::string& name, bool torn) {
   ControlVm& vm = Control(name);
   vm.node.reset();
@@ -201,8 +233,12 @@
   try {
     work(*vm.node);
   } catch (const DiskCrash&) {
-    Crash(vm.name, true);
-    return;
+    return HandleDiskCrash(vm);
+  } catch (const Error& e) {
+    if (e.kind() != ErrorKind::kStorage) {
+      throw;
+    }
+    return Reopen(vm, e);
   }
   ExecuteActions(vm, vm.node->TakeActions());
   ScheduleTick(vm);
--- a/src/storage/fake_disk.h
+++ b/src/storage/fake_disk.h
@@ -1,6 +1,7 @@
 // An in-memory disk for tests. A simulated loss of power keeps, loses or tears
 // each write since the last sync, whatever became of the writes before it. It
-// can be armed to happen at a given sync.
+// can be armed to happen at a given sync. A process that is only killed leaves
+// the files as they are.
 //
 //   FakeDisk disk;
 //   disk.CrashAtSync(3, FakeDisk::CrashTiming::kBefore);
@@ -52,7 +53,11 @@
   void Sync(std::string_view name) override {
     RunSyncPoint([&] {
       File& file = files_[std::string(name)];
-      for (const Write& it : std::exchange(file.unsynced, {})) {
+      const auto writes = std::exchange(file.unsynced, {});
+      if (std::exchange(fail_next_sync_, false)) {
+        throw Error(ErrorKind::kStorage, "the sync failed");
+      }
+      for (const Write& it : writes) {
         file.StoreDurably(it.offset, file.content.substr(it.offset, it.size));
       }
       file.is_durable = true;
@@ -70,6 +75,10 @@
     RunSyncPoint([&] { files_.erase(std::string(name)); });
   }
 
+  // Makes the next sync of a file fail. The writes that it was to store are
+  // not stored by a later sync either, although they can be read.
+  void FailNextSync() { fail_next_sync_ = true; }
+
   // Makes the n-th sync from now on throw DiskCrash, before or after it takes
   // effect.
   void CrashAtSync(std::uint64_t n, CrashTiming timing) {
@@ -155,6 +164,7 @@
   std::uint64_t syncs_ = 0;
   std::uint64_t crash_at_sync_ = 0;
   CrashTiming crash_timing_ = CrashTiming::kBefore;
+  bool fail_next_sync_ = false;
 };
 
 }  // namespace vanillalatch
