--- a/src/consensus/replica_store_test.cc
+++ b/src/consensus/replica_store_test.cc
@@ -1,8 +1,10 @@
 #include "vanillalatch/consensus/replica_store.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "src/storage/fake_disk.h"
+#include "vanillalatch/storage/record_file.h"
 
 namespace vanillalatch {
 namespace {
@@ -123,6 +125,103 @@
   CHECK(stored.log.last_index() == 9);
 }
 
+pb::StoredBatch Entries(std::uint64_t index) {
+  pb::StoredBatch batch;
+  *batch.add_entries() = Entry(index, 1);
+  return batch;
+}
+
+pb::StoredBatch CommitOnly(std::uint64_t index) {
+  pb::StoredBatch batch;
+  batch.set_commit(index);
+  return batch;
+}
+
+pb::StoredBatch VoteOnly() {
+  pb::StoredBatch batch;
+  batch.mutable_vote()->set_term(2);
+  batch.mutable_vote()->set_candidate(~std::uint64_t{0});
+  return batch;
+}
+
+// Damages a record in the way of a loss of power.
+enum class Loss : std::uint8_t { kMissing, kTornHeader, kTornPayload };
+
+void Damage(std::string& record, Loss loss) {
+  const std::size_t kept = loss == Loss::kMissing      ? 0
+                           : loss == Loss::kTornHeader ? 3
+                                                       : kRecordHeaderBytes;
+  std::fill(record.begin() + static_cast<std::ptrdiff_t>(kept), record.end(),
+            '\0');
+}
+
+struct OldLogRow {
+  const char* name;
+  std::vector<pb::StoredBatch> batches;  // After the entries 1 and 2.
+  std::size_t lost;                      // Index of the damaged one.
+  bool opens;
+};
+
+TEST_CASE("a log with lost commits of an earlier build opens, others don't",
+          "[store]") {
+  const auto row = GENERATE(values<OldLogRow>(
+      {{"a commit before a commit", {CommitOnly(1), CommitOnly(2)}, 0, true},
+       {"a commit before entries that were not synced",
+        {CommitOnly(2), Entries(3)},
+        0,
+        true},
+       {"a commit before synced entries",
+        {CommitOnly(2), Entries(3), CommitOnly(3)},
+        0,
+        false},
+       {"entries before entries", {Entries(3), Entries(4)}, 0, false},
+       {"entries before their commit", {Entries(3), CommitOnly(3)}, 0, false},
+       {"a vote before entries", {VoteOnly(), Entries(3)}, 0, false}}));
+  const auto loss =
+      GENERATE(Loss::kMissing, Loss::kTornHeader, Loss::kTornPayload);
+  CAPTURE(row.name, static_cast<int>(loss));
+  FakeDisk disk;
+  OpenStore(disk).Save(Append(1, 2, 1));
+  const std::size_t synced_bytes = disk.Read("log")->size();
+  for (std::size_t n = 0; n < row.batches.size(); ++n) {
+    std::string record = EncodeRecord(row.batches[n].SerializeAsString());
+    if (n == row.lost) {
+      Damage(record, loss);
+    }
+    disk.Append("log", record);
+  }
+  const std::size_t bytes = disk.Read("log")->size();
+  Result<ReplicaStore> store = ReplicaStore::Open(disk, "c1", 1);
+  REQUIRE(store.ok() == row.opens);
+  if (row.opens) {
+    CHECK(store->log_file().dropped_bytes == bytes - synced_bytes);
+    CHECK(store->TakeStoredReplica().log.last_index() == 2);
+  } else {
+    CHECK(store.error().kind() == ErrorKind::kCorrupt);
+  }
+}
+
+TEST_CASE("a log of an earlier build opens after any loss of power",
+          "[store]") {
+  for (std::uint64_t seed = 1; seed <= 2000; ++seed) {
+    CAPTURE(seed);
+    FakeDisk disk;
+    std::mt19937_64 random(seed);
+    OpenStore(disk).Save(Append(1, 3, 1));
+    for (std::uint64_t n = random() % 5; n > 0; --n) {
+      const auto batch = CommitOnly(1 + random() % 3);
+      disk.Append("log", EncodeRecord(batch.SerializeAsString()));
+    }
+    if (random() % 2 == 0) {
+      disk.Append("log", EncodeRecord(Entries(4).SerializeAsString()));
+    }
+    disk.Crash(random, true);
+    Result<ReplicaStore> store = ReplicaStore::Open(disk, "c1", 1);
+    REQUIRE(store.ok());
+    CHECK(store->TakeStoredReplica().log.last_index() >= 3);
+  }
+}
+
 TEST_CASE("damage before the last record is reported with what follows it",
           "[store]") {
   FakeDisk disk;
