Report the role of a control VM as closed while its log is not open

Cause: a control VM logged control_role_changed "learner", term 0, at every start, before it had read its log. After a disk error the role of the last open log stayed in the status, so vanillalatch_control_leader could be 1 on a VM that refuses every call.

Change: the status has the role "closed" until the log is open and after a disk error; control_role_changed reports it when it changes.

--- a/include/vanillalatch/control/control_node.h
+++ b/include/vanillalatch/control/control_node.h
@@ -99,6 +99,9 @@
   std::vector<std::pair<Ticket, pb::SyncReply>> syncs;
 };
 
+// The role in the status of a control VM whose log is not open.
+inline constexpr const char* kClosedRole = "closed";
+
 class ControlNode {
  public:
   // Opens the stored state, or starts with a new identity on an empty disk.
--- a/src/runtime/control_shell.cc
+++ b/src/runtime/control_shell.cc
@@ -131,7 +131,7 @@
           kJobQueueCapacity)) {
   status_.set_vm(settings.vm);
   status_.set_data_center(settings.data_center);
-  status_.set_role("learner");
+  status_.set_role(kClosedRole);
 }
 
 void ControlShell::Start() {
@@ -275,6 +275,9 @@
   }
   LogRefusal(error);
   node_.reset();
+  pb::ControlStatus status = Status();
+  status.set_role(kClosedRole);
+  UpdateStatus(status);
   reopen_at_ = Now() + kReopenDelay;
   RefuseOpenCalls(ErrorKind::kStorage, kDiskFailed);
 }
--- a/src/runtime/control_shell.h
+++ b/src/runtime/control_shell.h
@@ -63,7 +63,8 @@
   // The write is best effort: after a crash the text may be missing or old.
   // Thread-safe.
   void StoreNote(std::string text);
-  // The status after the node's last action. Thread-safe.
+  // The status after the node's last action. The role is kClosedRole while
+  // there is no node. Thread-safe.
   pb::ControlStatus Status() const;
 
  private:
--- a/src/runtime/publisher.h
+++ b/src/runtime/publisher.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "control.pb.h"
+#include "vanillalatch/control/control_node.h"
 #include "vanillalatch/entry/entry_node.h"
 #include "vanillalatch/membership/member.h"
 #include "vanillalatch/packetflow/flow_node.h"
@@ -74,7 +75,7 @@
   // The states that were logged last; changes are found by comparison.
   std::uint64_t revision_ = 0;
   std::map<std::string, std::string> member_states_;
-  std::string control_role_;
+  std::string control_role_ = kClosedRole;
 };
 
 }  // namespace vanillalatch
--- a/src/runtime/runtime_test.cc
+++ b/src/runtime/runtime_test.cc
@@ -121,6 +121,7 @@
     const auto shell = ControlShell::Create(OneControlVm(folder)).value();
     shell->Start();
     CHECK(ReadCatalog(*shell) == "storage");
+    CHECK(shell->Status().role() == kClosedRole);
     std::filesystem::remove(folder);
     std::string kind;
     for (int n = 0; n < 50 && kind != "read"; ++n) {
--- a/src/telemetry/log_events.cc
+++ b/src/telemetry/log_events.cc
@@ -161,7 +161,7 @@
      "dropped_bytes: size of a damaged end, which a crash has left",
      "nothing"},
     {"control_role_changed", "info", "control", "role, term",
-     "this VM is now leader, voter or learner",
+     "this VM is now leader, voter or learner; closed: it can't open its log",
      "if frequent without planned stops: check the network between control "
      "VMs"},
     {"control_not_stopped", "warn", "control", "reason",
