Sync the names of the files before a replica reads them

Cause: of the class of the incident: what can be read is not durable yet.

Change: Disk::SyncNames(); ReplicaStore::Open() calls it before it reads anything.

--- a/include/vanillalatch/storage/disk.h
+++ b/include/vanillalatch/storage/disk.h
@@ -31,6 +31,9 @@
   virtual void Replace(std::string_view name, std::string_view bytes) = 0;
   // Removes the file if it exists.
   virtual void Remove(std::string_view name) = 0;
+  // Makes durable which files there are, and which content a replaced file has.
+  // Needed only for changes of an earlier process or after an error.
+  virtual void SyncNames() = 0;
 };
 
 // Opens a folder as a disk; creates it if missing. Error: kStorage.
--- a/src/capacity/measure_control.cc
+++ b/src/capacity/measure_control.cc
@@ -24,6 +24,7 @@
     files_[std::string(name)].append(bytes);
   }
   void Sync(std::string_view) override {}
+  void SyncNames() override {}
   void Replace(std::string_view name, std::string_view bytes) override {
     files_[std::string(name)] = std::string(bytes);
   }
--- a/src/consensus/replica_store.cc
+++ b/src/consensus/replica_store.cc
@@ -75,6 +75,9 @@
 Result<ReplicaStore> ReplicaStore::Open(Disk& disk, std::string_view vm,
                                         std::uint64_t seed) {
   try {
+    // Otherwise a loss of power could keep some files of the state that is read
+    // here and replace others by earlier ones.
+    disk.SyncNames();
     const std::optional<std::string> stored_identity = disk.Read(kIdentityFile);
     const std::string identity =
         stored_identity ? ReadSingleRecord(kIdentityFile, *stored_identity)
--- a/src/consensus/replica_store_test.cc
+++ b/src/consensus/replica_store_test.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
+#include <utility>
 
 #include "src/storage/fake_disk.h"
 #include "vanillalatch/storage/record_file.h"
@@ -109,6 +111,95 @@
   CHECK(stored.log.TermAt(5) == term);
 }
 
+// Files whose new names a loss of power keeps or loses one by one until the
+// folder has been synced. A sync of the folder can be made to end the process.
+class FolderDisk final : public Disk {
+ public:
+  std::optional<std::string> Read(std::string_view name) override {
+    const auto it = files_.find(name);
+    return it == files_.end() ? std::nullopt : std::optional(it->second);
+  }
+
+  void Append(std::string_view name, std::string_view bytes) override {
+    files_[std::string(name)].append(bytes);
+  }
+
+  void Sync(std::string_view name) override {
+    SyncNames();
+    durable_[std::string(name)] = files_[std::string(name)];
+  }
+
+  void Replace(std::string_view name, std::string_view bytes) override {
+    files_[std::string(name)] = bytes;
+    renamed_.insert_or_assign(std::string(name), std::string(bytes));
+    SyncNames();
+  }
+
+  void Remove(std::string_view name) override {
+    files_.erase(std::string(name));
+  }
+
+  void SyncNames() override {
+    if (--syncs_left_ == 0) {
+      throw DiskCrash();
+    }
+    for (const auto& [name, content] : std::exchange(renamed_, {})) {
+      durable_[name] = content;
+    }
+  }
+
+  // Ends the process at the n-th sync of the folder from now on.
+  void EndAtSync(int n) { syncs_left_ = n; }
+
+  // Keeps the names at the positions of the bits of `kept`.
+  void LosePower(unsigned kept) {
+    syncs_left_ = 0;
+    for (const auto& [name, content] : std::exchange(renamed_, {})) {
+      if ((kept & 1) != 0) {
+        durable_[name] = content;
+      }
+      kept >>= 1;
+    }
+    files_ = durable_;
+  }
+
+ private:
+  using Files = std::map<std::string, std::string, std::less<>>;
+  Files files_;
+  Files durable_;
+  Files renamed_;  // Since the last sync of the folder.
+  int syncs_left_ = 0;
+};
+
+TEST_CASE(
+    "a kill and a loss of power between a rename and the sync of the folder "
+    "leave files that fit together",
+    "[store]") {
+  const int killed_at = GENERATE(1, 2, 3);
+  const int lost_at = GENERATE(1, 2, 3, 4);
+  const unsigned kept = GENERATE(range(0U, 4U));
+  CAPTURE(killed_at, lost_at, kept);
+  FolderDisk disk;
+  ReplicaStore store = ReplicaStore::Open(disk, "c1", 1).value();
+  store.Save(Append(1, 3, 1));
+  ReplicaActions actions = Append(6, 6, 2);
+  actions.installed_snapshot = SnapshotAt(5, 2);
+  disk.EndAtSync(killed_at);
+  CHECK_THROWS_AS(store.Save(actions), DiskCrash);
+  disk.EndAtSync(lost_at);
+  try {
+    ReplicaStore next = ReplicaStore::Open(disk, "c1", 2).value();
+    const ReplicatedLog log = next.TakeStoredReplica().log;
+    next.MakeDurable(log);
+    next.Save(Append(log.last_index() + 1, log.last_index() + 1, 2));
+  } catch (const DiskCrash&) {
+  }
+  disk.LosePower(kept);
+  const Result<ReplicaStore> opened = ReplicaStore::Open(disk, "c1", 3);
+  INFO((opened.ok() ? "" : opened.error().what()));
+  CHECK(opened.ok());
+}
+
 TEST_CASE("compaction keeps vote and later entries", "[store]") {
   FakeDisk disk;
   ReplicaStore store = OpenStore(disk);
--- a/src/storage/fake_disk.h
+++ b/src/storage/fake_disk.h
@@ -75,6 +75,9 @@
     RunSyncPoint([&] { files_.erase(std::string(name)); });
   }
 
+  // Names are durable at once.
+  void SyncNames() override {}
+
   // Makes the next sync of a file fail. The writes that it was to store are
   // not stored by a later sync either, although they can be read.
   void FailNextSync() { fail_next_sync_ = true; }
--- a/src/storage/posix_disk.cc
+++ b/src/storage/posix_disk.cc
@@ -100,7 +100,7 @@
 
   void Sync(std::string_view name) override {
     Open(Path(name), O_RDONLY, [](OpenFile& file) { file.Sync(); });
-    SyncFolder();
+    SyncNames();
   }
 
   void Replace(std::string_view name, std::string_view bytes) override {
@@ -113,14 +113,18 @@
     if (::rename(temporary.c_str(), path.c_str()) != 0) {
       ThrowErrno("can't rename", temporary);
     }
-    SyncFolder();
+    SyncNames();
   }
 
   void Remove(std::string_view name) override {
     if (::unlink(Path(name).c_str()) != 0 && errno != ENOENT) {
       ThrowErrno("can't remove", Path(name));
     }
-    SyncFolder();
+    SyncNames();
+  }
+
+  void SyncNames() override {
+    Open(folder_, O_RDONLY | O_DIRECTORY, [](OpenFile& file) { file.Sync(); });
   }
 
  private:
@@ -137,10 +141,6 @@
     operation(file);
   }
 
-  void SyncFolder() {
-    Open(folder_, O_RDONLY | O_DIRECTORY, [](OpenFile& file) { file.Sync(); });
-  }
-
   std::string folder_;
 };
 
