Go on without the stored endpoints if they can't be read

Cause: ControlShell::OpenNode() read the note outside of any handler, so an error of the disk there ended the process, although the note is best effort.

Change: such an error is logged as note_not_kept and the note counts as empty. In the tests, a VM that loses power or is killed after a disk error no longer starts by itself.

--- a/src/control/control_world.h
+++ b/src/control/control_world.h
@@ -33,6 +33,7 @@
   bool stopping = false;
   // A crash at a sync ends only the process; otherwise the VM loses power.
   bool is_killed_at_sync = false;
+  bool is_reopening = false;  // After a disk error.
   // Of the build that the next start runs. Builds below kEvacuationLevel drop
   // evacuation orders of operators.
   FeatureLevel level = kCurrentLevel;
--- a/src/control/control_world_test.cc
+++ b/src/control/control_world_test.cc
@@ -105,6 +105,7 @@
   vm.checked_index = 0;
   vm.next_wake = kNever;
   vm.frozen = false;
+  vm.is_reopening = false;
   vm.queued_events.clear();
   try {
     Result<std::unique_ptr<ControlNode>> node =
@@ -138,9 +139,11 @@
 void ControlWorld::Reopen(ControlVm& vm, const Error& error) {
   AppendJournal(vm.name + " closes its disk: " + error.what());
   vm.node.reset();
+  vm.is_reopening = true;
   network_.Schedule(network_.now() + kReopenDelay,
                     [this, name = vm.name, starts = vm.starts] {
-                      if (Control(name).starts == starts) {
+                      const ControlVm& vm = Control(name);
+                      if (vm.is_reopening && vm.starts == starts) {
                         Start(name);
                       }
                     });
@@ -150,6 +153,7 @@
   ControlVm& vm = Control(name);
   vm.node.reset();
   vm.queued_events.clear();
+  vm.is_reopening = false;
   vm.disk.CancelCrash();
   AppendJournal(name + " is killed");
 }
@@ -158,6 +162,7 @@
   ControlVm& vm = Control(name);
   vm.node.reset();
   vm.queued_events.clear();
+  vm.is_reopening = false;
   vm.disk.Crash(network_.random(), torn);
   AppendJournal(name + " crashes");
 }
--- a/src/runtime/control_shell.cc
+++ b/src/runtime/control_shell.cc
@@ -259,8 +259,17 @@
             {"last_index", log_file.last_index},
             {"commit_index", log_file.commit_index}});
   if (on_note_read_) {
-    std::exchange(on_note_read_,
-                  {})(disk_->Read(kNoteFile).value_or(std::string()));
+    std::exchange(on_note_read_, {})(ReadNote());
+  }
+}
+
+std::string ControlShell::ReadNote() {
+  try {
+    return disk_->Read(kNoteFile).value_or(std::string());
+  } catch (const Error& e) {
+    LogEvent(LogLevel::kWarn, "note_not_kept",
+             {{"reason", std::string(e.what())}});
+    return {};
   }
 }
 
--- a/src/runtime/control_shell.h
+++ b/src/runtime/control_shell.h
@@ -86,6 +86,9 @@
   void RunOnNode(const std::function<void(ControlNode&)>& operation);
   // Opens the disk and creates the node from it.
   void OpenNode();
+  // Returns the text of StoreNote(); empty if there is none or it can't be
+  // read.
+  std::string ReadNote();
   // Destroys the node after a disk failure, and schedules OpenNode(). A build
   // that can't read the stored data does not try again.
   void CloseNode(const Error& error);
--- a/src/runtime/runtime_test.cc
+++ b/src/runtime/runtime_test.cc
@@ -141,6 +141,21 @@
   });
 }
 
+TEST_CASE("a note that can't be read does not end a control VM", "[runtime]") {
+  const std::filesystem::path folder = "build/test-data/control-note";
+  std::filesystem::remove_all(folder);
+  std::filesystem::create_directories(folder / "note");
+  OnReactorThread([&](Reactor&) {
+    const auto shell = ControlShell::Create(OneControlVm(folder)).value();
+    std::promise<std::string> note;
+    shell->SetOnNoteRead([&](const std::string& it) { note.set_value(it); });
+    shell->Start();
+    CHECK(note.get_future().get().empty());
+    CHECK(ReadCatalog(*shell) == "read");
+    shell->Stop();
+  });
+}
+
 // Keeps Sync calls open that the control VM holds until it has a newer catalog.
 // Each thread starts another call when one ends, whatever its result.
 class OpenCallers {
--- a/src/telemetry/log_events.cc
+++ b/src/telemetry/log_events.cc
@@ -180,8 +180,8 @@
      "storage: free space on the disk, or replace it; corrupt: see \"Lost "
      "disk\" in docs/OPERATING.md"},
     {"note_not_kept", "warn", "control", "reason",
-     "the list of endpoints could not be stored; after a restart it is rebuilt "
-     "from reports",
+     "the list of endpoints could not be stored or read; after a restart it is "
+     "rebuilt from reports",
      "check the disk"},
     {"endpoints_restored", "info", "control", "endpoints, age_ms, used",
      "the stored list of endpoints was read; used is false if it is too old to "
