Test full disks in random runs of a fleet

The random runs had neither full disks nor a fleet, whose voters are removed and replaced while they are silent.

FakeDisk can be given room for a number of bytes: it takes the start of a record that is too long, and replaces no file that doesn't fit. The new random run fills at most one disk at a time, beside the faults of the other runs.

--- a/src/control/control_random_test.cc
+++ b/src/control/control_random_test.cc
@@ -16,14 +16,21 @@
  public:
   // With `with_orders`, operators also order evacuations. The VMs start with
   // builds of `first_level` and get other ones meanwhile if it is not the
-  // current level.
+  // current level. With `with_full_disks`, the VMs form a fleet, and one disk
+  // at a time may be full.
   explicit RandomRun(std::uint64_t seed, bool with_orders = false,
-                     FeatureLevel first_level = kCurrentLevel)
+                     FeatureLevel first_level = kCurrentLevel,
+                     bool with_full_disks = false)
       : world_(seed),
         random_(world_.network().random()),
         with_orders_(with_orders),
-        first_level_(first_level) {
-    world_.AddControls(seed % 5 == 0 ? 5 : 3, 8, first_level);
+        first_level_(first_level),
+        with_full_disks_(with_full_disks) {
+    if (with_full_disks) {
+      world_.AddFleet(3 + seed % 3, 1 + seed % 16);
+    } else {
+      world_.AddControls(seed % 5 == 0 ? 5 : 3, 8, first_level);
+    }
     names_ = world_.ControlNames();
     world_.AddEntry("e1", names_);
     world_.AddEntry("e2", {names_.rbegin(), names_.rend()});
@@ -53,6 +60,9 @@
     if (with_orders_ && random_() % 2 == 0) {
       return GiveOrder();
     }
+    if (with_full_disks_ && random_() % 3 == 0) {
+      return FillOneDisk();
+    }
     switch (random_() % 14) {
       case 0:
         return CrashOrStart(RandomControl());
@@ -83,6 +93,16 @@
     }
   }
 
+  // Leaves at most one disk full.
+  void FillOneDisk() {
+    for (const std::string& it : names_) {
+      world_.EmptyDisk(it);
+    }
+    if (random_() % 3 != 0) {
+      world_.FillDisk(RandomControl(), random_() % 400);
+    }
+  }
+
   void CrashOrStart(const std::string& name) {
     if (!world_.Control(name).node) {
       world_.Start(name);
@@ -143,7 +163,12 @@
   }
 
   void RaceChanges() {
-    const std::uint64_t base = world_.accepted_revision();
+    const std::string leader = world_.Leader();
+    // The answer to an accepted change may have been lost with the disk.
+    const std::uint64_t base =
+        with_full_disks_ && !leader.empty()
+            ? world_.Control(leader).node->Status().revision()
+            : world_.accepted_revision();
     const auto racers = 1 + random_() % 2;
     for (std::uint64_t n = 0; n < racers; ++n) {
       const std::string id = "change-" + std::to_string(++changes_);
@@ -171,6 +196,7 @@
     world_.network().SetFaults(0, 0, std::chrono::milliseconds(1));
     for (const std::string& it : names_) {
       world_.Control(it).disk.CancelCrash();
+      world_.EmptyDisk(it);
       if (world_.Control(it).level != kCurrentLevel) {
         world_.ReplaceBuild(it, kCurrentLevel);
       }
@@ -241,6 +267,7 @@
   std::mt19937_64& random_;
   const bool with_orders_;
   const FeatureLevel first_level_;
+  const bool with_full_disks_;
   std::vector<std::string> names_;
   std::uint64_t changes_ = 0;
 };
@@ -262,6 +289,23 @@
   CHECK(accepted > kSeeds);
 }
 
+TEST_CASE("random faults and full disks leave a fleet that accepts changes",
+          "[control][random][disk]") {
+  constexpr std::uint64_t kSeeds = 1000;
+  std::uint64_t accepted = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    RandomRun run(seed, false, kCurrentLevel, true);
+    INFO("seed " << seed);
+    try {
+      run.Execute();
+    } catch (const std::exception& e) {
+      FAIL(e.what() << "\n" << run.world().Journal());
+    }
+    accepted += run.world().accepted_revision();
+  }
+  CHECK(accepted > kSeeds);
+}
+
 // Guards against an acknowledged evacuation order that is lost, or reverted by
 // an earlier order that a frozen or partitioned control VM still held.
 TEST_CASE("random faults never lose or revert an acknowledged evacuation",
--- a/src/control/control_world.h
+++ b/src/control/control_world.h
@@ -89,6 +89,8 @@
   // Used by the scenario steps and by the randomized test.
   void AddControls(std::size_t count, std::uint64_t snapshot_every,
                    FeatureLevel level = kCurrentLevel);
+  // The same for a fleet: its VMs know only the first three as seeds.
+  void AddFleet(std::size_t count, std::uint64_t snapshot_every);
   void AddControl(const std::string& name);
   void AddEntry(const std::string& name, std::vector<std::string> controls);
   void Start(const std::string& name);
@@ -104,6 +106,9 @@
   // True if the leader has committed a configuration in which all control VMs
   // are voters with their current identities.
   bool IsRepaired() const;
+  // Leaves room for `bytes` more bytes.
+  void FillDisk(const std::string& name, std::size_t bytes);
+  void EmptyDisk(const std::string& name);
   void Freeze(const std::string& name);
   // Handles the queued events in the order of arrival or in reverse order.
   void Thaw(const std::string& name, bool newest_first);
--- a/src/control/control_world_test.cc
+++ b/src/control/control_world_test.cc
@@ -46,6 +46,11 @@
   }
 }
 
+void ControlWorld::AddFleet(std::size_t count, std::uint64_t snapshot_every) {
+  seeds_ = {"c1", "c2", "c3"};
+  AddControls(count, snapshot_every);
+}
+
 void ControlWorld::AddControl(const std::string& name) {
   controls_[name].name = name;
   Start(name);
@@ -188,6 +193,17 @@
   return static_cast<const internal::ControlNodeImpl&>(*vm.node).replica();
 }
 
+void ControlWorld::FillDisk(const std::string& name, std::size_t bytes) {
+  Control(name).disk.SetRoom(bytes);
+  AppendJournal("the disk of " + name + " has room for " +
+                std::to_string(bytes) + " bytes");
+}
+
+void ControlWorld::EmptyDisk(const std::string& name) {
+  Control(name).disk.SetRoom(FakeDisk::kUnlimited);
+  AppendJournal("the disk of " + name + " has room");
+}
+
 void ControlWorld::Freeze(const std::string& name) {
   Control(name).frozen = true;
   AppendJournal(name + " freezes");
--- a/src/storage/fake_disk.h
+++ b/src/storage/fake_disk.h
@@ -34,6 +34,8 @@
 
 class FakeDisk final : public Disk {
  public:
+  static constexpr std::size_t kUnlimited = std::string::npos;
+
   enum class CrashTiming : std::uint8_t { kBefore, kAfter };
 
   std::optional<std::string> Read(std::string_view name) override {
@@ -46,8 +48,12 @@
 
   void Append(std::string_view name, std::string_view bytes) override {
     File& file = files_[std::string(name)];
-    file.unsynced.push_back({file.content.size(), bytes.size()});
-    file.content.append(bytes);
+    const std::string_view taken = bytes.substr(0, room_);
+    if (!taken.empty()) {
+      file.unsynced.push_back({file.content.size(), taken.size()});
+      file.content.append(taken);
+    }
+    TakeRoom(bytes.size());
   }
 
   void Sync(std::string_view name) override {
@@ -65,6 +71,7 @@
   }
 
   void Replace(std::string_view name, std::string_view bytes) override {
+    TakeRoom(bytes.size());
     RunSyncPoint([&] {
       files_[std::string(name)] =
           File{std::string(bytes), std::string(bytes), {}, true};
@@ -75,6 +82,9 @@
     RunSyncPoint([&] { files_.erase(std::string(name)); });
   }
 
+  // Takes `bytes` more bytes. Of a record that is too long, it takes the start;
+  // a file that is too long for it is not replaced.
+  void SetRoom(std::size_t bytes) { room_ = bytes; }
   // Makes the next sync of a file fail. The writes that it was to store are
   // not stored by a later sync either, although they can be read.
   void FailNextSync() { fail_next_sync_ = true; }
@@ -148,6 +158,16 @@
     }
   };
 
+  void TakeRoom(std::size_t bytes) {
+    const bool fits = bytes <= room_;
+    if (room_ != kUnlimited) {
+      room_ -= std::min(bytes, room_);
+    }
+    if (!fits) {
+      throw Error(ErrorKind::kStorage, "the disk is full");
+    }
+  }
+
   // Runs `work`, which makes data durable, unless an armed crash comes first.
   template <typename Work>
   void RunSyncPoint(Work work) {
@@ -164,6 +184,7 @@
   std::uint64_t syncs_ = 0;
   std::uint64_t crash_at_sync_ = 0;
   CrashTiming crash_timing_ = CrashTiming::kBefore;
+  std::size_t room_ = kUnlimited;
   bool fail_next_sync_ = false;
 };
 
