--- a/src/control/control_scenario_test.cc
+++ b/src/control/control_scenario_test.cc
@@ -72,6 +72,10 @@
     Control(step.Word(0)).is_killed_at_sync = step.NamedNumber("kill", 0) != 0;
   } else if (step.verb == "kill") {
     Kill(step.Word(0));
+  } else if (step.verb == "fill-disk") {
+    FillDisk(step.Word(0), step.NamedNumber("room", 0));
+  } else if (step.verb == "empty-disk") {
+    EmptyDisk(step.Word(0));
   } else if (step.verb == "fail-sync") {
     Control(step.Word(0)).disk.FailNextSync();
   } else if (step.verb == "freeze") {
--- a/src/control/control_world.h
+++ b/src/control/control_world.h
@@ -107,6 +107,9 @@
   // True if the leader has committed a configuration in which all control VMs
   // are voters with their current identities.
   bool IsRepaired() const;
+  // Leaves room for `bytes` more bytes.
+  void FillDisk(const std::string& name, std::size_t bytes);
+  void EmptyDisk(const std::string& name);
   void Freeze(const std::string& name);
   // Handles the queued events in the order of arrival or in reverse order.
   void Thaw(const std::string& name, bool newest_first);
