--- a/src/control/control_random_test.cc
+++ b/src/control/control_random_test.cc
@@ -12,20 +12,29 @@
 constexpr int kSteps = 40;
 constexpr Duration kRecoveryLimit = std::chrono::seconds(10);
 
+enum class Group : std::uint8_t {
+  kListed,              // The settings list all control VMs.
+  kFleet,               // Membership is open.
+  kFleetWithFullDisks,  // One disk at a time may be full.
+};
+
 class RandomRun {
  public:
   // With `with_orders`, operators also order evacuations. The VMs start with
   // builds of `first_level` and get other ones meanwhile if it is not the
-  // current level. With `fleet`, membership is open.
+  // current level.
   explicit RandomRun(std::uint64_t seed, bool with_orders = false,
                      FeatureLevel first_level = kCurrentLevel,
-                     bool fleet = false)
+                     Group group = Group::kListed)
       : world_(seed),
         random_(world_.network().random()),
         with_orders_(with_orders),
-        first_level_(first_level) {
-    if (fleet) {
+        first_level_(first_level),
+        with_full_disks_(group == Group::kFleetWithFullDisks) {
+    if (group == Group::kFleet) {
       world_.AddFleet(3 + seed % 3, 8);
+    } else if (with_full_disks_) {
+      world_.AddFleet(3 + seed % 3, 1 + seed % 16);
     } else {
       world_.AddControls(seed % 5 == 0 ? 5 : 3, 8, first_level);
     }
@@ -58,6 +67,9 @@
     if (with_orders_ && random_() % 2 == 0) {
       return GiveOrder();
     }
+    if (with_full_disks_ && random_() % 3 == 0) {
+      return FillOneDisk();
+    }
     switch (random_() % 14) {
       case 0:
         return CrashOrStart(RandomControl());
@@ -88,6 +100,16 @@
     }
   }
 
+  // Leaves at most one disk full.
+  void FillOneDisk() {
+    for (const std::string& it : names_) {
+      world_.EmptyDisk(it);
+    }
+    if (random_() % 3 != 0) {
+      world_.FillDisk(RandomControl(), random_() % 400);
+    }
+  }
+
   void CrashOrStart(const std::string& name) {
     if (!world_.Control(name).node) {
       world_.Start(name);
@@ -148,7 +170,12 @@
   }
 
   void RaceChanges() {
-    const std::uint64_t base = world_.accepted_revision();
+    const std::string leader = world_.Leader();
+    // The answer to an accepted change may have been lost with the disk.
+    const std::uint64_t base =
+        with_full_disks_ && !leader.empty()
+            ? world_.Control(leader).node->Status().revision()
+            : world_.accepted_revision();
     const auto racers = 1 + random_() % 2;
     for (std::uint64_t n = 0; n < racers; ++n) {
       const std::string id = "change-" + std::to_string(++changes_);
@@ -176,6 +203,7 @@
     world_.network().SetFaults(0, 0, std::chrono::milliseconds(1));
     for (const std::string& it : names_) {
       world_.Control(it).disk.CancelCrash();
+      world_.EmptyDisk(it);
       if (world_.Control(it).level != kCurrentLevel) {
         world_.ReplaceBuild(it, kCurrentLevel);
       }
@@ -246,18 +274,17 @@
   std::mt19937_64& random_;
   const bool with_orders_;
   const FeatureLevel first_level_;
+  const bool with_full_disks_;
   std::vector<std::string> names_;
   std::uint64_t changes_ = 0;
 };
 
-TEST_CASE("random faults never lose or revert an accepted change",
-          "[control][random]") {
-  constexpr std::uint64_t kSeeds = 1000;
-  const bool fleet = GENERATE(false, true);
+// Plays 1,000 seeds and returns the number of accepted changes.
+std::uint64_t PlaySeeds(Group group) {
   std::uint64_t accepted = 0;
-  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-    RandomRun run(seed, false, kCurrentLevel, fleet);
-    INFO("seed " << seed << (fleet ? ", fleet" : ""));
+  for (std::uint64_t seed = 1; seed <= 1000; ++seed) {
+    RandomRun run(seed, false, kCurrentLevel, group);
+    INFO("seed " << seed);
     try {
       run.Execute();
     } catch (const std::exception& e) {
@@ -265,7 +292,19 @@
     }
     accepted += run.world().accepted_revision();
   }
-  CHECK(accepted > kSeeds);
+  return accepted;
+}
+
+TEST_CASE("random faults never lose or revert an accepted change",
+          "[control][random]") {
+  const Group group = GENERATE(Group::kListed, Group::kFleet);
+  CAPTURE(static_cast<int>(group));
+  CHECK(PlaySeeds(group) > 1000);
+}
+
+TEST_CASE("random faults and full disks leave a fleet that accepts changes",
+          "[control][random][disk]") {
+  CHECK(PlaySeeds(Group::kFleetWithFullDisks) > 1000);
 }
 
 // Guards against an acknowledged evacuation order that is lost, or reverted by
--- a/src/control/control_world_test.cc
+++ b/src/control/control_world_test.cc
@@ -198,6 +198,17 @@
   return static_cast<const internal::ControlNodeImpl&>(*vm.node).replica();
 }
 
+void ControlWorld::FillDisk(const std::string& name, std::size_t bytes) {
+  Control(name).disk.SetRoom(bytes);
+  AppendJournal("the disk of " + name + " has room for " +
+                std::to_string(bytes) + " bytes");
+}
+
+void ControlWorld::EmptyDisk(const std::string& name) {
+  Control(name).disk.SetRoom(FakeDisk::kUnlimited);
+  AppendJournal("the disk of " + name + " has room");
+}
+
 void ControlWorld::Freeze(const std::string& name) {
   Control(name).frozen = true;
   AppendJournal(name + " freezes");
