Let no registration of an unnamed service displace another one

What callers saw: one ping for a service that no manifest names, with the id and address of a living endpoint, took that endpoint out of use for a minute; after one such ping for each endpoint 0 of 300 requests were served.

Cause: the newest registration of an address displaces the one before, and nothing asked whether its service is in the catalog. The displaced endpoint's own pings were then refused until its tombstone had expired.

Change: a control VM passes each newer catalog to its FleetShell. A registration of a service that no route names has claim 0: it is listed and gossiped, so that it is known as soon as a catalog names the service, but holds no address and displaces no other lease. Its first renewal after that claims the address and displaces an earlier holder, also one that crashed silently. A claim without a rival is always 1 and is not gossiped. FindByName(), by which a leave finds the endpoint, prefers endpoints that claim their address. No message or stored form changes.

--- a/include/vanillalatch/control/control_node.h
+++ b/include/vanillalatch/control/control_node.h
@@ -19,6 +19,7 @@
 #include <utility>
 #include <vector>
 
+#include "catalog.pb.h"
 #include "consensus.pb.h"
 #include "control.pb.h"
 #include "vanillalatch/base/result.h"
@@ -151,6 +152,8 @@
   virtual ControlActions TakeActions() = 0;
   // The role, term, commit index and catalog revision of this VM.
   virtual pb::ControlStatus Status() const = 0;
+  // The catalog as far as this VM knows that it is committed.
+  virtual const pb::Catalog& catalog() const = 0;
   // What Create() has found in the log file.
   virtual const LogFileSummary& log_file() const = 0;
 };
--- a/include/vanillalatch/registry/registry.h
+++ b/include/vanillalatch/registry/registry.h
@@ -66,6 +66,10 @@
   Duration lifetime = std::chrono::seconds(10);
   std::uint64_t epoch = 0;  // Increases at each start of the backend server.
   Duration warm_in{};       // How much longer it is slow after its start.
+  // False while it is unknown whether the service exists. The endpoint is then
+  // listed, but displaces none that is registered at the same address. The
+  // first renewal with true claims the address.
+  bool claims_address = true;
 };
 
 struct RegistryOptions {
@@ -109,10 +113,10 @@
   virtual std::span<const Endpoint> EndpointsOf(ServiceId service) const = 0;
   // nullptr if there is no such endpoint that is ready or leaving.
   virtual const Endpoint* Find(EndpointId id) const = 0;
-  // The endpoint at this address; nullptr if there is none.
+  // The endpoint that claims this address; nullptr if there is none.
   virtual const Endpoint* FindByAddress(SocketAddress address) const = 0;
   // The endpoint of this name with the highest epoch, of any service; nullptr
-  // if there is none.
+  // if there is none. Those that claim their address precede the others.
   virtual const Endpoint* FindByName(std::string_view name) const = 0;
   // Every lease that is ready or leaving, for MergeLease() of another registry.
   virtual std::vector<pb::LeaseUpdate> Leases(TimePoint now) const = 0;
--- a/src/control/control_node_impl.h
+++ b/src/control/control_node_impl.h
@@ -102,6 +102,7 @@
   bool BeginStop(TimePoint now) override;
   ControlActions TakeActions() override;
   pb::ControlStatus Status() const override;
+  const pb::Catalog& catalog() const override { return state_.catalog(); }
   const LogFileSummary& log_file() const override { return store_.log_file(); }
   const Replica& replica() const { return *replica_; }
 
--- a/src/registry/lease.h
+++ b/src/registry/lease.h
@@ -28,7 +28,7 @@
   Endpoint endpoint;  // LeaseStore::UpdateView() sets its state and expiry.
   LeaseState state = LeaseState::kReady;
   // Increases each time the address passes to another endpoint; the highest
-  // claim holds the address.
+  // claim holds the address. A lease with claim 0 claims no address.
   std::uint64_t claim = 0;
   Duration lifetime{};
   TimePoint renewed_at;          // Last renewal at any VM.
@@ -39,6 +39,7 @@
   bool is_live() const {
     return state == LeaseState::kReady || state == LeaseState::kLeaving;
   }
+  bool claims_address() const { return claim > 0; }
   TimePoint expires() const { return renewed_at + lifetime; }
 };
 
--- a/src/registry/lease_store.cc
+++ b/src/registry/lease_store.cc
@@ -39,9 +39,7 @@
   std::vector<Lease*>& all = buckets_[bucket];
   all.insert(std::lower_bound(all.begin(), all.end(), id, HasIdBelow), &lease);
   changed_[bucket] = std::max(changed_[bucket], lease.changed_at);
-  if (lease.is_live()) {
-    by_address_[endpoint.address] = id;
-  }
+  HoldAddress(lease);
   const Lease* newest = FindNewest(endpoint.service, endpoint.name);
   if (newest == nullptr || newest->endpoint.epoch < endpoint.epoch) {
     by_name_[std::pair(endpoint.service, endpoint.name)] = id;
@@ -76,17 +74,21 @@
     lease.changed_at = now;
     changed_[BucketOf(lease.endpoint.id)] = now;
   }
-  const SocketAddress address = lease.endpoint.address;
-  const auto holder = by_address_.find(address);
-  if (lease.is_live()) {
-    by_address_[address] = lease.endpoint.id;
-  } else if (holder != by_address_.end() &&
-             holder->second == lease.endpoint.id) {
+  HoldAddress(lease);
+  const auto holder = by_address_.find(lease.endpoint.address);
+  if (!lease.is_live() && holder != by_address_.end() &&
+      holder->second == lease.endpoint.id) {
     by_address_.erase(holder);
   }
   return true;
 }
 
+void LeaseStore::HoldAddress(const Lease& lease) {
+  if (lease.is_live() && lease.claims_address()) {
+    by_address_[lease.endpoint.address] = lease.endpoint.id;
+  }
+}
+
 std::span<const Endpoint> LeaseStore::ViewOf(ServiceId service) const {
   const auto it = views_.find(service);
   return it == views_.end() ? std::span<const Endpoint>()
--- a/src/registry/lease_store.h
+++ b/src/registry/lease_store.h
@@ -19,7 +19,8 @@
 class LeaseStore {
  public:
   Lease* Find(EndpointId id);
-  // The ready or leaving lease that holds an address; nullptr if there is none.
+  // The ready or leaving lease that claims an address; nullptr if there is
+  // none.
   Lease* FindByAddress(SocketAddress address);
   // The registration of a name with the highest epoch; nullptr if there is
   // none.
@@ -32,6 +33,9 @@
   // for it.
   bool Apply(Lease& lease, LeaseEvent event, TimePoint now);
 
+  // Makes the lease the holder of its address if it is live and claims it.
+  void HoldAddress(const Lease& lease);
+
   // All leases of a bucket, by id.
   std::span<Lease* const> Bucket(std::size_t bucket) const {
     return buckets_[bucket];
--- a/src/registry/registry.cc
+++ b/src/registry/registry.cc
@@ -19,7 +19,12 @@
 constexpr Duration kMinLifetime = std::chrono::seconds(1);
 constexpr Duration kMaxLifetime = std::chrono::hours(24);
 
-// Of the leases with the same address, the one with the highest rank holds it.
+// The claim of an endpoint that was the first at its address. VMs that let the
+// same endpoint claim it, each on its own, thus agree.
+constexpr std::uint64_t kFirstClaim = 1;
+
+// Of the leases that claim the same address, the one with the highest rank
+// holds it.
 auto AddressRank(const Lease& lease) {
   return std::tuple(lease.claim, lease.endpoint.epoch, lease.endpoint.id);
 }
@@ -86,7 +91,9 @@
   const bool cold_again =
       registration.warm_in > Duration::zero() &&
       now + registration.warm_in > endpoint.warm_at + kMinWarmUpGain;
-  const bool changed = endpoint.slots != registration.slots ||
+  const bool claimed = registration.claims_address && !lease.claims_address() &&
+                       BeginClaim(now, lease);
+  const bool changed = claimed || endpoint.slots != registration.slots ||
                        lease.lifetime != registration.lifetime || cold_again;
   if (cold_again) {
     endpoint.warm_at = now + registration.warm_in;
@@ -128,7 +135,8 @@
     endpoint.data_center = registration.data_center;
   }
   endpoint.warm_at = now + registration.warm_in;
-  lease.claim = NextClaim(registration.address);
+  lease.claim =
+      registration.claims_address ? NextClaim(registration.address, id) : 0;
   lease.lifetime = registration.lifetime;
   lease.renewed_at = now;
   lease.renewed_locally_at = now;
@@ -156,22 +164,49 @@
 }
 
 bool RegistryImpl::ClaimAddress(TimePoint now, const Lease& lease) {
-  Lease* holder = store_.FindByAddress(lease.endpoint.address);
-  if (holder == nullptr || holder->endpoint.id == lease.endpoint.id) {
+  const Endpoint& endpoint = lease.endpoint;
+  Lease* holder = store_.FindByAddress(endpoint.address);
+  if (holder != nullptr && holder->endpoint.id == endpoint.id) {
     return true;
   }
-  if (AddressRank(*holder) > AddressRank(lease)) {
-    return false;
+  if (!lease.claims_address()) {
+    return holder == nullptr || !options_.epochs_are_start_times ||
+           holder->endpoint.epoch <= endpoint.epoch;
+  }
+  if (holder != nullptr) {
+    if (AddressRank(*holder) > AddressRank(lease)) {
+      return false;
+    }
+    Remove(now, *holder);
   }
-  Remove(now, *holder);
+  RemoveEarlierStarts(now, lease);
   return true;
 }
 
-std::uint64_t RegistryImpl::NextClaim(SocketAddress address) {
+bool RegistryImpl::BeginClaim(TimePoint now, Lease& lease) {
+  lease.claim = NextClaim(lease.endpoint.address, lease.endpoint.id);
+  const bool contested = lease.claim > kFirstClaim;
+  ClaimAddress(now, lease);  // It has the highest claim.
+  store_.HoldAddress(lease);
+  return contested;
+}
+
+void RegistryImpl::RemoveEarlierStarts(TimePoint now, const Lease& lease) {
+  store_.ForEach([&](Lease& it) {
+    if (it.is_live() && !it.claims_address() &&
+        it.endpoint.address == lease.endpoint.address &&
+        it.endpoint.epoch < lease.endpoint.epoch) {
+      Remove(now, it);
+    }
+  });
+}
+
+std::uint64_t RegistryImpl::NextClaim(SocketAddress address,
+                                      EndpointId claimant) {
   std::uint64_t highest = 0;
   store_.ForEach([&](const Lease& it) {
-    if (it.endpoint.address == address) {
-      highest = std::max(highest, it.claim);
+    if (it.endpoint.address == address && it.endpoint.id != claimant) {
+      highest = std::max({highest, it.claim, kFirstClaim});
     }
   });
   return highest + 1;
@@ -186,10 +221,13 @@
 }
 
 const Endpoint* RegistryImpl::FindByName(std::string_view name) const {
+  const auto rank = [](const Lease& it) {
+    return std::pair(it.claims_address(), it.endpoint.epoch);
+  };
   const Lease* newest = nullptr;
   store_.ForEach([&](const Lease& it) {
     if (it.is_live() && it.endpoint.name == name &&
-        (newest == nullptr || newest->endpoint.epoch < it.endpoint.epoch)) {
+        (newest == nullptr || rank(*newest) < rank(it))) {
       newest = &it;
     }
   });
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -82,8 +82,15 @@
   // removed if its address was reused. False if the renewal is not newer.
   bool MergeRenewal(TimePoint now, Lease& lease, TimePoint renewed_at);
   // Decides which lease holds the address of `lease` and removes the other one
-  // if `lease` wins. False if the other lease wins.
+  // if `lease` wins. False if the other lease wins. A lease that claims no
+  // address removes none, and loses only to one that started later.
   bool ClaimAddress(TimePoint now, const Lease& lease);
+  // Lets a lease claim its address. True if another lease has the same address,
+  // so that peers must be told.
+  bool BeginClaim(TimePoint now, Lease& lease);
+  // Removes the leases at the address of `lease` that don't claim it and
+  // started earlier: their endpoints have ended.
+  void RemoveEarlierStarts(TimePoint now, const Lease& lease);
   // Marks the lease as gone and keeps it as a tombstone.
   void Remove(TimePoint now, Lease& lease);
   bool HasExpired(TimePoint now, const Lease& lease) const;
@@ -96,8 +103,9 @@
   void UpdateView(TimePoint now, const Lease& lease);
   // Marks all buckets as unverified if contact with peers is lost.
   void CheckContact(TimePoint now);
-  // One more than the highest claim of the address.
-  std::uint64_t NextClaim(SocketAddress address);
+  // One more than the highest claim of another lease to the address. Leases
+  // that don't claim it count with the claim that they would get.
+  std::uint64_t NextClaim(SocketAddress address, EndpointId claimant);
   pb::LeaseBucket DigestOfBucket(TimePoint now, std::size_t bucket);
   void MergeBucket(TimePoint now, const pb::LeaseBucket& theirs,
                    std::vector<EndpointId>& missing);
--- a/src/registry/registry_merge.cc
+++ b/src/registry/registry_merge.cc
@@ -36,6 +36,8 @@
   }
   bool is_new = false;
   const bool urgent = IsRenewalUrgent(lease, now);
+  const bool begins_claim =
+      !lease.claims_address() && incoming.claims_address();
   lease.claim = std::max(lease.claim, incoming.claim);
   lease.endpoint.registered =
       std::min(lease.endpoint.registered, incoming.endpoint.registered);
@@ -54,6 +56,13 @@
   if (lease.state == LeaseState::kGone) {
     return;
   }
+  if (begins_claim && lease.is_live()) {
+    if (!ClaimAddress(now, lease)) {
+      Remove(now, lease);
+      return;
+    }
+    store_.HoldAddress(lease);
+  }
   if (incoming.state == LeaseState::kLeaving &&
       lease.state != LeaseState::kLeaving) {
     if (lease.state == LeaseState::kLapsed) {
--- a/src/runtime/control_shell.cc
+++ b/src/runtime/control_shell.cc
@@ -460,6 +460,15 @@
   SendReplies(syncs_, actions.syncs);
   wakeup_.BringForward(node_->NextWake());
   UpdateStatus(node_->Status());
+  PassCatalogOn();
+}
+
+void ControlShell::PassCatalogOn() {
+  const pb::Catalog& catalog = node_->catalog();
+  if (on_catalog_ && catalog.revision() > last_revision_) {
+    last_revision_ = catalog.revision();
+    on_catalog_(catalog);
+  }
 }
 
 void ControlShell::SendProbe(const ControlActions::Probe& probe) {
--- a/src/runtime/control_shell.h
+++ b/src/runtime/control_shell.h
@@ -38,15 +38,22 @@
   // is first opened.
   using OnNoteRead = std::function<void(const std::string&)>;
 
+  // Receives each newer catalog of which this VM learns that it is committed.
+  // Called on the control thread.
+  using OnCatalog = std::function<void(const pb::Catalog&)>;
+
   // Starts the gRPC service. Errors: those of StartControlService(). A disk
   // that fails is no error here: opening it is retried until it succeeds.
   static Result<std::unique_ptr<ControlShell>> Create(const Settings& settings);
 
-  // Both must be called before Start().
+  // These must be called before Start().
   void SetAddEndpoints(AddEndpoints add) { add_endpoints_ = std::move(add); }
   void SetOnNoteRead(OnNoteRead on_note_read) {
     on_note_read_ = std::move(on_note_read);
   }
+  void SetOnCatalog(OnCatalog on_catalog) {
+    on_catalog_ = std::move(on_catalog);
+  }
 
   // Starts the control thread.
   void Start();
@@ -95,6 +102,8 @@
   void RefuseOpenCalls(ErrorKind refusal, const std::string& reason);
   // Sends the messages and replies that the node requested.
   void ExecuteActions();
+  // Passes the catalog on if it is newer than the last one.
+  void PassCatalogOn();
   // Asks a control VM for its feature level.
   void SendProbe(const ControlActions::Probe& probe);
   // Stores the status and logs changes of feature levels.
@@ -142,6 +151,8 @@
   std::unique_ptr<RpcServer> server_;
   AddEndpoints add_endpoints_;
   OnNoteRead on_note_read_;
+  OnCatalog on_catalog_;
+  std::uint64_t last_revision_ = 0;  // The newest that was passed to it.
   std::thread thread_;
   std::atomic<bool> stopping_ = false;
   std::atomic<bool> stopped_ = false;
--- a/src/runtime/fleet_shell.cc
+++ b/src/runtime/fleet_shell.cc
@@ -6,6 +6,7 @@
 
 #include "vanillalatch/base/hash.h"
 #include "vanillalatch/catalog/packed.h"
+#include "vanillalatch/packetflow/route_table.h"
 #include "vanillalatch/telemetry/log.h"
 
 namespace vanillalatch {
@@ -20,6 +21,16 @@
 // All VMs of a fleet form one membership group, whatever their data centre.
 constexpr std::string_view kFleetGroup = "fleet";
 
+absl::flat_hash_set<ServiceId> ServicesOf(const pb::Catalog& catalog) {
+  absl::flat_hash_set<ServiceId> services;
+  for (const pb::FlowRoute& route : catalog.flows().routes()) {
+    for (const pb::FlowShare& it : route.shares()) {
+      services.insert(FlowServiceId(it.service()));
+    }
+  }
+  return services;
+}
+
 }  // namespace
 
 MemberListOptions MakeMemberOptions(const Settings& settings, bool dispatches) {
@@ -73,6 +84,9 @@
   control_.SetOnNoteRead([this](const std::string& text) {
     Post([this, text] { RestoreEndpoints(text); });
   });
+  control_.SetOnCatalog([this](const pb::Catalog& catalog) {
+    Post([this, services = ServicesOf(catalog)] { services_ = services; });
+  });
   FdWaiter& waiter = reactor.Watch(socket_.fd());
   boost::fibers::fiber([this, &waiter] { ServeSocket(waiter); }).detach();
   boost::fibers::fiber([this] { RunTimer(); }).detach();
@@ -194,7 +208,7 @@
   });
 }
 
-Result<EndpointId> FleetShell::RegisterNow(const Registration& registration,
+Result<EndpointId> FleetShell::RegisterNow(Registration registration,
                                            bool leaving) {
   const TimePoint now = Now();
   if (peers_->IsIsolated(now)) {
@@ -202,6 +216,7 @@
   }
   Registry& registry = peers_->registry();
   registry.OnTick(now);
+  registration.claims_address = services_.contains(registration.service);
   const Endpoint* previous = registry.FindByName(registration.name);
   const bool already_registered =
       previous != nullptr && previous->epoch >= registration.epoch;
--- a/src/runtime/fleet_shell.h
+++ b/src/runtime/fleet_shell.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "absl/container/flat_hash_set.h"
 #include "src/runtime/control_shell.h"
 #include "src/runtime/member_log.h"
 #include "src/runtime/stored_endpoints.h"
@@ -56,8 +57,7 @@
   void RunJobs();
   // Queues a job for the thread of this shell. Drops it if the queue is full.
   void Post(Job job);
-  Result<EndpointId> RegisterNow(const Registration& registration,
-                                 bool leaving);
+  Result<EndpointId> RegisterNow(Registration registration, bool leaving);
   // Adds the currently registered endpoints to the reply for an entry VM that
   // has just started. `packed`: the VM reads packed messages.
   void AddEndpoints(pb::SyncReply reply, bool packed,
@@ -80,6 +80,8 @@
   boost::fibers::buffered_channel<Job> jobs_;
   StoredEndpoints stored_endpoints_;
   MemberLog member_log_;
+  // The services of the newest catalog. Endpoints of others displace none.
+  absl::flat_hash_set<ServiceId> services_;
   Outbox out_;
   Wakeup wakeup_;
   bool stopped_ = false;
