Acknowledge only heartbeats that are used

What callers saw: after one ping of another writer, with fields missing and a `born` of its own, an endpoint's own pings were answered with 200 and ignored, also the one that said `draining`; 21 to 23 new flows reached it later than 3 s after the ack.

Cause: a ping without `version`, `sequence` and `warmup_remaining_ms` was accepted and registered a later start of the endpoint. Pings of the earlier start were refused by the registry and acknowledged all the same.

One that the registry refuses gets 409, so that the endpoint calls the next control VM, except a `draining` of an endpoint of which no registration is ready: that has its effect already.

Not changed: the present test says that a ping without `warmup_remaining_ms`, and one whose `born` or `warmup_remaining_ms` is of another type, is accepted. PROTOCOL.md says that it names no endpoint; that is for the maintainers to decide.

The rule for a repeated `draining` in FleetShell has no test of its own.

--- a/include/vanillalatch/runtime/control_api.h
+++ b/include/vanillalatch/runtime/control_api.h
@@ -22,8 +22,10 @@
   virtual ~ControlApi() = default;
 
   // Registers an endpoint or renews its lease. With `leaving`, the endpoint
-  // receives no new work from then on. Errors: those of Registry::Register(),
-  // and kNoQuorum if this control VM receives nothing from any other VM.
+  // receives no new work from then on; the id may be EndpointId{} if it has
+  // left already. Errors: those of Registry::Register(), after which the call
+  // has no effect, and kNoQuorum if this control VM receives nothing from any
+  // other VM.
   virtual void Register(Registration registration, bool leaving,
                         Callback<Result<EndpointId>> callback) = 0;
   // Ends the latest registration under this name: the endpoint receives no new
--- a/src/runtime/fleet_shell.cc
+++ b/src/runtime/fleet_shell.cc
@@ -222,7 +222,11 @@
       previous != nullptr && previous->epoch >= registration.epoch;
   Result<EndpointId> id = registry.Register(now, registration);
   if (!id.ok()) {
-    return id;
+    const Endpoint* known = registry.FindByName(registration.name);
+    const bool has_left =
+        known == nullptr || known->state != EndpointState::kReady;
+    // A repeated report that it leaves has its effect already.
+    return leaving && has_left ? Result<EndpointId>(EndpointId{}) : id;
   }
   if (!already_registered) {
     LogEvent(LogLevel::kInfo, "endpoint_registered",
