Open no flow a second time after a freeze

Cause: the VM that woke up placed openings that had been handed over to it before, though their ingresses had placed them after 0.1 s. The same holds for flows in its queue, openings that callers had sent to it, and handovers of its own whose acknowledgement it had not read yet.

Change: ReceiveDelay bounds how long what a VM reads may have waited, by CLOCK_BOOTTIME: the time since the socket buffer was last known to be empty. It covers freezes, slow VMs and long buffers, and compares no clocks of several VMs. - An opening that was handed over and may have waited for over 90 ms is declined; one that is known is acknowledged without another packet to its endpoint. - A caller's opening packet is dropped if its next copy may have been sent. - Handovers whose answer may be unread are not placed; nothing is placed once the caller has given up; flows whose copies may be placed elsewhere leave the queue. - Missing reports are no evidence of silent endpoints meanwhile. Messages between VMs do not change.

Why it works: the bound is no shorter than the real wait, short of a pause that CLOCK_BOOTTIME doesn't show; the ingress waits for at least 100 ms, and a declined opening stays with its ingress if that still waits.

--- a/include/vanillalatch/packetflow/flow_dispatcher.h
+++ b/include/vanillalatch/packetflow/flow_dispatcher.h
@@ -19,6 +19,7 @@
 #define VANILLALATCH_PACKETFLOW_FLOW_DISPATCHER_H_
 
 #include <array>
+#include <functional>
 #include <memory>
 #include <span>
 #include <string>
@@ -294,6 +295,12 @@
     return TakeWaiting(now, ShardId{service, {}});
   }
 
+  // Removes, without notice, the flows that wait for a slot and whose first
+  // opening packet was sent so long ago that `drops(age)` is true. Returns
+  // their number.
+  virtual std::size_t DropWaiting(
+      TimePoint now, const std::function<bool(Duration)>& drops) = 0;
+
   // Processes timeouts: of waiting flows, silent endpoints and expired flows.
   virtual void OnTick(TimePoint now, FlowActions& actions) = 0;
   // The time at which OnTick() has to be called next.
--- a/include/vanillalatch/packetflow/flow_node.h
+++ b/include/vanillalatch/packetflow/flow_node.h
@@ -160,6 +160,9 @@
   // Opening packets that were passed on, did not reach the dispatcher there and
   // returned.
   std::uint64_t returned = 0;
+  // Opening packets that had waited in front of this VM for too long, and flows
+  // in its queue whose copies may have been placed elsewhere meanwhile.
+  std::uint64_t too_late = 0;
 };
 
 class FlowNode {
@@ -182,6 +185,11 @@
                            const std::vector<pb::LeaseUpdate>& updates,
                            bool complete) = 0;
 
+  // Sets for how long what the following calls of OnPacket() and OnPeer()
+  // receive may have waited in front of this VM, and unread answers may wait
+  // during OnTick(). Opening packets that have waited for too long open nothing
+  // here: other VMs may have placed their flows meanwhile.
+  virtual void SetReceiveDelay(TimePoint now, Duration bound) = 0;
   // Processes a caller's packet. `packet` is its decoded header, `bytes` the
   // packet as the caller sent it. The target in the result is valid until the
   // next call of a non-const function.
--- a/include/vanillalatch/runtime/reactor.h
+++ b/include/vanillalatch/runtime/reactor.h
@@ -73,6 +73,10 @@
 // the libraries without I/O receive the time as a parameter.
 TimePoint Now();
 
+// The time of a clock that, unlike Now(), also counts the time for which this
+// machine was suspended. Not to be compared with Now().
+TimePoint NowWithSuspension();
+
 // The Unix time at TimePoint zero, in milliseconds.
 std::int64_t UnixEpochMs();
 // The current Unix time, in milliseconds.
--- a/src/packetflow/flow_dispatcher_shards.cc
+++ b/src/packetflow/flow_dispatcher_shards.cc
@@ -130,4 +130,18 @@
   return waiting;
 }
 
+std::size_t FlowDispatcherImpl::DropWaiting(
+    TimePoint now, const std::function<bool(Duration)>& drops) {
+  const std::size_t before = flows_.size();
+  absl::erase_if(flows_, [&](const auto& it) {
+    const Flow& flow = it.second;
+    if (flow.placed || !drops(now - flow.opened_at)) {
+      return false;
+    }
+    Release(now, flow, WorkOutcome::kCancelled);
+    return true;
+  });
+  return before - flows_.size();
+}
+
 }  // namespace vanillalatch::internal
--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -89,6 +89,10 @@
                           : FlowVerdict::Kind::kReset};
   }
   if (packet.opens) {
+    if (IsSuperseded(packet)) {
+      ++counters_.too_late;
+      return {FlowVerdict::Kind::kPending};
+    }
     OpenFlow(now, *route, packet, bytes);
     return {FlowVerdict::Kind::kPending};
   }
--- a/src/packetflow/flow_node_impl.h
+++ b/src/packetflow/flow_node_impl.h
@@ -42,6 +42,7 @@
   std::uint64_t revision() const override { return revision_; }
   void OnEndpoints(TimePoint now, const std::vector<pb::LeaseUpdate>& updates,
                    bool complete) override;
+  void SetReceiveDelay(TimePoint now, Duration bound) override;
   FlowVerdict OnPacket(TimePoint now, const FlowPacket& packet,
                        ByteSpan bytes) override;
   void OnMalformed() override { ++counters_.malformed; }
@@ -180,6 +181,16 @@
   // Processes an opening packet that another VM hands over: places or refuses
   // the flow, or declines.
   void OnOpening(TimePoint now, NodeId from, const pb::FlowOpening& message);
+  // True if what this VM reads may be so old that its sender has decided
+  // without this VM.
+  bool IsLate() const;
+  // True if the caller may have sent the next copy of its opening packet, or
+  // given up, since this one arrived.
+  bool IsSuperseded(const FlowPacket& packet) const;
+  // Of a flow whose first opening packet was sent `age` ago: true if the caller
+  // has given up, or a copy may have reached another VM while this one did not
+  // answer. That VM has placed the flow.
+  bool MayBePlacedElsewhere(Duration age) const;
   // True if the flow's route has the same service, class and timeout in this
   // VM's catalog as in the sender's.
   bool HasSameRoute(const pb::FlowOpening& message) const;
@@ -305,7 +316,8 @@
   std::map<FlowId, PendingHandover> pending_handovers_;
   std::map<FlowId, LateHandover> late_handovers_;
   std::map<NodeId, RoundTrip> round_trips_;
-  bool link_late_ = false;  // As of the last UpdateLinkLate().
+  Duration receive_delay_{};  // By the last SetReceiveDelay().
+  bool link_late_ = false;    // As of the last UpdateLinkLate().
   std::vector<LinkLate> link_events_;
   std::map<FlowId, Parked> parked_;
   DispatcherSelector dispatcher_selector_;
--- a/src/packetflow/flow_node_openings.cc
+++ b/src/packetflow/flow_node_openings.cc
@@ -12,6 +12,10 @@
 // A healthy dispatcher acknowledges within two hops of 0.5 ms each and the time
 // until its VM gets a processor, which may take 75 ms.
 constexpr Duration kHandoverTimeout = std::chrono::milliseconds(100);
+// An opening packet that may have waited for longer than this in front of the
+// VM that it was handed over to is not placed there: its ingress places it
+// after kHandoverTimeout, which the ways to and from that VM shorten.
+constexpr Duration kMaxOpeningWait = std::chrono::milliseconds(90);
 // Limit of the timeout if the round trip is longer or this VM's link is late.
 // Callers wait 1.4 s; the rest is left for placing the flow without the
 // dispatcher, and for a retransmission.
@@ -63,7 +67,49 @@
   Dispatch(now, std::move(opening));
 }
 
+bool FlowNodeImpl::IsLate() const { return receive_delay_ > kMaxOpeningWait; }
+
+bool FlowNodeImpl::IsSuperseded(const FlowPacket& packet) const {
+  constexpr auto& kTimes = FlowDispatcher::kTransmissionTimes;
+  const std::size_t copy =
+      std::min<std::size_t>(packet.copy, kTimes.size() - 1);
+  const Duration next = copy + 1 < kTimes.size()
+                            ? kTimes[copy + 1]
+                            : FlowDispatcher::kOpeningTimeout;
+  return receive_delay_ >= next - kTimes[copy];
+}
+
+void FlowNodeImpl::SetReceiveDelay(TimePoint now, Duration bound) {
+  const bool was_late = IsLate();
+  receive_delay_ = bound;
+  if (!IsLate()) {
+    return;
+  }
+  // Reports of progress may wait unread as well.
+  dispatcher_->OnLinkLate(now);
+  if (!was_late) {
+    counters_.too_late += dispatcher_->DropWaiting(
+        now, [this](Duration age) { return MayBePlacedElsewhere(age); });
+  }
+}
+
+bool FlowNodeImpl::MayBePlacedElsewhere(Duration age) const {
+  if (age >= FlowDispatcher::kOpeningTimeout) {
+    return true;
+  }
+  constexpr auto& kTimes = FlowDispatcher::kTransmissionTimes;
+  return IsLate() &&
+         std::any_of(kTimes.begin() + 1, kTimes.end(), [&](Duration sent) {
+           return age - receive_delay_ <= sent &&
+                  sent + kHandoverTimeout <= age;
+         });
+}
+
 void FlowNodeImpl::Dispatch(TimePoint now, FlowOpening opening) {
+  if (MayBePlacedElsewhere(opening.age)) {
+    ++counters_.too_late;
+    return;
+  }
   SetShard(opening);
   const NodeId to = DispatcherFor(now, {opening.service, opening.shard});
   if (to != self()) {
@@ -121,7 +167,14 @@
   // places the flows of all than that each VM places its own.
   const bool has_less_endpoint_data =
       !settled_ && (message.settled() || endpoints_.size() == 0);
-  if (catalog_is_older || has_less_endpoint_data) {
+  // A late opening that is known here keeps its decision, without another
+  // packet to its endpoint.
+  if (IsLate() && dispatcher_->IsKnown(now, FromMessage(message))) {
+    ++counters_.too_late;
+    return;
+  }
+  counters_.too_late += IsLate() ? 1 : 0;
+  if (catalog_is_older || has_less_endpoint_data || IsLate()) {
     ++counters_.declined;
     taken.set_declined(true);
     return;
@@ -231,6 +284,18 @@
       continue;
     }
     PendingHandover& handover = it->second;
+    const Duration age = handover.opening.age + (now - handover.sent_at);
+    if (MayBePlacedElsewhere(age)) {
+      ++counters_.too_late;
+      it = pending_handovers_.erase(it);
+      continue;
+    }
+    if (IsLate()) {
+      // The acknowledgement may wait unread in front of this VM.
+      handover.due = now + kLateCheckInterval;
+      ++it;
+      continue;
+    }
     const TimePoint limit = handover.sent_at + kMaxHandoverTimeout;
     if (link_late_ && now < limit) {
       // The acknowledgement may still wait in front of this VM's link.
@@ -246,7 +311,7 @@
     if (link_meter_.enabled()) {
       late_handovers_[it->first] = {handover.dispatcher, handover.sent_at};
     }
-    handover.opening.age += now - handover.sent_at;
+    handover.opening.age = age;
     overdue.push_back(std::move(handover.opening));
     it = pending_handovers_.erase(it);
   }
--- a/src/packetflow/flow_world.h
+++ b/src/packetflow/flow_world.h
@@ -75,6 +75,10 @@
   void StartVm(std::size_t n);
   // Makes a VM fail without notice.
   void KillVm(std::size_t n) { vms_[n] = nullptr; }
+  // Makes a VM neither read nor send anything until ThawVm(). It then reads
+  // what has arrived; `timer_first`: its timer runs before it does so.
+  void FreezeVm(std::size_t n) { frozen_[n].since = now_; }
+  void ThawVm(std::size_t n, bool timer_first);
   // Begins a planned stop of a VM.
   void StopVm(std::size_t n);
   // Creates a catalog with one route per service name. The route "urgent" has
@@ -170,6 +174,10 @@
     bool inbound = false;
     TimePoint free_at;  // When the last datagram in the queue has passed.
   };
+  struct Frozen {
+    TimePoint since;
+    std::vector<Callback> unread;  // What has arrived, in order.
+  };
   struct Event {
     TimePoint at;
     std::uint64_t order;  // Orders events of the same time.
@@ -183,6 +191,9 @@
   static SocketAddress RouteOf(const std::string& service);
   void After(Duration delay, Callback run);
   void Tick();
+  void TickVm(std::size_t n);
+  // Runs `read`, or stores it until the VM thaws.
+  void Read(std::size_t vm, const Callback& read);
   void RenewLeases();
   void Deliver(int from, Outbox& out);
   // Runs `then` when a datagram of `bytes` has passed the link of a VM, or
@@ -191,6 +202,7 @@
   void OnPeerDatagram(int from, int to, const std::vector<std::uint8_t>& bytes);
   void PerformActions(std::size_t vm);
   void SendOpening(int flow, std::uint32_t copy);
+  void ReceiveOpening(int flow, std::uint32_t copy, std::size_t vm);
   void SendPacket(int flow, bool carries_data, bool ends);
   void ForwardPacket(int flow, const FlowPacket& packet);
   // Has the caller send its next request, or end the flow after the last one.
@@ -213,6 +225,7 @@
   std::uint64_t order_ = 0;
   std::priority_queue<Event> events_;
   std::vector<std::unique_ptr<FlowNode>> vms_;
+  std::map<std::size_t, Frozen> frozen_;
   std::uint64_t starts_ = 0;
   std::unique_ptr<PeerNode> control_;
   pb::Catalog catalog_;
--- a/src/packetflow/flow_world_test.cc
+++ b/src/packetflow/flow_world_test.cc
@@ -216,16 +216,43 @@
   control_->OnTick(now_, out);
   Deliver(kControl, out);
   for (std::size_t n = 0; n < vms_.size(); ++n) {
-    if (vms_[n] != nullptr && now_ >= vms_[n]->NextWake()) {
-      out.Clear();
-      vms_[n]->OnTick(now_, out);
-      Deliver(static_cast<int>(n), out);
-      PerformActions(n);
+    if (vms_[n] != nullptr && now_ >= vms_[n]->NextWake() &&
+        !frozen_.contains(n)) {
+      TickVm(n);
     }
   }
   After(kTick, [this] { Tick(); });
 }
 
+void FlowWorld::TickVm(std::size_t n) {
+  Outbox out;
+  vms_[n]->OnTick(now_, out);
+  Deliver(static_cast<int>(n), out);
+  PerformActions(n);
+}
+
+void FlowWorld::ThawVm(std::size_t n, bool timer_first) {
+  const Frozen frozen = std::move(frozen_.at(n));
+  frozen_.erase(n);
+  vms_[n]->SetReceiveDelay(now_, now_ - frozen.since);
+  if (timer_first) {
+    TickVm(n);
+  }
+  for (const Callback& it : frozen.unread) {
+    it();
+  }
+  vms_[n]->SetReceiveDelay(now_, Duration::zero());
+}
+
+void FlowWorld::Read(std::size_t vm, const Callback& read) {
+  const auto it = frozen_.find(vm);
+  if (it == frozen_.end()) {
+    read();
+  } else {
+    it->second.unread.push_back(read);
+  }
+}
+
 void FlowWorld::Deliver(int from, Outbox& out) {
   for (const Outbox::Item& it : out.items()) {
     const int to = static_cast<int>(it.to.ip - 0x0A000000U) - 1;
@@ -266,6 +293,12 @@
 
 void FlowWorld::OnPeerDatagram(int from, int to,
                                const std::vector<std::uint8_t>& bytes) {
+  if (const auto it = frozen_.find(static_cast<std::size_t>(to));
+      it != frozen_.end()) {
+    it->second.unread.push_back(
+        [this, from, to, bytes] { OnPeerDatagram(from, to, bytes); });
+    return;
+  }
   Outbox answers;
   if (to == kControl) {
     control_->OnDatagram(now_, PeerOf(from), bytes, answers);
@@ -366,15 +399,19 @@
   if (!flow.endpoint.empty() || flow.reset || vms_[flow.vm] == nullptr) {
     return;
   }
-  FlowPacket packet = flow.packet;
+  const std::size_t vm = flow.vm;
+  Read(vm, [this, id, copy, vm] { ReceiveOpening(id, copy, vm); });
+}
+
+void FlowWorld::ReceiveOpening(int id, std::uint32_t copy, std::size_t vm) {
+  FlowPacket packet = flows_[id].packet;
   packet.opens = true;
   packet.copy = copy;
   std::string bytes = std::to_string(id);
   bytes.resize(std::max(bytes.size(), opening_bytes_));
-  const FlowVerdict verdict = vms_[flow.vm]->OnPacket(
+  const FlowVerdict verdict = vms_[vm]->OnPacket(
       now_, packet,
       {reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size()});
-  const std::size_t vm = flow.vm;
   if (verdict.kind == FlowVerdict::Kind::kReset) {
     Reset(id);
   }
@@ -492,7 +529,10 @@
   packet.ends = ends;
   packet.carries_data = carries_data;
   PassLink(static_cast<int>(flows_[id].vm), true, kCallerPacketBytes,
-           [this, id, packet] { ForwardPacket(id, packet); });
+           [this, id, packet] {
+             Read(flows_[id].vm,
+                  [this, id, packet] { ForwardPacket(id, packet); });
+           });
 }
 
 void FlowWorld::ForwardPacket(int id, const FlowPacket& packet) {
--- a/src/runtime/flow_shell.cc
+++ b/src/runtime/flow_shell.cc
@@ -8,6 +8,7 @@
 #include "src/runtime/fleet_shell.h"
 #include "src/runtime/flow_log.h"
 #include "src/runtime/member_log.h"
+#include "vanillalatch/packetflow/receive_delay.h"
 #include "vanillalatch/runtime/wakeup.h"
 #include "vanillalatch/telemetry/log.h"
 
@@ -22,6 +23,9 @@
   Wakeup wakeup;
   MemberLog member_log;
   FlowLog log;
+  // Of the sockets.
+  ReceiveDelay packets_delay{NowWithSuspension()};
+  ReceiveDelay peers_delay{NowWithSuspension()};
 };
 
 Result<FlowShellCore::Sockets> FlowShellCore::Bind(const Settings& settings) {
@@ -110,20 +114,28 @@
 }
 
 void FlowShellCore::ServePackets(FdWaiter& waiter) {
+  ReceiveDelay& delay = internals_->packets_delay;
   ServeBatches(waiter, stopped_, [&] {
+    const TimePoint begun = NowWithSuspension();
+    node_->SetReceiveDelay(Now(), delay.Bound(begun));
     const std::size_t n = ReceivePackets(Now());
+    delay.OnRead(begun, n < UdpSocket::kBatchDatagrams);
     Flush();
     return n;
   });
 }
 
 void FlowShellCore::ServePeers(FdWaiter& waiter) {
+  ReceiveDelay& delay = internals_->peers_delay;
   ServeBatches(waiter, stopped_, [&] {
     const TimePoint now = Now();
+    const TimePoint begun = NowWithSuspension();
+    node_->SetReceiveDelay(now, delay.Bound(begun));
     const std::size_t n =
         sockets_.peers.Receive([&](SocketAddress from, ByteSpan bytes) {
           node_->OnPeer(now, from, bytes, out_);
         });
+    delay.OnRead(begun, n < UdpSocket::kBatchDatagrams);
     Flush();
     return n;
   });
@@ -131,7 +143,17 @@
 
 void FlowShellCore::RunTimer() {
   while (!stopped_) {
-    internals_->wakeup.SleepUntil(node_->NextWake());
+    internals_->wakeup.SleepUntil(
+        std::min(node_->NextWake(), Now() + ReceiveDelay::kTurnInterval));
+    const TimePoint turn = NowWithSuspension();
+    internals_->packets_delay.OnTurn(turn);
+    internals_->peers_delay.OnTurn(turn);
+    if (Now() < node_->NextWake()) {
+      continue;
+    }
+    node_->SetReceiveDelay(Now(),
+                           std::max(internals_->packets_delay.Bound(turn),
+                                    internals_->peers_delay.Bound(turn)));
     node_->OnTick(Now(), out_);
     Flush();
     internals_->member_log.LogChanges(Now(), node_->peers().members());
--- a/src/runtime/reactor.cc
+++ b/src/runtime/reactor.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <ctime>
 #include <vector>
 
 #include "vanillalatch/base/error.h"
@@ -149,6 +150,13 @@
       std::chrono::steady_clock::now().time_since_epoch()));
 }
 
+TimePoint NowWithSuspension() {
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return TimePoint(std::chrono::seconds(time.tv_sec) +
+                   std::chrono::nanoseconds(time.tv_nsec));
+}
+
 std::int64_t UnixEpochMs() {
   const auto unix_now = std::chrono::system_clock::now().time_since_epoch();
   const auto steady_now = std::chrono::steady_clock::now().time_since_epoch();
