--- a/src/consensus/replica_store.cc
+++ b/src/consensus/replica_store.cc
@@ -128,7 +128,8 @@
     AppendBatch(batch, stored_.log);
     stored_.commit_index = std::max(stored_.commit_index, batch.commit());
   }
-  const std::string_view end = std::string_view(content).substr(damage.offset);
+  std::string_view end = content;
+  end.remove_prefix(damage.offset);
   if (!damage.is_last &&
       (first || !internal::IsUnsyncedEnd(end, stored_.commit_index,
                                          stored_.log.last_index()))) {
