Reset no flow of an unknown route while what is read may be old

What callers could see: an open flow reset after an entry VM had woken up from a freeze, if its route was added meanwhile.

Cause: a VM that wakes up reads packets that waited in front of it, by the catalog that it had before, and resets those whose route it doesn't know. The caller's copies have opened the flow through other VMs since.

Change: it drops such packets while what it reads may have waited for over 90 ms (ReceiveDelay, as for opening packets). PROTOCOL.md allows a reset or no response where no route exists, and the copies reach other VMs.

--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -85,8 +85,9 @@
   const FlowRoute* route = routes_.Find(packet.route);
   if (route == nullptr) {
     ++counters_.unknown_route;
-    return {packet.aborts ? FlowVerdict::Kind::kDrop
-                          : FlowVerdict::Kind::kReset};
+    // A VM that was suspended may not have received the newest catalog yet.
+    return {packet.aborts || IsLate() ? FlowVerdict::Kind::kDrop
+                                      : FlowVerdict::Kind::kReset};
   }
   if (packet.opens) {
     if (IsSuperseded(packet)) {
--- a/src/packetflow/flow_node_test.cc
+++ b/src/packetflow/flow_node_test.cc
@@ -79,6 +79,36 @@
   CHECK(fleet.world().FlowOf(flow).accepted_by.size() == 1);
 }
 
+// Guards against the reset of a flow that other VMs opened during a freeze, on
+// a route that was added meanwhile.
+TEST_CASE(
+    "a VM that wakes up resets no flow for a route that it does not know") {
+  struct Row {
+    Duration delay;  // For which the packet may have waited.
+    bool opens;
+    std::uint32_t copy;
+    FlowVerdict::Kind want;
+  };
+  const Row row = GENERATE(
+      values<Row>({{milliseconds(0), true, 0, FlowVerdict::Kind::kReset},
+                   {milliseconds(40), true, 0, FlowVerdict::Kind::kReset},
+                   {milliseconds(150), true, 0, FlowVerdict::Kind::kDrop},
+                   {milliseconds(2500), true, 0, FlowVerdict::Kind::kDrop},
+                   {milliseconds(2500), true, 2, FlowVerdict::Kind::kDrop},
+                   {milliseconds(0), false, 0, FlowVerdict::Kind::kReset},
+                   {milliseconds(2500), false, 0, FlowVerdict::Kind::kDrop}}));
+  CAPTURE(row.delay.count(), row.opens, row.copy);
+  Fleet fleet;
+  FlowNode& vm = fleet.world().Vm(0);
+  FlowPacket packet;
+  packet.caller = {0x0C000001U, 4000};
+  packet.route = {0x0D0000FFU, 443};
+  packet.opens = row.opens;
+  packet.copy = row.copy;
+  vm.SetReceiveDelay(fleet.world().now(), row.delay);
+  CHECK(vm.OnPacket(fleet.world().now(), packet, {}).kind == row.want);
+}
+
 TEST_CASE("an endpoint of the ingress' data centre goes first") {
   Fleet fleet;
   for (std::size_t n = 0; n < kVms; ++n) {
