Refuse settings and catalog files that are nested too deeply

What operators could see: the process ends when it reads a file of 200 kB with 100,000 nested lists, also while it runs, at SIGHUP.

Cause: each level of the tree is a call when it is destroyed, and a path of its own while it is built.

Change: a file may have 64 levels, as the bodies of the HTTP doors.

Evidence: settings_tests "a file that is nested too deeply is refused": 2 of 6 assertions fail without the check, none with it.

--- a/src/jsonc/tree_builder.cc
+++ b/src/jsonc/tree_builder.cc
@@ -7,6 +7,13 @@
 
 using Type = JsonValue::Type;
 
+namespace {
+
+// A tree of 100,000 levels would overflow the stack when it is destroyed.
+constexpr std::size_t kMaxNestingLevels = 64;
+
+}  // namespace
+
 void JsonTreeBuilder::FailAtCurrentLine(const std::string& what) const {
   throw Error(ErrorKind::kInvalidArgument,
               *file_ + ":" + std::to_string(lines_.line()) + ": " + what);
@@ -36,6 +43,10 @@
 }
 
 bool JsonTreeBuilder::OpenContainer(Type type) {
+  if (open_containers_.size() >= kMaxNestingLevels) {
+    FailAtCurrentLine("expected at most " + std::to_string(kMaxNestingLevels) +
+                      " nested levels");
+  }
   open_containers_.push_back(
       &AddValue(type, type == Type::kArray ? "an array" : "an object"));
   return true;
--- a/src/settings/settings_test.cc
+++ b/src/settings/settings_test.cc
@@ -240,6 +240,23 @@
   CHECK(settings.error().what() == "vm.json:" + row.expected);
 }
 
+// Guards against a process that is ended by a file of few bytes when it reads
+// its settings again.
+TEST_CASE("a file that is nested too deeply is refused", "[settings]") {
+  struct Row {
+    std::size_t levels;  // With that of the file itself.
+    bool too_deep;
+  };
+  const Row row = GENERATE(Row{64, false}, Row{65, true}, Row{100'000, true});
+  const std::string text = R"({"vm": )" + std::string(row.levels - 1, '[') +
+                           std::string(row.levels - 1, ']') + "}";
+  const Result<Settings> settings = ParseSettings("vm.json", text);
+  REQUIRE(!settings.ok());
+  const std::string error = settings.error().what();
+  CHECK((error.find("at most 64 nested levels") != std::string::npos) ==
+        row.too_deep);
+}
+
 TEST_CASE("a process needs a role", "[settings]") {
   const auto text = GENERATE(values<std::string>(
       {R"({"vm": "one", "data_center": "north"})", "[]", "", "{", "7"}));
