Refuse registrations with values that no endpoint has

What could be seen: one heartbeat of another writer with a `zone` of 200 kB was acknowledged. Its lease fits into no datagram and stood first in each message, so every other change of a lease was sent once and no more; only the digests spread it further.

Cause: the registry bounded neither the texts nor the numbers of a registration, and sends the changes that were sent least often first.

Change: a registration needs a unicast address, 1 to 65,536 slots and a data centre of at most 128 bytes. A lease from a peer that has other values is ignored, so a build that accepted one doesn't pass it on to this one.

--- a/include/vanillalatch/base/address.h
+++ b/include/vanillalatch/base/address.h
@@ -26,6 +26,13 @@
   // Returns "A.B.C.D:PORT".
   std::string ToString() const;
 
+  // True if it can be the address of one host: neither the IP address nor the
+  // port is 0, and it is no multicast or broadcast address.
+  constexpr bool IsUnicast() const {
+    constexpr std::uint32_t kFirstMulticast = 0xe0000000;  // 224.0.0.0
+    return port != 0 && ip != 0 && ip < kFirstMulticast;
+  }
+
   // Encodes address and port in the low 48 bits of one integer, for messages
   // and hash keys. FromPacked() is the inverse.
   constexpr std::uint64_t Packed() const {
--- a/include/vanillalatch/registry/registry.h
+++ b/include/vanillalatch/registry/registry.h
@@ -9,6 +9,7 @@
 #ifndef VANILLALATCH_REGISTRY_REGISTRY_H_
 #define VANILLALATCH_REGISTRY_REGISTRY_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <span>
@@ -25,6 +26,11 @@
 
 namespace vanillalatch {
 
+// Leases are sent in datagrams, so the texts in them are bounded.
+inline constexpr std::size_t kMaxDataCenterBytes = 128;
+// Keeps sums over the endpoints of a service within 32 bits.
+inline constexpr std::uint32_t kMaxEndpointSlots = 1U << 16;
+
 enum class EndpointState : std::uint8_t {
   kReady,    // Takes work.
   kLeaving,  // Takes no new work.
@@ -96,10 +102,12 @@
   static Result<std::unique_ptr<Registry>> Create(RegistryOptions options);
 
   // Registers an endpoint, or renews its lease, and returns its id. Errors:
-  // kWrongDataCenter; kInvalidArgument (no slots, no name, lifetime outside 1 s
-  // to 1 day); kConflict (the endpoint was removed, a newer registration of its
-  // name or address exists, or its address changed: the backend server must
-  // register again with a higher epoch).
+  // kWrongDataCenter; kInvalidArgument (no name, no address that can be sent
+  // to, no slots or more than kMaxEndpointSlots, a data centre's name above
+  // kMaxDataCenterBytes, a lifetime outside 1 s to 1 day); kConflict (the
+  // endpoint was removed, a newer registration of its name or address exists,
+  // the one to be taken over is still renewed, or its address changed: the
+  // backend server must register again with a higher epoch).
   virtual Result<EndpointId> Register(TimePoint now,
                                       const Registration& registration) = 0;
   // Marks the endpoint as leaving, so that it gets no new work, and returns
--- a/src/registry/lease.cc
+++ b/src/registry/lease.cc
@@ -37,6 +37,12 @@
 
 }  // namespace
 
+bool IsValidEndpoint(const Endpoint& endpoint) {
+  return !endpoint.name.empty() && endpoint.address.IsUnicast() &&
+         endpoint.slots > 0 && endpoint.slots <= kMaxEndpointSlots &&
+         endpoint.data_center.size() <= kMaxDataCenterBytes;
+}
+
 EndpointId MakeEndpointId(ServiceId service, std::string_view name,
                           std::uint64_t epoch) {
   return EndpointId{
@@ -111,18 +117,18 @@
   Endpoint& it = lease.endpoint;
   it.service = ServiceId{update.service_id()};
   it.id = MakeEndpointId(it.service, update.name(), update.epoch());
-  if (update.name().empty() || update.lifetime_ms() == 0 ||
-      update.slots() == 0 || update.ttl_ms() > update.lifetime_ms()) {
-    return std::nullopt;
-  }
   it.name = update.name();
   it.address = SocketAddress::FromPacked(update.address());
   it.slots = update.slots();
+  it.data_center = update.data_center();
+  if (!IsValidEndpoint(it) || update.lifetime_ms() == 0 ||
+      update.ttl_ms() > update.lifetime_ms()) {
+    return std::nullopt;
+  }
   it.epoch = update.epoch();
   it.version = update.version();
   it.registered = now - milliseconds(update.age_ms());
   it.load_percent = update.load_percent();
-  it.data_center = update.data_center();
   it.warm_at = now + milliseconds(update.warm_in_ms());
   lease.claim = update.claim();
   lease.lifetime = milliseconds(update.lifetime_ms());
--- a/src/registry/lease.h
+++ b/src/registry/lease.h
@@ -43,6 +43,9 @@
   TimePoint expires() const { return renewed_at + lifetime; }
 };
 
+// True if a registration may have these values.
+bool IsValidEndpoint(const Endpoint& endpoint);
+
 // The id of a registration: the hash of service, name and epoch.
 EndpointId MakeEndpointId(ServiceId service, std::string_view name,
                           std::uint64_t epoch);
@@ -82,8 +85,8 @@
 
 // Writes `lease` to `update`, with times relative to `now`.
 void ToUpdate(const Lease& lease, TimePoint now, pb::LeaseUpdate& update);
-// nullopt if the update is invalid: no name or slots, no lifetime, or more time
-// left than the lifetime.
+// nullopt if the update is invalid: a value that no registration may have, no
+// lifetime, or more time left than the lifetime.
 std::optional<Lease> FromUpdate(const pb::LeaseUpdate& update, TimePoint now);
 
 }  // namespace vanillalatch::internal
--- a/src/registry/registry.cc
+++ b/src/registry/registry.cc
@@ -3,6 +3,7 @@
 #include "vanillalatch/registry/registry.h"
 
 #include <algorithm>
+#include <string>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -37,12 +38,19 @@
     return Error(ErrorKind::kWrongDataCenter,
                  "registration for data centre " + registration.data_center);
   }
-  if (registration.name.empty() || registration.slots == 0 ||
-      registration.lifetime < kMinLifetime ||
+  Endpoint endpoint;
+  endpoint.name = registration.name;
+  endpoint.address = registration.address;
+  endpoint.slots = registration.slots;
+  endpoint.data_center = registration.data_center;
+  if (!IsValidEndpoint(endpoint) || registration.lifetime < kMinLifetime ||
       registration.lifetime > kMaxLifetime) {
     return Error(ErrorKind::kInvalidArgument,
-                 "a registration needs a name, slots and a lifetime between "
-                 "1 s and 1 day");
+                 "a registration needs a name, a unicast address, 1 to " +
+                     std::to_string(kMaxEndpointSlots) +
+                     " slots, a data centre of at most " +
+                     std::to_string(kMaxDataCenterBytes) +
+                     " bytes and a lifetime between 1 s and 1 day");
   }
   const Lease* newest =
       store_.FindNewest(registration.service, registration.name);
