End a warm-up that lasts longer than the endpoint says

What could be seen: one heartbeat of another writer with the id and start of a living endpoint and `warmup_remaining_ms` made it count as cold for 49 days.

Cause: a renewal could extend a warm-up, never shorten it.

Change: the endpoint's own heartbeat ends a warm-up that lasts over 5 s longer than it says. Smaller differences stay, as the existing test asks: they are delays of messages.

Evidence: registry_tests "the endpoint's own heartbeat ends a warm-up that is too long" fails without the change, passes with it.

--- a/src/registry/registry.cc
+++ b/src/registry/registry.cc
@@ -17,6 +17,13 @@
 // A renewal may extend the time until an endpoint is warm by more than this, as
 // after a pause of its data centre. Smaller differences are delays of messages.
 constexpr Duration kMinWarmUpGain = std::chrono::milliseconds(50);
+// It also ends a warm-up that lasts longer than it says by more than this, as
+// after a report that came from another writer.
+constexpr Duration kMinWarmUpLoss = std::chrono::seconds(5);
+// A start that takes over reports at least twice, with this part of the
+// takeover silence in between: less than a heartbeat interval.
+constexpr int kTakeoverReportDivisor = 5;
+constexpr std::size_t kMaxRefusedTakeovers = 4096;
 constexpr Duration kMinLifetime = std::chrono::seconds(1);
 constexpr Duration kMaxLifetime = std::chrono::hours(24);
 
@@ -96,15 +103,17 @@
     return Error(ErrorKind::kConflict,
                  "the address of " + registration.name + " was reused");
   }
-  const bool cold_again =
-      registration.warm_in > Duration::zero() &&
-      now + registration.warm_in > endpoint.warm_at + kMinWarmUpGain;
+  const TimePoint warm_at = now + registration.warm_in;
+  const bool cold_again = registration.warm_in > Duration::zero() &&
+                          warm_at > endpoint.warm_at + kMinWarmUpGain;
+  const bool warm_earlier = warm_at + kMinWarmUpLoss < endpoint.warm_at;
   const bool claimed = registration.claims_address && !lease.claims_address() &&
                        BeginClaim(now, lease);
   const bool changed = claimed || endpoint.slots != registration.slots ||
-                       lease.lifetime != registration.lifetime || cold_again;
-  if (cold_again) {
-    endpoint.warm_at = now + registration.warm_in;
+                       lease.lifetime != registration.lifetime || cold_again ||
+                       warm_earlier;
+  if (cold_again || warm_earlier) {
+    endpoint.warm_at = warm_at;
   }
   endpoint.slots = registration.slots;
   endpoint.load_percent = registration.load_percent;
--- a/src/registry/warm_up_test.cc
+++ b/src/registry/warm_up_test.cc
@@ -58,5 +58,18 @@
   CHECK(peer->Find(id)->renewed == renewed);
 }
 
+// Guards against an endpoint that counts as cold for weeks because of one
+// report of another writer.
+TEST_CASE("the endpoint's own heartbeat ends a warm-up that is too long") {
+  auto registry = Registry::Create({}).value();
+  const EndpointId id =
+      registry->Register(kStart, Heartbeat(seconds(0))).value();
+  const TimePoint odd = kStart + milliseconds(500);
+  registry->Register(odd, Heartbeat(std::chrono::hours(1000))).value();
+  const TimePoint own = kStart + milliseconds(1200);
+  registry->Register(own, Heartbeat(seconds(0))).value();
+  CHECK(registry->Find(id)->warm_at <= own);
+}
+
 }  // namespace
 }  // namespace vanillalatch
