Let no single report take over a living endpoint's id or address

Cause: a registration with a later start, or another name at an address, removed the one before at once, and its tombstone refused the endpoint's own reports for a minute. What the endpoint went on sending counted for nothing.

Change: a registration that would remove a live one is refused until the other one has not been renewed for four heartbeat intervals, as far as this VM knows, and it has been sent twice itself. Control VMs also tell the registry which services the catalog names: a lease that came from a peer before its service was named claims its address only there. No message or stored form changes.

--- a/include/vanillalatch/packetflow/peer_node.h
+++ b/include/vanillalatch/packetflow/peer_node.h
@@ -33,9 +33,11 @@
   static constexpr std::size_t kMaxUnknownSenders = 1024;
 
   // Creates a node; `members.bytes_per_second` is replaced by kBytesPerSecond.
-  // Errors: those of MemberList::Create() and Registry::Create().
-  static Result<std::unique_ptr<PeerNode>> Create(MemberListOptions members,
-                                                  std::uint64_t seed);
+  // `takeover_silence` is that of RegistryOptions. Errors: those of
+  // MemberList::Create() and Registry::Create().
+  static Result<std::unique_ptr<PeerNode>> Create(
+      MemberListOptions members, std::uint64_t seed,
+      Duration takeover_silence = Duration::zero());
 
   // Processes a datagram of a peer. Returns its flow message, which is valid
   // until the next call, or nullptr if the datagram contains none or is
--- a/include/vanillalatch/registry/registry.h
+++ b/include/vanillalatch/registry/registry.h
@@ -17,6 +17,7 @@
 #include <string_view>
 #include <vector>
 
+#include "absl/container/flat_hash_set.h"
 #include "membership.pb.h"
 #include "vanillalatch/base/address.h"
 #include "vanillalatch/base/result.h"
@@ -84,6 +85,11 @@
   // True if epochs are start times, so that those of two endpoints can be
   // compared: an address belongs to the endpoint that started last.
   bool epochs_are_start_times = false;
+  // A registration takes over the name or address of another one only if that
+  // was not renewed within this time, and if it is itself sent twice, a fifth
+  // of this time apart or more: an endpoint that has ended stays silent, and
+  // one that has started goes on reporting. 0: it takes over at once.
+  Duration takeover_silence{};
   // How long a removed endpoint is kept as a tombstone, so that late updates
   // cannot bring it back; the lifetime of its lease if that is longer. Also how
   // long an expired lease is kept, which a renewal at another VM may restore.
@@ -117,6 +123,10 @@
   // before work is placed after a pause of this VM. True if a lease expired.
   virtual bool OnTick(TimePoint now) = 0;
 
+  // Sets the services that the catalog names. Their endpoints keep their
+  // addresses also where this VM does not know yet that they claim them.
+  virtual void SetNamedServices(absl::flat_hash_set<ServiceId> services) = 0;
+
   // Endpoints of one service that are ready or leaving, ordered by id.
   virtual std::span<const Endpoint> EndpointsOf(ServiceId service) const = 0;
   // nullptr if there is no such endpoint that is ready or leaving.
--- a/src/packetflow/peer_node.cc
+++ b/src/packetflow/peer_node.cc
@@ -19,10 +19,12 @@
 }  // namespace
 
 Result<std::unique_ptr<PeerNode>> PeerNode::Create(MemberListOptions members,
-                                                   std::uint64_t seed) {
+                                                   std::uint64_t seed,
+                                                   Duration takeover_silence) {
   members.bytes_per_second = kBytesPerSecond;
   RegistryOptions registry;
   registry.epochs_are_start_times = true;
+  registry.takeover_silence = takeover_silence;
   registry.contact_timeout = kDoubtDisabled;
   Result<std::unique_ptr<MemberList>> list =
       MemberList::Create(std::move(members), seed);
--- a/src/registry/registry.cc
+++ b/src/registry/registry.cc
@@ -39,7 +39,8 @@
 
 }  // namespace
 
-std::optional<Error> RegistryImpl::Validate(const Registration& registration) {
+std::optional<Error> RegistryImpl::Validate(TimePoint now,
+                                            const Registration& registration) {
   if (!options_.data_center.empty() &&
       registration.data_center != options_.data_center) {
     return Error(ErrorKind::kWrongDataCenter,
@@ -72,12 +73,68 @@
                                            " started later at " +
                                            registration.address.ToString());
   }
-  return std::nullopt;
+  return CheckTakeover(now, registration,
+                       MakeEndpointId(registration.service, registration.name,
+                                      registration.epoch));
+}
+
+const Lease* RegistryImpl::FindDisplaced(const Registration& registration,
+                                         EndpointId id) {
+  const Lease* newest =
+      store_.FindNewest(registration.service, registration.name);
+  if (newest != nullptr && newest->is_live() &&
+      newest->endpoint.epoch < registration.epoch) {
+    return newest;
+  }
+  const Lease* own = store_.Find(id);
+  if (!registration.claims_address ||
+      (own != nullptr && own->is_live() && own->claims_address())) {
+    return nullptr;
+  }
+  const Lease* latest = nullptr;
+  store_.ForEach([&](const Lease& it) {
+    // A lease that was received before its service was named may claim its
+    // address at another VM only.
+    const bool claims =
+        it.claims_address() || named_services_.contains(it.endpoint.service);
+    const bool is_other = std::pair(it.endpoint.service, it.endpoint.name) !=
+                          std::pair(registration.service, registration.name);
+    if (it.is_live() && claims && is_other &&
+        it.endpoint.address == registration.address &&
+        (latest == nullptr || latest->renewed_at < it.renewed_at)) {
+      latest = &it;
+    }
+  });
+  return latest;
+}
+
+std::optional<Error> RegistryImpl::CheckTakeover(
+    TimePoint now, const Registration& registration, EndpointId id) {
+  const Lease* displaced = FindDisplaced(registration, id);
+  if (displaced == nullptr || options_.takeover_silence == Duration::zero()) {
+    refused_since_.erase(id);
+    return std::nullopt;
+  }
+  if (refused_since_.size() < kMaxRefusedTakeovers) {
+    refused_since_.try_emplace(id, now);
+  }
+  const auto since = refused_since_.find(id);
+  const bool goes_on =
+      since != refused_since_.end() &&
+      now - since->second >= options_.takeover_silence / kTakeoverReportDivisor;
+  if (goes_on && now - displaced->renewed_at >= options_.takeover_silence) {
+    refused_since_.erase(since);
+    return std::nullopt;
+  }
+  return Error(ErrorKind::kConflict,
+               displaced->endpoint.name + " at " +
+                   displaced->endpoint.address.ToString() +
+                   " may not have ended; report again");
 }
 
 Result<EndpointId> RegistryImpl::Register(TimePoint now,
                                           const Registration& registration) {
-  if (std::optional<Error> error = Validate(registration)) {
+  if (std::optional<Error> error = Validate(now, registration)) {
     return *std::move(error);
   }
   const EndpointId id = MakeEndpointId(registration.service, registration.name,
--- a/src/registry/registry_expiry.cc
+++ b/src/registry/registry_expiry.cc
@@ -12,6 +12,9 @@
 // lifetimes. During a burst of changes, renewals at other VMs may not be
 // received in time.
 constexpr int kGraceLifetimes = 3;
+// A takeover that was refused and is not repeated within this many times the
+// takeover silence is forgotten.
+constexpr int kRefusedTakeoverRetention = 4;
 
 }  // namespace
 
@@ -54,6 +57,10 @@
   for (const EndpointId& it : to_erase) {
     store_.Erase(it);
   }
+  absl::erase_if(refused_since_, [&](const auto& it) {
+    return now - it.second >=
+           kRefusedTakeoverRetention * options_.takeover_silence;
+  });
   return changed;
 }
 
--- a/src/registry/registry_impl.h
+++ b/src/registry/registry_impl.h
@@ -10,6 +10,8 @@
 #include <utility>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 #include "src/registry/lease.h"
 #include "src/registry/lease_store.h"
 #include "vanillalatch/registry/registry.h"
@@ -25,6 +27,9 @@
                               const Registration& registration) override;
   Result<EndpointId> BeginLeave(TimePoint now, EndpointId id) override;
   bool OnTick(TimePoint now) override;
+  void SetNamedServices(absl::flat_hash_set<ServiceId> services) override {
+    named_services_ = std::move(services);
+  }
 
   std::span<const Endpoint> EndpointsOf(ServiceId service) const override {
     return store_.ViewOf(service);
@@ -69,7 +74,17 @@
   // that is leaving or gone, otherwise of a ready one. A lease that has lapsed
   // or was erased is of neither kind.
   bool IsOfKind(const PendingUpdate& pending, bool departures);
-  std::optional<Error> Validate(const Registration& registration);
+  std::optional<Error> Validate(TimePoint now,
+                                const Registration& registration);
+  // Returns the live lease that the registration, of the endpoint `id`, would
+  // remove: an earlier start of its name, or another endpoint at its address.
+  // nullptr if there is none.
+  const Lease* FindDisplaced(const Registration& registration, EndpointId id);
+  // Returns an error if the registration, of the endpoint `id`, would remove
+  // the lease of an endpoint that may not have ended.
+  std::optional<Error> CheckTakeover(TimePoint now,
+                                     const Registration& registration,
+                                     EndpointId id);
   Result<EndpointId> RenewLocally(TimePoint now,
                                   const Registration& registration,
                                   Lease& lease);
@@ -115,6 +130,9 @@
 
   RegistryOptions options_;
   LeaseStore store_;
+  absl::flat_hash_set<ServiceId> named_services_;
+  // Registrations that CheckTakeover() refused, and when it did so first.
+  absl::flat_hash_map<EndpointId, TimePoint> refused_since_;
   std::vector<PendingUpdate> pending_;
   // Buckets whose leases may be outdated, because contact with peers was lost.
   // Cleared by an equal digest of a peer, or after contact for contact_timeout.
--- a/src/runtime/fleet_shell.cc
+++ b/src/runtime/fleet_shell.cc
@@ -16,6 +16,9 @@
 // Within this many heartbeat intervals each endpoint has sent a heartbeat to
 // some control VM, and gossip has disseminated it.
 constexpr int kHeartbeatsUntilComplete = 3;
+// An endpoint that misses this many heartbeats may have ended. A renewal at
+// another control VM is known here within two intervals, seldom three.
+constexpr int kHeartbeatsUntilTakeover = 4;
 // Short compared with the lifetime of a lease.
 constexpr Duration kPackedEndpointsAge = std::chrono::milliseconds(50);
 // All VMs of a fleet form one membership group, whatever their data centre.
@@ -55,7 +58,8 @@
     return socket.error();
   }
   Result<std::unique_ptr<PeerNode>> peers = PeerNode::Create(
-      MakeMemberOptions(settings, false), std::random_device()());
+      MakeMemberOptions(settings, false), std::random_device()(),
+      kHeartbeatsUntilTakeover * settings.doors.heartbeat);
   if (!peers.ok()) {
     return peers.error();
   }
@@ -85,7 +89,10 @@
     Post([this, text] { RestoreEndpoints(text); });
   });
   control_.SetOnCatalog([this](const pb::Catalog& catalog) {
-    Post([this, services = ServicesOf(catalog)] { services_ = services; });
+    Post([this, services = ServicesOf(catalog)] {
+      services_ = services;
+      peers_->registry().SetNamedServices(services);
+    });
   });
   FdWaiter& waiter = reactor.Watch(socket_.fd());
   boost::fibers::fiber([this, &waiter] { ServeSocket(waiter); }).detach();
