Use no heartbeat with a field of another type or out of range

Cause: the decoder took an optional number of another type for absent, and any `born` for a start time. PROTOCOL.md: "An entry or a ping may come from another writer: fields missing or of another type [...]. It names no endpoint to use; the others hold."

Change: every field must be there, of its type and in range, else the answer is 400. `born` alone may be missing, as in PROTOCOL.md's example, and may be 20 s ahead of the time of day at most: clocks differ by seconds.

Tests: the rows of platform_tests "each field of a heartbeat..." that asked for the use of such values were wrong by that sentence; they ask for the refusal now, with rows for larger numbers. The events `heartbeat_value_unknown` has no use any more.

--- a/src/telemetry/log_events.cc
+++ b/src/telemetry/log_events.cc
@@ -198,7 +198,9 @@
      "a heartbeat can't be parsed, so that it registers no endpoint",
      "check the sender"},
     {"heartbeat_unused", "warn", "control", "endpoint, reason",
-     "a heartbeat of an earlier incarnation of an endpoint was ignored",
+     "a heartbeat is not used and not acknowledged: it comes from an earlier "
+     "incarnation, or claims the id or address of an endpoint that still sends "
+     "its own",
      "nothing"},
     {"leave_unused", "info", "control", "endpoint, reason",
      "an endpoint that is not registered reported that it has ended",
@@ -221,11 +223,6 @@
      "does not know; it is in force with the careful meaning, for example a "
      "route of an unknown type is never repeated",
      "correct the operator's file, or upgrade"},
-    {"heartbeat_value_unknown", "warn", "control",
-     "endpoint, pointer, value, left_out",
-     "a heartbeat has an optional value that this version of the program does "
-     "not know; the value counts as absent",
-     "check the sender"},
     {"evacuation_started", "info", "control",
      "data_center, revision, author, changed",
      "a majority of the control VMs has stored the order: the endpoints of the "
--- a/src/telemetry/metric_rows.cc
+++ b/src/telemetry/metric_rows.cc
@@ -130,7 +130,7 @@
     {Metric::kUnknownValues,
      "vanillalatch_unknown_values_total",
      kCounter,
-     "Values of accepted configurations and heartbeats that this version does "
+     "Values of accepted configurations that this version does "
      "not know.",
      {}},
     {Metric::kFlowEvents, "vanillalatch_flow_events_total", kCounter,
