--- a/src/powerloss/file_history_test.cc
+++ b/src/powerloss/file_history_test.cc
@@ -36,24 +36,43 @@
     std::set<std::string> want;  // Torn writes end with a changed byte.
   };
   const Row row = GENERATE(values<Row>({
-      {"synced", "create 1 log\nwrite 1 0 1\nsync 1\n", {"A"}},
+      {"synced",
+       R"(create 1 log
+write 1 0 1
+sync 1
+)",
+       {"A"}},
       {"a new file", "create 1 log\n", {"-", ""}},
       {"one write of two is lost",
-       "base 1 log 1\nwrite 1 1 1\nwrite 1 2 1\n",
-       {"A", "AB", "ABC", "AB\x03", "A\x02",
-        "A\x02"
-        "C",
-        "A\x02\x03", "A.C", "A.\x03"}},
+       R"(base 1 log 1
+write 1 1 1
+write 1 2 1
+)",
+       {"A", "AB", "ABC", "AB\x03", "A\x02", "A\x02\x43", "A\x02\x03", "A.C",
+        "A.\x03"}},
       {"a later sync covers both",
-       "base 1 log 1\nwrite 1 1 1\nwrite 1 2 1\nsync 1\n",
+       R"(base 1 log 1
+write 1 1 1
+write 1 2 1
+sync 1
+)",
        {"ABC"}},
       {"a replaced file",
-       "base 1 log 3\ncreate 2 log.tmp\nwrite 2 0 3\nsync 2\n"
-       "rename 2 log.tmp log\n",
+       R"(base 1 log 3
+create 2 log.tmp
+write 2 0 3
+sync 2
+rename 2 log.tmp log
+)",
        {"ABC", "new"}},
       {"a replaced file, names synced",
-       "base 1 log 3\ncreate 2 log.tmp\nwrite 2 0 3\nsync 2\n"
-       "rename 2 log.tmp log\nsync-names\n",
+       R"(base 1 log 3
+create 2 log.tmp
+write 2 0 3
+sync 2
+rename 2 log.tmp log
+sync-names
+)",
        {"new"}},
       {"a removed file", "base 1 log 3\nremove log\n", {"ABC", "-"}},
       {"a line that was cut off", "base 1 log 3\nremove l", {"ABC"}},
