Keep a control VM's answer when ctl's own timeout cuts off the last attempt

What operators saw: "no control VM answered [...]; last: Deadline Exceeded", although the control VM had answered `no_quorum`.

Cause: ctl repeats the call until its timeout.

Change: an attempt that the whole timeout cuts off changes the reason only if there is none yet.

--- a/src/cli/cli_change_test.cc
+++ b/src/cli/cli_change_test.cc
@@ -3,8 +3,10 @@
 #include <grpcpp/grpcpp.h>
 
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <nlohmann/json.hpp>
 #include <set>
+#include <thread>
 #include <tuple>
 
 #include "src/cli/fake_control.h"
@@ -140,6 +142,26 @@
   CHECK_THAT(no_quorum.err, Contains("no_quorum"));
 }
 
+// Guards against an operator who learns of the client's own timeout in place of
+// what the control VM said.
+TEST_CASE("ctl's own timeout does not hide what a control VM answered",
+          "[cli]") {
+  FakeControl control;
+  int calls = 0;
+  control.apply = [&](const pb::Change&, pb::ApplyReply& reply) {
+    if (++calls > 1) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    }
+    reply.mutable_outcome()->set_error_kind("no_quorum");
+    return grpc::Status::OK;
+  };
+  const CommandResult result =
+      RunCtlAgainst(control, {"apply", kCatalogPath, "--timeout", "1"});
+  CHECK(result.exit_code != 0);
+  CHECK(calls >= 2);
+  CHECK_THAT(result.err, Contains("no_quorum"));
+}
+
 TEST_CASE("apply --wait reports each data centre and who lags", "[cli]") {
   FakeControl control;
   CatalogState state;
--- a/src/cli/operator_client.cc
+++ b/src/cli/operator_client.cc
@@ -94,12 +94,13 @@
                            Method<Request, Reply> method) {
   const Clock::time_point deadline =
       Clock::now() + std::chrono::duration_cast<Clock::duration>(timeout_);
-  std::string last_error = "no answer";
+  std::string last_error;
   while (Clock::now() < deadline) {
     const std::string target = CurrentAddress();
     const auto stub = pb::Control::NewStub(ChannelTo(target));
     grpc::ClientContext context;
-    context.set_deadline(std::min(deadline, Clock::now() + kAttemptTimeout));
+    const Clock::time_point attempt_end = Clock::now() + kAttemptTimeout;
+    context.set_deadline(std::min(deadline, attempt_end));
     Reply reply;
     const grpc::Status status = ((*stub).*method)(&context, request, &reply);
     if (status.ok() && !IsRetryable(ErrorKindOf(reply))) {
@@ -108,9 +109,15 @@
     if (IsPermanent(status.error_code())) {
       throw Error(ErrorKind::kInvalidArgument, status.error_message());
     }
-    last_error = target + ": " +
-                 (status.ok() ? ErrorKindOf(reply) + ReasonText(reply)
-                              : status.error_message());
+    // An attempt that the caller's own timeout cuts off says nothing new.
+    const bool is_cut_off =
+        status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED &&
+        deadline < attempt_end;
+    if (!is_cut_off || last_error.empty()) {
+      last_error = target + ": " +
+                   (status.ok() ? ErrorKindOf(reply) + ReasonText(reply)
+                                : status.error_message());
+    }
     const bool new_leader = status.ok() && !reply.leader_address().empty() &&
                             reply.leader_address() != target;
     if (new_leader && leader_ != reply.leader_address()) {
@@ -120,12 +127,13 @@
     MoveToNextAddress();
     std::this_thread::sleep_for(kRetryInterval);
   }
-  throw Error(ErrorKind::kNoQuorum,
-              "no control VM answered for a majority within " +
-                  std::to_string(
-                      std::chrono::duration_cast<std::chrono::seconds>(timeout_)
-                          .count()) +
-                  " s; last: " + last_error);
+  throw Error(
+      ErrorKind::kNoQuorum,
+      "no control VM answered for a majority within " +
+          std::to_string(
+              std::chrono::duration_cast<std::chrono::seconds>(timeout_)
+                  .count()) +
+          " s; last: " + (last_error.empty() ? "no answer" : last_error));
 }
 
 pb::ApplyReply OperatorClient::Apply(const pb::ApplyRequest& request) {
