Give a copy of an opening to the VM that may know its flow

Until then ingresses hand copies of opening packets to the former dispatcher, which placed whatever it was handed, although the flow waited at the new dispatcher; and a new dispatcher got copies of flows that still waited at the former one.

A VM that is not the dispatcher forwards a copy that it does not know; the first in rank asks the VM that was first before it, or the second in rank, whether it knows the flow, and places it only if that VM declines. A VM that stops declines unknown flows, and a known flow is no longer declined because of an older catalog. Forwarded flows are no evidence of a silent endpoint. New field FlowOpening.purpose, feature level 6; builds that do not know it place the packet, which is then its one placement.

--- a/include/vanillalatch/feature/feature_level.h
+++ b/include/vanillalatch/feature/feature_level.h
@@ -26,7 +26,7 @@
 // The first level whose builds state their level to other VMs.
 inline constexpr FeatureLevel kStatedLevel{5};
 // The level of this build.
-inline constexpr FeatureLevel kCurrentLevel{5};
+inline constexpr FeatureLevel kCurrentLevel{6};
 
 // What one level added.
 struct FeatureLevelRow {
--- a/src/feature/feature_level.cc
+++ b/src/feature/feature_level.cc
@@ -20,10 +20,12 @@
      "Change, Catalog, FlowTable, FlowRoute, Service, LeaseUpdate"},
     {FeatureLevel{4}, FeatureLevel{3}, "0608a9a", "the age of an opening",
      "FlowOpening", ""},
-    {FeatureLevel{5}, FeatureLevel{3}, "",
+    {FeatureLevel{5}, FeatureLevel{3}, "21e455e",
      "stated levels and the level of the fleet",
      "ConsensusMessage, Introduce, SyncRequest, ControlStatus",
      "LogEntry, Snapshot"},
+    {FeatureLevel{6}, FeatureLevel{3}, "",
+     "openings that are forwarded, or asked for", "FlowOpening", ""},
 });
 
 }  // namespace
--- a/src/packetflow/dispatcher_selector.h
+++ b/src/packetflow/dispatcher_selector.h
@@ -24,6 +24,9 @@
   NodeId Select(TimePoint now, const ShardId& shard,
                 std::span<const Member> members, NodeId self) const;
 
+  // True if the VM has left a packet unacknowledged and was not heard since.
+  bool IsSilent(NodeId vm) const { return silent_.contains(vm); }
+
   // Records that a VM did not acknowledge an opening packet in time. It is not
   // selected until OnContact().
   void OnTimeout(NodeId vm) { silent_.insert(vm); }
--- a/src/packetflow/flow_dispatcher.cc
+++ b/src/packetflow/flow_dispatcher.cc
@@ -81,6 +81,7 @@
 void FlowDispatcherImpl::OnRetransmission(TimePoint now, Flow& flow,
                                           const FlowOpening& opening,
                                           FlowActions& actions) {
+  flow.opening.progress_reported &= opening.progress_reported;
   if (!flow.placed || (flow.idle && flow.accepted) ||
       opening.copy <= flow.opening.copy) {
     // The flow waits for a slot or is open and idle, or this transmission has
--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -144,13 +144,16 @@
 NodeId FlowNodeImpl::PlacerOf(TimePoint now, FlowId id,
                               const FlowTarget& target) const {
   const std::optional<NodeId> placer = flow_tracker_.PlacerOf(id);
+  return placer && IsRunning(*placer)
+             ? *placer
+             : DispatcherFor(now, ShardOfEndpoint(target));
+}
+
+bool FlowNodeImpl::IsRunning(NodeId vm) const {
   const std::span<const Member> members = peers_->members().members();
-  const bool placer_is_member =
-      placer && std::any_of(members.begin(), members.end(), [&](auto& it) {
-        return it.id == *placer && it.state != MemberState::kDead;
-      });
-  return placer_is_member ? *placer
-                          : DispatcherFor(now, ShardOfEndpoint(target));
+  return std::any_of(members.begin(), members.end(), [&](const Member& it) {
+    return it.id == vm && it.state != MemberState::kDead;
+  });
 }
 
 void FlowNodeImpl::OnSeen(TimePoint now, const pb::FlowSeen& message) {
@@ -192,6 +195,7 @@
   const std::size_t sent_before = out.items().size();
   const pb::FlowMessage* message = peers_->OnDatagram(now, from, bytes, out);
   CountMembershipSent(out, sent_before);
+  UpdateMembers(now);
   UpdateEvacuations(now);
   const NodeId sender = peers_->sender();
   dispatcher_selector_.OnContact(sender);
@@ -246,15 +250,7 @@
   if (now >= endpoints_due_) {
     UpdateEndpoints(now);
   }
-  if (peers_->members().version() != members_version_) {
-    members_version_ = peers_->members().version();
-    for (auto& [service, it] : shards_) {
-      it = ShardsOf(peers_->registry().EndpointsOf(service),
-                    peers_->members().members());
-    }
-    UpdateFirstDispatchers(now);
-    HandOverWaiting(now);
-  }
+  UpdateMembers(now);
   UpdateLinkLate(now);
   UpdateSettled(now);
   UpdateColdUse(now);
@@ -273,6 +269,19 @@
   }
 }
 
+void FlowNodeImpl::UpdateMembers(TimePoint now) {
+  if (peers_->members().version() == members_version_) {
+    return;
+  }
+  members_version_ = peers_->members().version();
+  for (auto& [service, it] : shards_) {
+    it = ShardsOf(peers_->registry().EndpointsOf(service),
+                  peers_->members().members());
+  }
+  UpdateFirstDispatchers(now);
+  HandOverWaiting(now);
+}
+
 void FlowNodeImpl::CountMembershipSent(const Outbox& out,
                                        std::size_t sent_before) {
   for (const Outbox::Item& it : out.items().subspan(sent_before)) {
@@ -338,6 +347,9 @@
                                .value_or(self());
       const auto [entry, added] = first_dispatchers_.try_emplace(it, first);
       if (added || entry->second != first) {
+        if (!added) {
+          former_dispatchers_[it] = entry->second;
+        }
         entry->second = first;
         dispatcher_->OnDispatcherChanged(now, service);
         // The new dispatcher has no reports of the other shards yet.
@@ -409,9 +421,9 @@
 }
 
 void FlowNodeImpl::BeginStop(TimePoint now, Outbox& out) {
+  stopping_ = true;
   peers_->Leave(now, out);
-  members_version_ = peers_->members().version();
-  HandOverWaiting(now);
+  UpdateMembers(now);
   Flush(now, out);
 }
 
--- a/src/packetflow/flow_node_impl.h
+++ b/src/packetflow/flow_node_impl.h
@@ -77,6 +77,7 @@
     NodeId dispatcher;
     TimePoint sent_at;
     TimePoint due;  // When this VM places the flow itself.
+    pb::OpeningPurpose purpose = pb::OPENING_PLACE;
   };
 
   // A handover whose acknowledgement did not arrive in time but still may.
@@ -136,6 +137,9 @@
   // the data centre to which it is passed on; nullopt if it stays. An opening
   // that was passed on to a shard without endpoints returns to its own one.
   std::optional<std::string> PassOn(TimePoint now, const FlowOpening& opening);
+  // Where an opening was passed on to recently; nullptr if it was not.
+  struct PassedOn;
+  const PassedOn* FindPassedOn(TimePoint now, const FlowOpening& opening) const;
   // The shard that is to get an opening if this shard has no usable endpoint
   // and no other shard reported a free slot: the one with the shortest queue
   // for its slots or, if none has reported yet, any that has endpoints.
@@ -143,7 +147,8 @@
                                            const FlowOpening& opening) const;
   // Hands an opening over to the dispatcher of another data centre.
   void DispatchTo(TimePoint now, FlowOpening opening,
-                  const std::string& data_center);
+                  const std::string& data_center,
+                  pb::OpeningPurpose purpose = pb::OPENING_PLACE);
   // Dispatches an opening that was passed on and did not reach the dispatcher
   // of the other data centre.
   void ReturnHome(TimePoint now, FlowOpening opening);
@@ -165,11 +170,31 @@
   // Recomputes the shards of a service. Returns the waiting flows, which have
   // to be dispatched again after the dispatcher has the endpoints.
   std::vector<FlowOpening> UpdateShards(TimePoint now, ServiceId service);
-  void HandOver(TimePoint now, FlowOpening opening, NodeId to);
+  void HandOver(TimePoint now, FlowOpening opening, NodeId to,
+                pb::OpeningPurpose purpose = pb::OPENING_PLACE);
   // Dispatches the parked opening packets that need not wait any longer.
   void DispatchParked(TimePoint now);
   // Has this VM's dispatcher place the flow.
-  void Place(TimePoint now, FlowOpening opening);
+  void Place(TimePoint now, FlowOpening opening, bool is_forwarded = false);
+  // Hands over an opening that may be a copy and that this VM does not know to
+  // the VM that may know it. `from` forwarded the opening, if any VM did.
+  // Returns false, and leaves `opening` unchanged, if this VM is to decide.
+  bool HandOverIfUnknown(TimePoint now, FlowOpening& opening,
+                         std::optional<NodeId> from = std::nullopt);
+  // Decides as dispatcher of the opening's shard: passes the opening on to
+  // another shard, for `purpose`, or has this VM's dispatcher place the flow.
+  void PassOnOrPlace(TimePoint now, FlowOpening opening,
+                     pb::OpeningPurpose purpose);
+  // True if the VM is a member that has not failed.
+  bool IsRunning(NodeId vm) const;
+  // The VM that most likely knows a flow of the shard that this VM does not
+  // know: the first one in rank or, if that is this VM, the one before it, or
+  // the second one, which stands in while this VM is silent. nullopt if that VM
+  // is silent.
+  std::optional<NodeId> OtherPlacerOf(const ShardId& shard) const;
+  // Processes an opening packet that is to be declined unless its flow is known
+  // to this VM. Returns false if it is not known.
+  bool ProcessIfKnown(TimePoint now, NodeId from, FlowOpening opening);
   // Reports to the VM that placed the flow what its caller does.
   void ReportProgress(TimePoint now, const FlowPacket& packet,
                       const FlowRoute& route, const FlowTarget& target);
@@ -233,6 +258,8 @@
   // renewals alone tell whether the endpoints of a returned data centre are
   // cold.
   bool TakeEndpointRefresh(TimePoint now);
+  // Applies the changes of the members since the last call.
+  void UpdateMembers(TimePoint now);
   // Hands over the waiting flows of shards whose dispatcher is another VM.
   void HandOverWaiting(TimePoint now);
   NodeId self() const { return peers_->members().self(); }
@@ -336,6 +363,9 @@
   std::vector<IngressEvent> ingress_events_;
   std::vector<EvacuationEvent> evacuation_events_;
   EvacuationState evacuations_;  // As applied.
+  // The VM that ranked first before the present one.
+  std::map<ShardId, NodeId> former_dispatchers_;
+  bool stopping_ = false;
   // Until when, and when next, endpoints are read again after an evacuation.
   TimePoint refresh_until_{};
   TimePoint refresh_due_{};
--- a/src/packetflow/flow_node_openings.cc
+++ b/src/packetflow/flow_node_openings.cc
@@ -114,12 +114,91 @@
   const NodeId to = DispatcherFor(now, {opening.service, opening.shard});
   if (to != self()) {
     HandOver(now, std::move(opening), to);
-  } else if (const std::optional<std::string> it = PassOn(now, opening)) {
-    DispatchTo(now, std::move(opening), *it);
+  } else if (!HandOverIfUnknown(now, opening)) {
+    PassOnOrPlace(now, std::move(opening), pb::OPENING_PLACE);
+  }
+}
+
+// While the dispatcher of a shard changes or is silent, two VMs place flows of
+// that shard. A copy of an opening packet may then reach the VM that does not
+// know the flow.
+bool FlowNodeImpl::HandOverIfUnknown(TimePoint now, FlowOpening& opening,
+                                     std::optional<NodeId> from) {
+  const bool may_be_copy =
+      opening.copy > 0 || opening.age >= FlowDispatcher::kTransmissionTimes[1];
+  if (!may_be_copy || dispatcher_->IsKnown(now, opening) ||
+      FindPassedOn(now, opening) != nullptr) {
+    return false;
+  }
+  const ShardId shard{opening.service, opening.shard};
+  const NodeId dispatcher = DispatcherFor(now, shard);
+  if (dispatcher != self() && !from) {
+    HandOver(now, std::move(opening), dispatcher, pb::OPENING_FORWARDED);
+    return true;
+  }
+  const std::optional<NodeId> other = OtherPlacerOf(shard);
+  if (!other || other == from) {
+    return false;
+  }
+  HandOver(now, std::move(opening), *other, pb::OPENING_IF_KNOWN);
+  return true;
+}
+
+void FlowNodeImpl::PassOnOrPlace(TimePoint now, FlowOpening opening,
+                                 pb::OpeningPurpose purpose) {
+  if (const std::optional<std::string> it = PassOn(now, opening)) {
+    DispatchTo(now, std::move(opening), *it, purpose);
+    return;
+  }
+  flow_tracker_.OnPlaced(opening.id, self());
+  Place(now, std::move(opening));
+}
+
+std::optional<NodeId> FlowNodeImpl::OtherPlacerOf(const ShardId& shard) const {
+  const std::span<const Member> members = peers_->members().members();
+  const std::optional<NodeId> first = ShardDispatcherOf(shard, members, 0);
+  const auto former = former_dispatchers_.find(shard);
+  std::vector<std::optional<NodeId>> candidates;
+  if (first != self()) {
+    candidates = {first};
   } else {
-    flow_tracker_.OnPlaced(opening.id, to);
-    Place(now, std::move(opening));
+    if (former != former_dispatchers_.end() && IsRunning(former->second)) {
+      candidates = {former->second};
+    }
+    candidates.push_back(ShardDispatcherOf(shard, members, 1));
+  }
+  const auto it =
+      std::find_if(candidates.begin(), candidates.end(), [&](const auto& vm) {
+        return vm && vm != self() && !dispatcher_selector_.IsSilent(*vm);
+      });
+  return it == candidates.end() ? std::nullopt : *it;
+}
+
+bool FlowNodeImpl::ProcessIfKnown(TimePoint now, NodeId from,
+                                  FlowOpening opening) {
+  const auto pending = pending_handovers_.find(opening.id);
+  if (pending != pending_handovers_.end() &&
+      pending->second.opening.sequence == opening.sequence) {
+    if (pending->second.dispatcher != from) {
+      return true;
+    }
+    // The handover may be lost; the VM that asks places the flow.
+    pending_handovers_.erase(pending);
+    return false;
+  }
+  if (parked_.contains(opening.id)) {
+    return true;
+  }
+  if (!dispatcher_->IsKnown(now, opening)) {
+    return false;
+  }
+  if (IsLate()) {
+    ++counters_.too_late;
+    return true;
   }
+  SetShard(opening);
+  Place(now, std::move(opening), true);
+  return true;
 }
 
 void FlowNodeImpl::DispatchParked(TimePoint now) {
@@ -135,22 +214,27 @@
   }
 }
 
-void FlowNodeImpl::HandOver(TimePoint now, FlowOpening opening, NodeId to) {
+void FlowNodeImpl::HandOver(TimePoint now, FlowOpening opening, NodeId to,
+                            pb::OpeningPurpose purpose) {
   ++counters_.handed_over;
   pb::FlowOpening& message =
       PendingMessageTo(to).AddOpening(opening.id.value());
   message = ToMessage(opening, revision_, FormOf(to));
   message.set_settled(settled_);
   message.set_may_redirect(HasShards(opening.service));
+  message.set_purpose(purpose);
   const FlowId id = opening.id;
   pending_handovers_[id] = {std::move(opening), to, now,
-                            now + HandoverTimeout(to)};
+                            now + HandoverTimeout(to), purpose};
 }
 
-void FlowNodeImpl::Place(TimePoint now, FlowOpening opening) {
+void FlowNodeImpl::Place(TimePoint now, FlowOpening opening,
+                         bool is_forwarded) {
   opening.shard = LocalShardFor(now, opening);
+  // Of a forwarded flow the ingress reports the progress to the VM to which it
+  // handed the flow over.
   opening.progress_reported =
-      IsFirstDispatcher({opening.service, opening.shard});
+      !is_forwarded && IsFirstDispatcher({opening.service, opening.shard});
   dispatcher_->Open(now, std::move(opening), actions_);
 }
 
@@ -163,18 +247,28 @@
   pb::FlowTaken& taken = PendingMessageTo(from).AddTaken();
   const FlowId id = FromMessage(message).id;
   taken.set_id(id.value());
+  if (message.purpose() == pb::OPENING_IF_KNOWN) {
+    FlowOpening opening = FromMessage(message);
+    if (const PassedOn* it = FindPassedOn(now, opening)) {
+      taken.set_try_data_center(it->data_center);
+    } else {
+      taken.set_declined(!ProcessIfKnown(now, from, std::move(opening)));
+    }
+    return;
+  }
   // If neither VM has complete data about endpoints, it is better that one VM
   // places the flows of all than that each VM places its own.
   const bool has_less_endpoint_data =
       !settled_ && (message.settled() || endpoints_.size() == 0);
-  // A late opening that is known here keeps its decision, without another
-  // packet to its endpoint.
-  if (IsLate() && dispatcher_->IsKnown(now, FromMessage(message))) {
-    ++counters_.too_late;
+  // A flow that is known here keeps its decision. If the opening is late,
+  // without another packet to its endpoint.
+  const bool is_known = dispatcher_->IsKnown(now, FromMessage(message));
+  counters_.too_late += IsLate() ? 1 : 0;
+  if (is_known && IsLate()) {
     return;
   }
-  counters_.too_late += IsLate() ? 1 : 0;
-  if (catalog_is_older || has_less_endpoint_data || IsLate()) {
+  if (!is_known &&
+      (catalog_is_older || has_less_endpoint_data || IsLate() || stopping_)) {
     ++counters_.declined;
     taken.set_declined(true);
     return;
@@ -185,13 +279,18 @@
         {id, ErrorKind::kNotFound, message.packet(), {}});
     return;
   }
+  const bool is_forwarded = message.purpose() == pb::OPENING_FORWARDED;
+  if (HandOverIfUnknown(now, *opening,
+                        is_forwarded ? std::optional(from) : std::nullopt)) {
+    return;
+  }
   const std::optional<std::string> other =
       message.may_redirect() ? PassOn(now, *opening) : std::nullopt;
   if (other) {
     taken.set_try_data_center(*other);
   } else {
     placed_for_others_at_[{opening->service, opening->shard}] = now;
-    Place(now, *std::move(opening));
+    Place(now, *std::move(opening), is_forwarded);
   }
 }
 
@@ -213,15 +312,24 @@
   OnHandoverAnswered(now, it->second);
   FlowOpening opening = std::move(it->second.opening);
   opening.age += now - it->second.sent_at;
+  const pb::OpeningPurpose purpose = it->second.purpose;
   pending_handovers_.erase(it);
   if (!message.try_data_center().empty()) {
-    DispatchTo(now, std::move(opening), message.try_data_center());
+    DispatchTo(now, std::move(opening), message.try_data_center(),
+               purpose == pb::OPENING_IF_KNOWN ? pb::OPENING_FORWARDED
+                                               : pb::OPENING_PLACE);
     return;
   }
   if (!message.declined()) {
     flow_tracker_.OnPlaced(opening.id, from);
     return;
   }
+  if (purpose == pb::OPENING_IF_KNOWN) {
+    if (!MayBePlacedElsewhere(opening.age)) {
+      PassOnOrPlace(now, std::move(opening), pb::OPENING_FORWARDED);
+    }
+    return;
+  }
   dispatcher_selector_.OnDeclined(now, from);
   AddEvent(IngressEvent::Kind::kDeclined, opening, from);
   if (IsPassedOn(opening)) {
@@ -337,7 +445,7 @@
       for (FlowOpening& opening : dispatcher_->TakeWaiting(now, it)) {
         // A flow that waits in a queue is not passed on to another shard.
         opening.hops = HasShards(service) ? 1 : 0;
-        HandOver(now, std::move(opening), to);
+        HandOver(now, std::move(opening), to, pb::OPENING_FORWARDED);
       }
     }
   }
--- a/src/packetflow/flow_node_shards.cc
+++ b/src/packetflow/flow_node_shards.cc
@@ -104,6 +104,15 @@
          now - placed->second <= kMaxReportInterval;
 }
 
+const FlowNodeImpl::PassedOn* FlowNodeImpl::FindPassedOn(
+    TimePoint now, const FlowOpening& opening) const {
+  const auto it = passed_on_.find(opening.id);
+  return it != passed_on_.end() && it->second.sequence == opening.sequence &&
+                 now < it->second.until
+             ? &it->second
+             : nullptr;
+}
+
 std::optional<std::string> FlowNodeImpl::PassOn(TimePoint now,
                                                 const FlowOpening& opening) {
   if (!HasShards(opening.service) || dispatcher_->IsKnown(now, opening)) {
@@ -118,10 +127,10 @@
              .in_service;
     return goes_home ? std::optional(opening.data_center) : std::nullopt;
   }
-  PassedOn& passed = passed_on_[opening.id];
-  if (passed.sequence == opening.sequence && now < passed.until) {
-    return passed.data_center;
+  if (const PassedOn* it = FindPassedOn(now, opening)) {
+    return it->data_center;
   }
+  PassedOn& passed = passed_on_[opening.id];
   const ShardId home{opening.service, opening.shard};
   const ShardLoad load = dispatcher_->LoadOf(now, home, opening.work_class);
   // All endpoints are silent: some flows have to find out whether they answer.
@@ -197,13 +206,14 @@
 }
 
 void FlowNodeImpl::DispatchTo(TimePoint now, FlowOpening opening,
-                              const std::string& data_center) {
+                              const std::string& data_center,
+                              pb::OpeningPurpose purpose) {
   opening.hops = 1;
   opening.shard = data_center;
   const ShardId shard{opening.service, data_center};
   const NodeId to = DispatcherFor(now, shard);
   if (to != self()) {
-    HandOver(now, std::move(opening), to);
+    HandOver(now, std::move(opening), to, purpose);
   } else if (IsDispatcherOf(shard)) {
     flow_tracker_.OnPlaced(opening.id, to);
     Place(now, std::move(opening));
--- a/src/packetflow/flow_world.h
+++ b/src/packetflow/flow_world.h
@@ -115,6 +115,12 @@
     disconnected_.clear();
     cut_off_.clear();
   }
+  // While set, a VM receives no news of the members: membership messages to it
+  // are dropped.
+  void DropNews(std::size_t vm, bool drop) {
+    drop ? (void)uninformed_.insert(static_cast<int>(vm))
+         : (void)uninformed_.erase(static_cast<int>(vm));
+  }
   // Drops the reports of load that shards send to each other.
   void set_drop_loads(bool drop) { drop_loads_ = drop; }
 
@@ -233,6 +239,7 @@
   std::map<int, Flow> flows_;
   int next_flow_ = 0;
   std::set<std::pair<int, int>> disconnected_;
+  std::set<int> uninformed_;
   std::string cut_off_;  // Empty: none.
   bool drop_loads_ = false;
   std::vector<std::string> data_centers_{"north", "south"};
--- a/src/packetflow/flow_world_test.cc
+++ b/src/packetflow/flow_world_test.cc
@@ -266,6 +266,13 @@
       tap_(from, to, span);
     }
     std::vector<std::uint8_t> bytes(span.begin(), span.end());
+    if (uninformed_.contains(to)) {
+      pb::PeerDatagram datagram;
+      datagram.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
+      if (datagram.has_membership()) {
+        continue;
+      }
+    }
     if (drop_loads_) {
       pb::PeerDatagram datagram;
       datagram.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
