Propose an evacuation order only while its sender waits for it

The gRPC door looked for a cancellation only when it took the call out of its queue, which is before the cancellation arrives behind a call that was held up.

The leader proposes an order 250 ms after it was read, and only if the HTTP connection is still open in both directions, or the gRPC call is not cancelled, at that moment. An end that was held up with the order arrives within a round trip, or 200 ms later if it was lost once. This covers both doors, and an order that waits in the leader for the levels of the replicas.

--- a/include/vanillalatch/control/control_node.h
+++ b/include/vanillalatch/control/control_node.h
@@ -14,6 +14,7 @@
 #define VANILLALATCH_CONTROL_CONTROL_NODE_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
@@ -78,6 +79,14 @@
   FeatureLevel level = kCurrentLevel;
 };
 
+// What the process knows about a call besides its content.
+struct CallOrigin {
+  TimePoint received;  // When the process received the call.
+  // True once the sender no longer waits for the answer. Must answer from the
+  // present state of the connection. Empty if that can't be known.
+  std::function<bool()> is_abandoned;
+};
+
 // What the shell has to carry out, in this order. Each reply belongs to the
 // call with its ticket.
 struct ControlActions {
@@ -105,6 +114,10 @@
 
 class ControlNode {
  public:
+  // The end of a connection follows the bytes that were held up with it within
+  // a round trip, or within TCP's minimum retransmission timeout of 200 ms.
+  static constexpr Duration kOrderSettleTime = std::chrono::milliseconds(250);
+
   // Opens the stored state, or starts with a new identity on an empty disk.
   // `seed` must differ at every start. Errors: kCorrupt if a file is damaged,
   // kStorage if the disk fails, kInvalidArgument for options out of range.
@@ -130,12 +143,14 @@
   // actions of this or a later event. If this VM is not the leader, the reply
   // names the leader where it is known.
   void OnApply(TimePoint now, Ticket ticket, const pb::ApplyRequest& request) {
-    OnApply(now, ticket, request, now);
+    OnApply(now, ticket, request, {now, {}});
   }
-  // `received` is when the process received the call. An evacuation order that
-  // has waited since then for the deadline of a call is refused.
+  // An evacuation order changes nothing if it has waited since it was received
+  // for the deadline of a call, or if its sender has abandoned it: the sender
+  // may have sent the opposite order since. With `is_abandoned`, the order is
+  // therefore proposed kOrderSettleTime after it was received.
   virtual void OnApply(TimePoint now, Ticket ticket,
-                       const pb::ApplyRequest& request, TimePoint received) = 0;
+                       const pb::ApplyRequest& request, CallOrigin origin) = 0;
   virtual void OnGet(TimePoint now, Ticket ticket) = 0;
   virtual void OnHistory(TimePoint now, Ticket ticket,
                          const pb::HistoryRequest& request) = 0;
--- a/include/vanillalatch/runtime/control_api.h
+++ b/include/vanillalatch/runtime/control_api.h
@@ -33,8 +33,11 @@
   virtual void EndRegistration(std::string name,
                                Callback<Result<EndpointId>> callback) = 0;
   // Proposes a change of the catalog; the reply tells whether it was accepted,
-  // and otherwise contains the kind of the error.
-  virtual void Apply(pb::Change change, Callback<pb::ApplyReply> callback) = 0;
+  // and otherwise contains the kind of the error. `is_abandoned` is true once
+  // the sender no longer waits for the answer; it is called on another thread.
+  // An evacuation order whose sender has abandoned it changes nothing.
+  virtual void Apply(pb::Change change, Callback<pb::ApplyReply> callback,
+                     std::function<bool()> is_abandoned) = 0;
   // Reads the current catalog. On failure, the reply contains the kind of the
   // error and no catalog.
   virtual void Get(Callback<pb::GetReply> callback) = 0;
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -137,6 +137,9 @@
   TimePoint wake = replica_->NextWake();
   for (const ApplyCall& it : applies_) {
     wake = std::min(wake, it.deadline);
+    if (it.settles_at) {
+      wake = std::min(wake, *it.settles_at);
+    }
   }
   for (const ReadCall& it : reads_) {
     wake = std::min(wake, it.deadline);
--- a/src/control/control_node_impl.h
+++ b/src/control/control_node_impl.h
@@ -33,6 +33,9 @@
   // outcome once that entry is applied.
   Term term;
   std::optional<pb::ChangeOutcome> outcome;
+  std::function<bool()> is_abandoned;  // As in CallOrigin.
+  // Until then the order is not proposed; nullopt once that time has passed.
+  std::optional<TimePoint> settles_at;
 };
 
 // Why a call is refused.
@@ -92,7 +95,7 @@
   void OnTick(TimePoint now) override;
   TimePoint NextWake() const override;
   void OnApply(TimePoint now, Ticket ticket, const pb::ApplyRequest& request,
-               TimePoint received) override;
+               CallOrigin origin) override;
   void OnGet(TimePoint now, Ticket ticket) override;
   void OnHistory(TimePoint now, Ticket ticket,
                  const pb::HistoryRequest& request) override;
--- a/src/control/control_node_test.cc
+++ b/src/control/control_node_test.cc
@@ -4,6 +4,7 @@
 #include <filesystem>
 
 #include "src/storage/fake_disk.h"
+#include "vanillalatch/catalog/state_machine.h"
 
 namespace vanillalatch {
 namespace {
@@ -315,7 +316,8 @@
     node->OnTick(now = node->NextWake());
   }
   now += row.frozen;
-  node->OnApply(now, Ticket{1}, OrderRequest("north", false), now - row.held);
+  node->OnApply(now, Ticket{1}, OrderRequest("north", false),
+                {now - row.held, {}});
   ControlActions actions = node->TakeActions();
   REQUIRE(actions.applies.size() == 1);
   CHECK(actions.applies[0].second.outcome().accepted() == row.accepted);
@@ -324,6 +326,60 @@
   }
 }
 
+// Guards against an order that was held up on its way and undoes a newer one:
+// its sender has closed the connection, and the end of the connection arrives
+// right behind the order.
+TEST_CASE("an order whose sender has abandoned it changes nothing",
+          "[control]") {
+  using std::chrono::milliseconds;
+  struct Row {
+    const char* name;
+    std::optional<Duration>
+        abandoned;  // Since it was received; nullopt: never.
+    bool accepted;
+  };
+  const Row row =
+      GENERATE(Row{"never", std::nullopt, true},
+               Row{"before it was received", milliseconds(-3000), false},
+               Row{"right behind it", milliseconds(1), false},
+               Row{"a round trip behind it", milliseconds(90), false},
+               Row{"behind a lost packet", milliseconds(220), false},
+               Row{"after it was proposed", milliseconds(900), true});
+  const bool end = GENERATE(false, true);
+  CAPTURE(row.name, end);
+  FakeDisk disk;
+  ControlOptions options;
+  options.vm = "c1";
+  options.configured_vms = {{"c1", "c1:1", "north"}};
+  TimePoint now(std::chrono::seconds(1));
+  auto node = ControlNode::Create(options, disk, now, 1).value();
+  node->OnTick(now);
+  if (end) {
+    node->OnApply(now, Ticket{1}, OrderRequest("north", false));
+  }
+  node->TakeActions();
+  const TimePoint received = now;
+  node->OnApply(now, Ticket{2}, OrderRequest("north", end),
+                {received, [&] {
+                   return row.abandoned && now >= received + *row.abandoned;
+                 }});
+  std::vector<std::pair<Ticket, pb::ApplyReply>> replies =
+      node->TakeActions().applies;
+  for (; now < received + milliseconds(1900); now += milliseconds(1)) {
+    if (now >= node->NextWake()) {
+      node->OnTick(now);
+    }
+    for (auto& it : node->TakeActions().applies) {
+      replies.push_back(std::move(it));
+    }
+  }
+  REQUIRE(replies.size() == 1);
+  CHECK(replies[0].second.outcome().accepted() == row.accepted);
+  CHECK(replies[0].second.outcome().error_kind() ==
+        (row.accepted ? "" : "cancelled"));
+  CHECK(IsEvacuated(node->catalog(), "north") == (end != row.accepted));
+}
+
 // Guards against an order that counts as done because of another change with
 // its change id or without a version, and the reverse.
 TEST_CASE("an order takes a log entry beside other changes", "[control]") {
--- a/src/control/evacuation_calls.cc
+++ b/src/control/evacuation_calls.cc
@@ -119,6 +119,9 @@
     AnswerApply(call.ticket, std::move(*call.outcome));
     return true;
   }
+  if (call.settles_at && now >= *call.settles_at) {
+    call.settles_at.reset();
+  }
   if (call.index == kNotProposed) {
     if (const std::optional<Refusal> refusal = FindOrderRefusal(now, call)) {
       RefuseApply(call, refusal->kind, refusal->message);
@@ -132,9 +135,15 @@
                       "taken. Upgrade that VM, then send the order again");
       return true;
     }
-    if (!support.unknown.empty()) {
+    if (!support.unknown.empty() || call.settles_at) {
       return false;
     }
+    // Last, as the sender may abandon the order while it waits here.
+    if (call.is_abandoned && call.is_abandoned()) {
+      RefuseApply(call, ErrorKind::kCancelled,
+                  "its sender has abandoned the order; it was not taken");
+      return true;
+    }
     call.index = replica_->Propose(now, call.change).value_or(kNotProposed);
     call.term = replica_->term();
     if (call.index == kNotProposed) {
--- a/src/control/operator_calls.cc
+++ b/src/control/operator_calls.cc
@@ -33,16 +33,22 @@
 
 void ControlNodeImpl::OnApply(TimePoint now, Ticket ticket,
                               const pb::ApplyRequest& request,
-                              TimePoint received) {
-  ApplyCall call{ticket, request.change(), LogIndex(), CallDeadline(now),
-                 Term(), std::nullopt};
+                              CallOrigin origin) {
+  ApplyCall call;
+  call.ticket = ticket;
+  call.change = request.change();
+  call.deadline = CallDeadline(now);
   if (request.change().has_evacuation()) {
     call.change.Clear();
     call.change.set_change_id(request.change().change_id());
     call.change.set_author(request.change().author());
     call.change.set_unix_ms(request.change().unix_ms());
     *call.change.mutable_evacuation() = request.change().evacuation();
-    call.deadline = CallDeadline(received);
+    call.deadline = CallDeadline(origin.received);
+    if (origin.is_abandoned) {
+      call.is_abandoned = std::move(origin.is_abandoned);
+      call.settles_at = origin.received + kOrderSettleTime;
+    }
   }
   const std::string error = call.change.change_id().empty()
                                 ? "the change has no change id"
--- a/src/runtime/control_shell.cc
+++ b/src/runtime/control_shell.cc
@@ -67,7 +67,8 @@
   return std::string(AnswerFor(kind).name);
 }
 
-// Logs an evacuation order that is acknowledged or refused as invalid.
+// Logs an evacuation order that is acknowledged, or refused as invalid or
+// abandoned.
 void LogOrder(const pb::Change& change, const pb::ChangeOutcome& outcome) {
   const pb::EvacuationOrder& order = change.evacuation();
   if (outcome.accepted()) {
@@ -79,6 +80,7 @@
               {"changed", !outcome.summary().empty()}});
   } else if (outcome.error_kind() ==
                  AnswerFor(ErrorKind::kInvalidArgument).name ||
+             outcome.error_kind() == AnswerFor(ErrorKind::kCancelled).name ||
              outcome.error_kind() == AnswerFor(ErrorKind::kNotFound).name) {
     LogEvent(LogLevel::kWarn, "evacuation_refused",
              {{"data_center", order.data_center()},
@@ -349,16 +351,13 @@
 }
 
 void ControlShell::Handle(const ApplyCall& call) {
-  if (call.request->change().has_evacuation() && call.IsCancelled()) {
-    // It has waited for longer than its caller, who may have sent the opposite
-    // order since.
-    call.Reply({});
-    return;
-  }
   const Ticket ticket = AddOpenCall<pb::ApplyReply>(
       applies_, WithOrderLog(call.request->change(), MakeReplyCallback(call)));
-  RunOnNode(
-      [&](ControlNode& node) { node.OnApply(Now(), ticket, *call.request); });
+  RunOnNode([&](ControlNode& node) {
+    const TimePoint now = Now();
+    node.OnApply(now, ticket, *call.request,
+                 {now, [call] { return call.IsCancelled(); }});
+  });
 }
 
 void ControlShell::Handle(const GetCall& call) {
@@ -417,13 +416,14 @@
 }
 
 void ControlShell::Apply(pb::ApplyRequest request,
-                         Callback<pb::ApplyReply> callback) {
+                         Callback<pb::ApplyReply> callback,
+                         std::function<bool()> is_abandoned) {
   Post([this, request = std::move(request), callback = std::move(callback),
-        received = Now()] {
+        origin = CallOrigin{Now(), std::move(is_abandoned)}] {
     const Ticket ticket = AddOpenCall<pb::ApplyReply>(
         applies_, WithOrderLog(request.change(), callback));
     RunOnNode([&](ControlNode& node) {
-      node.OnApply(Now(), ticket, request, received);
+      node.OnApply(Now(), ticket, request, origin);
     });
   });
 }
--- a/src/runtime/control_shell.h
+++ b/src/runtime/control_shell.h
@@ -64,7 +64,9 @@
 
   // Both are thread-safe. The callback is called once, on the control thread;
   // not at all if the queue of the thread is full or closed.
-  void Apply(pb::ApplyRequest request, Callback<pb::ApplyReply> callback);
+  // `is_abandoned` is that of CallOrigin.
+  void Apply(pb::ApplyRequest request, Callback<pb::ApplyReply> callback,
+             std::function<bool()> is_abandoned = {});
   void Get(Callback<pb::GetReply> callback);
   // Stores a short text in the data folder, in place of the one stored before.
   // The write is best effort: after a crash the text may be missing or old.
--- a/src/runtime/fleet_shell.cc
+++ b/src/runtime/fleet_shell.cc
@@ -276,10 +276,12 @@
   });
 }
 
-void FleetShell::Apply(pb::Change change, Callback<pb::ApplyReply> callback) {
+void FleetShell::Apply(pb::Change change, Callback<pb::ApplyReply> callback,
+                       std::function<bool()> is_abandoned) {
   pb::ApplyRequest request;
   *request.mutable_change() = std::move(change);
-  control_.Apply(std::move(request), std::move(callback));
+  control_.Apply(std::move(request), std::move(callback),
+                 std::move(is_abandoned));
 }
 
 void FleetShell::Get(Callback<pb::GetReply> callback) {
--- a/src/runtime/fleet_shell.h
+++ b/src/runtime/fleet_shell.h
@@ -42,7 +42,8 @@
                 Callback<Result<EndpointId>> callback) override;
   void EndRegistration(std::string name,
                        Callback<Result<EndpointId>> callback) override;
-  void Apply(pb::Change change, Callback<pb::ApplyReply> callback) override;
+  void Apply(pb::Change change, Callback<pb::ApplyReply> callback,
+             std::function<bool()> is_abandoned) override;
   void Get(Callback<pb::GetReply> callback) override;
   bool HasNewerPeer() const override;
 
--- a/src/runtime/runtime_test.cc
+++ b/src/runtime/runtime_test.cc
@@ -156,6 +156,51 @@
   });
 }
 
+// Orders the evacuation of a data centre over gRPC. Returns true if the order
+// is acknowledged in time.
+bool OrderEvacuation(const SocketAddress& control,
+                     std::chrono::milliseconds timeout) {
+  const auto stub = pb::Control::NewStub(OpenChannel(control.ToString()));
+  grpc::ClientContext context;
+  context.set_wait_for_ready(true);
+  context.set_deadline(std::chrono::system_clock::now() + timeout);
+  pb::ApplyRequest request;
+  request.mutable_change()->set_change_id("order");
+  request.mutable_change()->mutable_evacuation()->set_data_center("north");
+  pb::ApplyReply reply;
+  return stub->Apply(&context, request, &reply).ok() &&
+         reply.outcome().accepted();
+}
+
+int CountEvacuations(ControlShell& shell) {
+  std::promise<int> count;
+  shell.Get([&](const pb::GetReply& reply) {
+    count.set_value(reply.catalog().evacuations_size());
+  });
+  return count.get_future().get();
+}
+
+// Guards against an order that is carried out after its caller has given it up.
+TEST_CASE("an order changes nothing once its caller has given up",
+          "[runtime]") {
+  const std::filesystem::path folder = "build/test-data/control-order";
+  std::filesystem::remove_all(folder);
+  std::filesystem::create_directories(folder);
+  OnReactorThread([&](Reactor&) {
+    const Settings settings = OneControlVm(folder);
+    const auto shell = ControlShell::Create(settings).value();
+    shell->Start();
+    REQUIRE(ReadCatalog(*shell) == "read");
+    CHECK(!OrderEvacuation(settings.control->listen,
+                           std::chrono::milliseconds(125)));
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    CHECK(CountEvacuations(*shell) == 0);
+    CHECK(OrderEvacuation(settings.control->listen, std::chrono::seconds(5)));
+    CHECK(CountEvacuations(*shell) == 1);
+    shell->Stop();
+  });
+}
+
 // Keeps Sync calls open that the control VM holds until it has a newer catalog.
 // Each thread starts another call when one ends, whatever its result.
 class OpenCallers {
