Place no flow a second time after a short freeze

And for a while after the freeze the progress of flows is reported to the VM that stood in, so that their endpoints seemed silent and they were moved.

A waiting flow leaves the queue if a copy that this VM has not read was sent during the freeze, and flows sent within 0.3 s of it are no evidence of silence.

--- a/include/vanillalatch/packetflow/flow_dispatcher.h
+++ b/include/vanillalatch/packetflow/flow_dispatcher.h
@@ -295,11 +295,10 @@
     return TakeWaiting(now, ShardId{service, {}});
   }
 
-  // Removes, without notice, the flows that wait for a slot and whose first
-  // opening packet was sent so long ago that `drops(age)` is true. Returns
-  // their number.
+  // Removes, without notice, the flows that wait for a slot and for whose
+  // opening, with its present age, `drops` is true. Returns their number.
   virtual std::size_t DropWaiting(
-      TimePoint now, const std::function<bool(Duration)>& drops) = 0;
+      TimePoint now, const std::function<bool(const FlowOpening&)>& drops) = 0;
 
   // Processes timeouts: of waiting flows, silent endpoints and expired flows.
   virtual void OnTick(TimePoint now, FlowActions& actions) = 0;
--- a/src/packetflow/flow_dispatcher.cc
+++ b/src/packetflow/flow_dispatcher.cc
@@ -82,10 +82,13 @@
                                           const FlowOpening& opening,
                                           FlowActions& actions) {
   flow.opening.progress_reported &= opening.progress_reported;
-  if (!flow.placed || (flow.idle && flow.accepted) ||
-      opening.copy <= flow.opening.copy) {
-    // The flow waits for a slot or is open and idle, or this transmission has
-    // already been processed.
+  if (!flow.placed) {
+    flow.opening.copy = std::max(flow.opening.copy, opening.copy);
+    return;
+  }
+  if ((flow.idle && flow.accepted) || opening.copy <= flow.opening.copy) {
+    // The flow is open and idle, or this transmission has already been
+    // processed.
     return;
   }
   const Resend resend = SchedulerOf(flow.shard()).TryResend(now, flow.endpoint);
--- a/src/packetflow/flow_dispatcher_impl.h
+++ b/src/packetflow/flow_dispatcher_impl.h
@@ -71,8 +71,9 @@
   bool Contains(FlowId id) const override { return flows_.contains(id); }
   std::vector<FlowOpening> TakeWaiting(TimePoint now,
                                        const ShardId& shard) override;
-  std::size_t DropWaiting(TimePoint now,
-                          const std::function<bool(Duration)>& drops) override;
+  std::size_t DropWaiting(
+      TimePoint now,
+      const std::function<bool(const FlowOpening&)>& drops) override;
   void OnTick(TimePoint now, FlowActions& actions) override;
   TimePoint NextWake() const override;
   absl::flat_hash_map<EndpointId, std::uint64_t> OpenFlows() const override {
--- a/src/packetflow/flow_dispatcher_shards.cc
+++ b/src/packetflow/flow_dispatcher_shards.cc
@@ -131,11 +131,15 @@
 }
 
 std::size_t FlowDispatcherImpl::DropWaiting(
-    TimePoint now, const std::function<bool(Duration)>& drops) {
+    TimePoint now, const std::function<bool(const FlowOpening&)>& drops) {
   const std::size_t before = flows_.size();
-  absl::erase_if(flows_, [&](const auto& it) {
-    const Flow& flow = it.second;
-    if (flow.placed || !drops(now - flow.opened_at)) {
+  absl::erase_if(flows_, [&](auto& it) {
+    Flow& flow = it.second;
+    if (flow.placed) {
+      return false;
+    }
+    flow.opening.age = now - flow.opened_at;
+    if (!drops(flow.opening)) {
       return false;
     }
     Release(now, flow, WorkOutcome::kCancelled);
--- a/src/packetflow/flow_handover_test.cc
+++ b/src/packetflow/flow_handover_test.cc
@@ -182,6 +182,10 @@
   CHECK(answered * 10 >= flows.size() * (row.event == Event::kFreeze ? 5 : 9));
 }
 
+Row Freeze(int freeze_ms) {
+  return {"freezes", Event::kFreeze, Unaware::kNone, milliseconds(freeze_ms)};
+}
+
 constexpr std::uint64_t kSeeds = 10;
 
 // Guards against an open flow that is reset because a copy of its opening
@@ -204,5 +208,23 @@
   }
 }
 
+// Guards against an open flow that is reset because the dispatcher, after a
+// short freeze, has placed a flow of which another VM has placed a copy.
+TEST_CASE("an opening has one placement while its dispatcher freezes") {
+  const int freeze_ms = GENERATE(130, 250, 600);
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CheckOnePlacement(Freeze(freeze_ms), false, seed);
+  }
+}
+
+// Guards against the same for a flow that the frozen dispatcher has passed on
+// to another shard, where it waits.
+TEST_CASE("an opening passed on has one placement while its shard freezes") {
+  const int freeze_ms = GENERATE(130, 250, 600);
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CheckOnePlacement(Freeze(freeze_ms), true, seed);
+  }
+}
+
 }  // namespace
 }  // namespace vanillalatch
--- a/src/packetflow/flow_node_impl.h
+++ b/src/packetflow/flow_node_impl.h
@@ -212,10 +212,11 @@
   // True if the caller may have sent the next copy of its opening packet, or
   // given up, since this one arrived.
   bool IsSuperseded(const FlowPacket& packet) const;
-  // Of a flow whose first opening packet was sent `age` ago: true if the caller
-  // has given up, or a copy may have reached another VM while this one did not
-  // answer. That VM has placed the flow.
-  bool MayBePlacedElsewhere(Duration age) const;
+  // Of a flow whose first opening packet was sent `age` ago and whose copies up
+  // to `copy` this VM knows: true if the caller has given up, or a later copy
+  // may have reached another VM while this one did not answer. That VM has
+  // placed the flow.
+  bool MayBePlacedElsewhere(std::uint32_t copy, Duration age) const;
   // True if the flow's route has the same service, class and timeout in this
   // VM's catalog as in the sender's.
   bool HasSameRoute(const pb::FlowOpening& message) const;
--- a/src/packetflow/flow_node_openings.cc
+++ b/src/packetflow/flow_node_openings.cc
@@ -88,25 +88,36 @@
   // Reports of progress may wait unread as well.
   dispatcher_->OnLinkLate(now);
   if (!was_late) {
-    counters_.too_late += dispatcher_->DropWaiting(
-        now, [this](Duration age) { return MayBePlacedElsewhere(age); });
+    // For a while, other VMs report to the one that stood in for this one.
+    for (const ServiceId it : routes_.services()) {
+      dispatcher_->OnDispatcherChanged(now, it);
+    }
+    counters_.too_late +=
+        dispatcher_->DropWaiting(now, [this](const FlowOpening& opening) {
+          return MayBePlacedElsewhere(opening.copy, opening.age);
+        });
   }
 }
 
-bool FlowNodeImpl::MayBePlacedElsewhere(Duration age) const {
+bool FlowNodeImpl::MayBePlacedElsewhere(std::uint32_t copy,
+                                        Duration age) const {
   if (age >= FlowDispatcher::kOpeningTimeout) {
     return true;
   }
+  if (!IsLate()) {
+    return false;
+  }
+  // An ingress that has found this VM silent turns to another one at once.
   constexpr auto& kTimes = FlowDispatcher::kTransmissionTimes;
-  return IsLate() &&
-         std::any_of(kTimes.begin() + 1, kTimes.end(), [&](Duration sent) {
-           return age - receive_delay_ <= sent &&
-                  sent + kHandoverTimeout <= age;
-         });
+  const std::size_t known = std::min(std::size_t{copy} + 1, kTimes.size());
+  return std::any_of(kTimes.begin() + static_cast<std::ptrdiff_t>(known),
+                     kTimes.end(), [&](Duration sent) {
+                       return age - receive_delay_ <= sent && sent <= age;
+                     });
 }
 
 void FlowNodeImpl::Dispatch(TimePoint now, FlowOpening opening) {
-  if (MayBePlacedElsewhere(opening.age)) {
+  if (MayBePlacedElsewhere(opening.copy, opening.age)) {
     ++counters_.too_late;
     return;
   }
@@ -325,7 +336,7 @@
     return;
   }
   if (purpose == pb::OPENING_IF_KNOWN) {
-    if (!MayBePlacedElsewhere(opening.age)) {
+    if (!MayBePlacedElsewhere(opening.copy, opening.age)) {
       PassOnOrPlace(now, std::move(opening), pb::OPENING_FORWARDED);
     }
     return;
@@ -393,7 +404,7 @@
     }
     PendingHandover& handover = it->second;
     const Duration age = handover.opening.age + (now - handover.sent_at);
-    if (MayBePlacedElsewhere(age)) {
+    if (MayBePlacedElsewhere(handover.opening.copy, age)) {
       ++counters_.too_late;
       it = pending_handovers_.erase(it);
       continue;
