--- a/src/control/control_random_test.cc
+++ b/src/control/control_random_test.cc
@@ -203,6 +203,7 @@
     world_.network().SetFaults(0, 0, std::chrono::milliseconds(1));
     for (const std::string& it : names_) {
       world_.Control(it).disk.CancelCrash();
+      world_.Control(it).disk.CancelSyncFailure();
       world_.EmptyDisk(it);
       if (world_.Control(it).level != kCurrentLevel) {
         world_.ReplaceBuild(it, kCurrentLevel);
--- a/src/storage/fake_disk.h
+++ b/src/storage/fake_disk.h
@@ -91,6 +91,7 @@
   // Makes the next sync of a file fail. The writes that it was to store are
   // not stored by a later sync either, although they can be read.
   void FailNextSync() { fail_next_sync_ = true; }
+  void CancelSyncFailure() { fail_next_sync_ = false; }
 
   // Makes the n-th sync from now on throw DiskCrash, before or after it takes
   // effect.
