Ask for a flow that a silent VM may have passed on to another shard

A flow that the dispatcher of a shard has passed on to another one, and that waits there, was placed a second time if that dispatcher froze and the caller's copy reached another VM of its data centre: nobody else knew where the flow was. The same happened at an ingress whose handover of a copy timed out.

The VMs that may know a flow are asked one after the other: the first in rank, the one that was first before, the second one and, if the first one of a shard is silent, the dispatchers of the other shards. An ingress asks them, too, before it places a copy that the dispatcher did not acknowledge.

--- a/src/packetflow/flow_node_impl.h
+++ b/src/packetflow/flow_node_impl.h
@@ -78,6 +78,8 @@
     TimePoint sent_at;
     TimePoint due;  // When this VM places the flow itself.
     pb::OpeningPurpose purpose = pb::OPENING_PLACE;
+    // VMs that were asked whether they know the flow.
+    std::vector<NodeId> asked;
   };
 
   // A handover whose acknowledgement did not arrive in time but still may.
@@ -187,11 +189,16 @@
                      pb::OpeningPurpose purpose);
   // True if the VM is a member that has not failed.
   bool IsRunning(NodeId vm) const;
-  // The VM that most likely knows a flow of the shard that this VM does not
-  // know: the first one in rank or, if that is this VM, the one before it, or
-  // the second one, which stands in while this VM is silent. nullopt if that VM
-  // is silent.
-  std::optional<NodeId> OtherPlacerOf(const ShardId& shard) const;
+  // True if the caller may have sent another transmission of the packet.
+  static bool MayBeCopy(const FlowOpening& opening);
+  // Asks the next VM that may know the flow of an opening and is not among
+  // those that were `asked`. Returns false, and leaves `opening` unchanged, if
+  // there is none.
+  bool AskNext(TimePoint now, FlowOpening& opening, std::vector<NodeId> asked);
+  // The VMs that may have placed or passed on flows of the shard recently: the
+  // first one in rank, the one that was first before, and the second one, which
+  // stands in.
+  std::vector<NodeId> OtherPlacersOf(const ShardId& shard) const;
   // Processes an opening packet that is to be declined unless its flow is known
   // to this VM. Returns false if it is not known.
   bool ProcessIfKnown(TimePoint now, NodeId from, FlowOpening opening);
--- a/src/packetflow/flow_node_openings.cc
+++ b/src/packetflow/flow_node_openings.cc
@@ -130,14 +130,17 @@
   }
 }
 
+bool FlowNodeImpl::MayBeCopy(const FlowOpening& opening) {
+  return opening.copy > 0 ||
+         opening.age >= FlowDispatcher::kTransmissionTimes[1];
+}
+
 // While the dispatcher of a shard changes or is silent, two VMs place flows of
 // that shard. A copy of an opening packet may then reach the VM that does not
 // know the flow.
 bool FlowNodeImpl::HandOverIfUnknown(TimePoint now, FlowOpening& opening,
                                      std::optional<NodeId> from) {
-  const bool may_be_copy =
-      opening.copy > 0 || opening.age >= FlowDispatcher::kTransmissionTimes[1];
-  if (!may_be_copy || dispatcher_->IsKnown(now, opening) ||
+  if (!MayBeCopy(opening) || dispatcher_->IsKnown(now, opening) ||
       FindPassedOn(now, opening) != nullptr) {
     return false;
   }
@@ -147,11 +150,29 @@
     HandOver(now, std::move(opening), dispatcher, pb::OPENING_FORWARDED);
     return true;
   }
-  const std::optional<NodeId> other = OtherPlacerOf(shard);
-  if (!other || other == from) {
+  std::vector<NodeId> asked;
+  if (from) {
+    asked.push_back(*from);
+  }
+  return AskNext(now, opening, std::move(asked));
+}
+
+bool FlowNodeImpl::AskNext(TimePoint now, FlowOpening& opening,
+                           std::vector<NodeId> asked) {
+  const std::vector<NodeId> candidates =
+      OtherPlacersOf({opening.service, opening.shard});
+  const auto next =
+      std::find_if(candidates.begin(), candidates.end(), [&](NodeId vm) {
+        return vm != self() && !dispatcher_selector_.IsSilent(vm) &&
+               std::find(asked.begin(), asked.end(), vm) == asked.end();
+      });
+  if (next == candidates.end()) {
     return false;
   }
-  HandOver(now, std::move(opening), *other, pb::OPENING_IF_KNOWN);
+  asked.push_back(*next);
+  const FlowId id = opening.id;
+  HandOver(now, std::move(opening), *next, pb::OPENING_IF_KNOWN);
+  pending_handovers_[id].asked = std::move(asked);
   return true;
 }
 
@@ -165,24 +186,29 @@
   Place(now, std::move(opening));
 }
 
-std::optional<NodeId> FlowNodeImpl::OtherPlacerOf(const ShardId& shard) const {
+std::vector<NodeId> FlowNodeImpl::OtherPlacersOf(const ShardId& shard) const {
   const std::span<const Member> members = peers_->members().members();
-  const std::optional<NodeId> first = ShardDispatcherOf(shard, members, 0);
   const auto former = former_dispatchers_.find(shard);
-  std::vector<std::optional<NodeId>> candidates;
-  if (first != self()) {
-    candidates = {first};
-  } else {
-    if (former != former_dispatchers_.end() && IsRunning(former->second)) {
-      candidates = {former->second};
+  std::vector<NodeId> vms;
+  for (std::size_t rank = 0; rank < 2; ++rank) {
+    if (const auto it = ShardDispatcherOf(shard, members, rank)) {
+      vms.push_back(*it);
+    }
+    if (rank == 0 && former != former_dispatchers_.end() &&
+        IsRunning(former->second)) {
+      vms.push_back(former->second);
     }
-    candidates.push_back(ShardDispatcherOf(shard, members, 1));
   }
-  const auto it =
-      std::find_if(candidates.begin(), candidates.end(), [&](const auto& vm) {
-        return vm && vm != self() && !dispatcher_selector_.IsSilent(*vm);
-      });
-  return it == candidates.end() ? std::nullopt : *it;
+  if (HasShards(shard.service) && !vms.empty() &&
+      dispatcher_selector_.IsSilent(vms.front())) {
+    // It may have passed the flow on to any of them.
+    for (const ShardId& it : ShardsOfService(shard.service)) {
+      if (const auto vm = ShardDispatcherOf(it, members, 0)) {
+        vms.push_back(*vm);
+      }
+    }
+  }
+  return vms;
 }
 
 bool FlowNodeImpl::ProcessIfKnown(TimePoint now, NodeId from,
@@ -235,8 +261,8 @@
   message.set_may_redirect(HasShards(opening.service));
   message.set_purpose(purpose);
   const FlowId id = opening.id;
-  pending_handovers_[id] = {std::move(opening), to, now,
-                            now + HandoverTimeout(to), purpose};
+  pending_handovers_[id] = {std::move(opening),        to,      now,
+                            now + HandoverTimeout(to), purpose, {}};
 }
 
 void FlowNodeImpl::Place(TimePoint now, FlowOpening opening,
@@ -324,6 +350,7 @@
   FlowOpening opening = std::move(it->second.opening);
   opening.age += now - it->second.sent_at;
   const pb::OpeningPurpose purpose = it->second.purpose;
+  std::vector<NodeId> asked = std::move(it->second.asked);
   pending_handovers_.erase(it);
   if (!message.try_data_center().empty()) {
     DispatchTo(now, std::move(opening), message.try_data_center(),
@@ -336,7 +363,8 @@
     return;
   }
   if (purpose == pb::OPENING_IF_KNOWN) {
-    if (!MayBePlacedElsewhere(opening.copy, opening.age)) {
+    if (!MayBePlacedElsewhere(opening.copy, opening.age) &&
+        !AskNext(now, opening, std::move(asked))) {
       PassOnOrPlace(now, std::move(opening), pb::OPENING_FORWARDED);
     }
     return;
@@ -396,7 +424,7 @@
   std::erase_if(late_handovers_, [&](const auto& it) {
     return now >= it.second.sent_at + kLateHandoverRetention;
   });
-  std::vector<FlowOpening> overdue;
+  std::vector<PendingHandover> overdue;
   for (auto it = pending_handovers_.begin(); it != pending_handovers_.end();) {
     if (now < it->second.due) {
       ++it;
@@ -431,17 +459,21 @@
       late_handovers_[it->first] = {handover.dispatcher, handover.sent_at};
     }
     handover.opening.age = age;
-    overdue.push_back(std::move(handover.opening));
+    overdue.push_back(std::move(handover));
     it = pending_handovers_.erase(it);
   }
-  for (FlowOpening& it : overdue) {
-    if (IsPassedOn(it)) {
-      ReturnHome(now, std::move(it));
+  for (PendingHandover& it : overdue) {
+    if (it.purpose != pb::OPENING_IF_KNOWN && IsPassedOn(it.opening)) {
+      ReturnHome(now, std::move(it.opening));
+      continue;
+    }
+    if (MayBeCopy(it.opening) &&
+        AskNext(now, it.opening, std::move(it.asked))) {
       continue;
     }
     ++counters_.placed_alone;
-    flow_tracker_.OnPlaced(it.id, self());
-    Place(now, std::move(it));
+    flow_tracker_.OnPlaced(it.opening.id, self());
+    Place(now, std::move(it.opening));
   }
 }
 
