--- a/src/packetflow/flow_node_impl.h
+++ b/src/packetflow/flow_node_impl.h
@@ -172,17 +172,19 @@
   // Recomputes the shards of a service. Returns the waiting flows, which have
   // to be dispatched again after the dispatcher has the endpoints.
   std::vector<FlowOpening> UpdateShards(TimePoint now, ServiceId service);
-  void HandOver(TimePoint now, FlowOpening opening, NodeId to,
-                pb::OpeningPurpose purpose = pb::OPENING_PLACE);
+  // Sends an opening to another VM. The result is valid until the answer.
+  PendingHandover& HandOver(TimePoint now, FlowOpening opening, NodeId to,
+                            pb::OpeningPurpose purpose = pb::OPENING_PLACE);
   // Dispatches the parked opening packets that need not wait any longer.
   void DispatchParked(TimePoint now);
-  // Has this VM's dispatcher place the flow.
+  // Has this VM's dispatcher place the flow. `is_forwarded`: its progress may
+  // be reported to another VM.
   void Place(TimePoint now, FlowOpening opening, bool is_forwarded = false);
   // Hands over an opening that may be a copy and that this VM does not know to
-  // the VM that may know it. `from` forwarded the opening, if any VM did.
+  // the VM that may know it. `forwarder` is not asked and gets no opening back.
   // Returns false, and leaves `opening` unchanged, if this VM is to decide.
   bool HandOverIfUnknown(TimePoint now, FlowOpening& opening,
-                         std::optional<NodeId> from = std::nullopt);
+                         std::optional<NodeId> forwarder = std::nullopt);
   // Decides as dispatcher of the opening's shard: passes the opening on to
   // another shard, for `purpose`, or has this VM's dispatcher place the flow.
   void PassOnOrPlace(TimePoint now, FlowOpening opening,
@@ -197,7 +199,7 @@
   bool AskNext(TimePoint now, FlowOpening& opening, std::vector<NodeId> asked);
   // The VMs that may have placed or passed on flows of the shard recently: the
   // first one in rank, the one that was first before, and the second one, which
-  // stands in.
+  // stands in; if the first one is silent, the dispatchers of all shards.
   std::vector<NodeId> OtherPlacersOf(const ShardId& shard) const;
   // Processes an opening packet that is to be declined unless its flow is known
   // to this VM. Returns false if it is not known.
--- a/src/packetflow/flow_node_openings.cc
+++ b/src/packetflow/flow_node_openings.cc
@@ -109,8 +109,8 @@
   }
   // An ingress that has found this VM silent turns to another one at once.
   constexpr auto& kTimes = FlowDispatcher::kTransmissionTimes;
-  const std::size_t known = std::min(std::size_t{copy} + 1, kTimes.size());
-  return std::any_of(kTimes.begin() + static_cast<std::ptrdiff_t>(known),
+  const std::size_t next = std::min(std::size_t{copy} + 1, kTimes.size());
+  return std::any_of(kTimes.begin() + static_cast<std::ptrdiff_t>(next),
                      kTimes.end(), [&](Duration sent) {
                        return age - receive_delay_ <= sent && sent <= age;
                      });
@@ -139,20 +139,20 @@
 // that shard. A copy of an opening packet may then reach the VM that does not
 // know the flow.
 bool FlowNodeImpl::HandOverIfUnknown(TimePoint now, FlowOpening& opening,
-                                     std::optional<NodeId> from) {
+                                     std::optional<NodeId> forwarder) {
   if (!MayBeCopy(opening) || dispatcher_->IsKnown(now, opening) ||
       FindPassedOn(now, opening) != nullptr) {
     return false;
   }
   const ShardId shard{opening.service, opening.shard};
   const NodeId dispatcher = DispatcherFor(now, shard);
-  if (dispatcher != self() && !from) {
+  if (dispatcher != self() && !forwarder) {
     HandOver(now, std::move(opening), dispatcher, pb::OPENING_FORWARDED);
     return true;
   }
   std::vector<NodeId> asked;
-  if (from) {
-    asked.push_back(*from);
+  if (forwarder) {
+    asked.push_back(*forwarder);
   }
   return AskNext(now, opening, std::move(asked));
 }
@@ -170,9 +170,8 @@
     return false;
   }
   asked.push_back(*next);
-  const FlowId id = opening.id;
-  HandOver(now, std::move(opening), *next, pb::OPENING_IF_KNOWN);
-  pending_handovers_[id].asked = std::move(asked);
+  HandOver(now, std::move(opening), *next, pb::OPENING_IF_KNOWN).asked =
+      std::move(asked);
   return true;
 }
 
@@ -251,8 +250,8 @@
   }
 }
 
-void FlowNodeImpl::HandOver(TimePoint now, FlowOpening opening, NodeId to,
-                            pb::OpeningPurpose purpose) {
+FlowNodeImpl::PendingHandover& FlowNodeImpl::HandOver(
+    TimePoint now, FlowOpening opening, NodeId to, pb::OpeningPurpose purpose) {
   ++counters_.handed_over;
   pb::FlowOpening& message =
       PendingMessageTo(to).AddOpening(opening.id.value());
@@ -261,8 +260,14 @@
   message.set_may_redirect(HasShards(opening.service));
   message.set_purpose(purpose);
   const FlowId id = opening.id;
-  pending_handovers_[id] = {std::move(opening),        to,      now,
-                            now + HandoverTimeout(to), purpose, {}};
+  PendingHandover& pending = pending_handovers_[id];
+  pending = {};
+  pending.opening = std::move(opening);
+  pending.dispatcher = to;
+  pending.sent_at = now;
+  pending.due = now + HandoverTimeout(to);
+  pending.purpose = purpose;
+  return pending;
 }
 
 void FlowNodeImpl::Place(TimePoint now, FlowOpening opening,
