Read what has arrived before a handover counts as unanswered

An ingress that gets its processor late runs its timers before it reads its socket. A handover whose acknowledgement had arrived in time then counted as unanswered, and the flow was placed a second time. Only delays above 90 ms were taken into account.

A handover counts as unanswered once everything that had arrived by its due time must have been read; on an idle VM that is 40 ms later at most.

Result: packetflow_tests "an acknowledgement that waits unread prevents a second placement": 36 of 96 checks fail without the change, none with it.

--- a/src/packetflow/flow_freeze_test.cc
+++ b/src/packetflow/flow_freeze_test.cc
@@ -91,6 +91,42 @@
   CHECK(world.FlowOf(later).answered);
 }
 
+// Guards against an ingress that is some milliseconds late, runs its timers
+// before it reads, and places a flow whose handover has been acknowledged.
+TEST_CASE("an acknowledgement that waits unread prevents a second placement") {
+  const bool timer_first = GENERATE(true, false);
+  const int late_ms = GENERATE(10, 20, 40, 80);
+  CAPTURE(timer_first, late_ms);
+  FlowWorld world(1);
+  world.AddVms(kVms);
+  for (const char* it : {"a1", "a2", "a3", "b1", "b2", "b3"}) {
+    world.AddEndpoint(it, "records", *it == 'a' ? "north" : "south");
+  }
+  world.SetRoutes(1, {"records"}, 2000);
+  world.Publish();
+  world.Run(seconds(6));
+  const std::size_t dispatcher = world.DispatcherIndex("records");
+  const std::size_t ingress = (dispatcher + 1) % kVms;
+  // Not late enough to decline what it reads.
+  world.FreezeVm(dispatcher);
+  world.Run(milliseconds(2));
+  std::vector<int> flows;
+  for (int n = 0; n < 12; ++n) {
+    flows.push_back(world.Open("records", ingress));
+  }
+  world.Run(milliseconds(80));
+  world.FreezeVm(ingress);
+  world.Run(milliseconds(5));
+  world.ThawVm(dispatcher, timer_first);
+  world.Run(milliseconds(late_ms));
+  world.ThawVm(ingress, timer_first);
+  world.Run(seconds(3));
+  for (const int it : flows) {
+    CAPTURE(it);
+    CHECK(world.FlowOf(it).accepted_by.size() == 1);
+  }
+}
+
 TEST_CASE("the bound of a receive delay covers a freeze and a long buffer") {
   constexpr TimePoint kStart(seconds(100));
   ReceiveDelay delay(kStart);
--- a/src/packetflow/flow_node_openings.cc
+++ b/src/packetflow/flow_node_openings.cc
@@ -442,7 +442,9 @@
       it = pending_handovers_.erase(it);
       continue;
     }
-    if (IsLate()) {
+    const TimePoint due =
+        handover.sent_at + HandoverTimeout(handover.dispatcher);
+    if (IsLate() || now - receive_delay_ < due) {
       // The acknowledgement may wait unread in front of this VM.
       handover.due = now + kLateCheckInterval;
       ++it;
