--- a/src/packetflow/flow_freeze_test.cc
+++ b/src/packetflow/flow_freeze_test.cc
@@ -110,8 +110,10 @@
   // Not late enough to decline what it reads.
   world.FreezeVm(dispatcher);
   world.Run(milliseconds(2));
+  constexpr int kFlows = 12;
   std::vector<int> flows;
-  for (int n = 0; n < 12; ++n) {
+  flows.reserve(kFlows);
+  for (int n = 0; n < kFlows; ++n) {
     flows.push_back(world.Open("records", ingress));
   }
   world.Run(milliseconds(80));
