--- a/src/telemetry/log_events.cc
+++ b/src/telemetry/log_events.cc
@@ -237,9 +237,11 @@
      "nothing"},
     {"evacuation_refused", "warn", "control",
      "data_center, end, author, kind, reason",
-     "an evacuation order names no data centre of the settings; nothing has "
-     "changed",
-     "repeat the order with the name of a data centre"},
+     "an evacuation order names no data centre of the settings, or (kind "
+     "`cancelled`) its sender had closed the connection before it could be "
+     "carried out; nothing has changed",
+     "repeat the order with the name of a data centre; a cancelled one only if "
+     "it still stands"},
     {"connection_not_accepted", "warn", "control, entry", "reason",
      "the kernel did not accept a connection to the HTTP server",
      "check how many file descriptors the process has open"},
