review 13: entry machines added at once give waiting flows a second endpoint

Cause: flows that wait at the third in rank, as the new machines decline at first, stay there once the new dispatcher can place flows, and their callers' copies are placed by it a second time.

--- a/review/flows3.h
+++ b/review/flows3.h
@@ -2,6 +2,8 @@
 #ifndef VANILLALATCH_REVIEW_FLOWS3_H_
 #define VANILLALATCH_REVIEW_FLOWS3_H_
 
+#include <functional>
+
 #include "standin3.h"
 
 namespace review3 {
@@ -93,6 +95,35 @@
   return ntohl(at.s_addr);
 }
 
+// A deployment under load: every route leads to a service whose endpoints are
+// all busy, so that new flows wait for a slot. Clients keep a flow open for two
+// requests. Resets of open flows that their endpoint did not send are counted.
+struct FlowCase {
+  int fronts = 0;  // Entry machines from the start.
+  int spares = 0;  // Further ones that the planned work may start.
+  int routes = 0;
+  bool has_idle_services = false;  // One for each route.
+  std::int64_t load_ms = 0;        // How long new flows are opened.
+  std::int64_t quiet_ms = 0;  // Instead of the planned work, with TROUBLE=0.
+};
+
+struct FlowWorld {
+  Site site{{"z1", "z2", "z3"}, 770};
+  std::vector<Machine> controls, fronts;  // The spares are the last.
+  std::vector<Machine*> operators;
+  std::vector<Route> busy_routes, idle_routes;
+  std::vector<std::string> services;
+  std::string Manifest(std::uint64_t version,
+                       const std::vector<Route>& routes) const {
+    return ManifestText(version, routes, services, 5000, 2500);
+  }
+};
+
+// Runs the case; `planned` is the planned work, and runs while flows wait,
+// unless TROUBLE=0. Exits with the result.
+[[noreturn]] void RunFlowCase(const FlowCase& options,
+                              const std::function<void(FlowWorld&)>& planned);
+
 }  // namespace review3
 
 #endif  // VANILLALATCH_REVIEW_FLOWS3_H_
