--- a/review/standin3.cc
+++ b/review/standin3.cc
@@ -153,7 +153,7 @@
     Finish(kCouldNotRun, "no temporary folder");
   }
   folder = site_folder = name;
-  std::srand(static_cast<unsigned>(getpid() ^ UnixMs()));
+  std::srand(std::random_device{}());
   for (int tries = 0; tries < 50; ++tries) {
     prefix_ = 20 + std::rand() % 200;
     const int base = 10000 + (std::rand() % 2000) * 10;
@@ -219,6 +219,7 @@
   const std::string log = folder + "/" + machine.name + ".log";
   const pid_t pid = fork();
   if (pid == 0) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);  // If the case itself is killed.
     const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(out, 1);
     dup2(out, 2);
--- a/review/standin3.h
+++ b/review/standin3.h
@@ -9,6 +9,7 @@
 #include <netinet/in.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -25,6 +26,7 @@
 #include <fstream>
 #include <map>
 #include <mutex>
+#include <random>
 #include <set>
 #include <string>
 #include <thread>
