Remove a voter that stops as planned from a group of an even size

Cause, from the record and the log of a run on: the successor makes a fourth voter; the VM that stops hands leadership over but stays a voter, so that the majority is three until it counts as silent, 3 s later. With the disk of another VM lost in between, two of four are left.

A replica that stops says so in its acknowledgements (AppendReply.leaving). In a group of an even size the leader removes it, and it runs on until the leader has told it so (Left), two seconds at most. In a group of an odd size it stays a voter, as it may be restarted, unless two are leaving. A learner that is complete replaces a leaving voter at once. Leadership is not handed to a VM that stops. Feature level 7; a leader of an earlier build is not waited for. A voter that was killed leaves a group of an even size after 2 s in place of 3 s.

--- a/include/vanillalatch/consensus/replica.h
+++ b/include/vanillalatch/consensus/replica.h
@@ -155,10 +155,12 @@
   virtual std::optional<ReadRound> BeginRead(TimePoint now) = 0;
   virtual bool ReadConfirmed(ReadRound round) const = 0;
 
-  // Transfers leadership to an up-to-date voter before a planned stop. Returns
-  // true once this replica is not the leader, or is the only voter. After the
-  // first call this replica never campaigns again. The caller repeats the call
-  // until it returns true.
+  // Transfers leadership to an up-to-date voter before a planned stop, and
+  // leaves the group if the group tolerates as many failures without this
+  // replica. Returns true once both are done, after two seconds without an
+  // answer, or if this replica is the only voter. After the first call this
+  // replica never campaigns again. The caller repeats the call until it returns
+  // true.
   virtual bool BeginStop(TimePoint now) = 0;
 
   // Records a snapshot of the applied state and drops the log entries up to
--- a/include/vanillalatch/feature/feature_level.h
+++ b/include/vanillalatch/feature/feature_level.h
@@ -25,8 +25,10 @@
 inline constexpr FeatureLevel kEvacuationLevel{3};
 // The first level whose builds state their level to other VMs.
 inline constexpr FeatureLevel kStatedLevel{5};
+// The first level whose builds remove a control VM that is about to stop.
+inline constexpr FeatureLevel kLeaveLevel{7};
 // The level of this build.
-inline constexpr FeatureLevel kCurrentLevel{6};
+inline constexpr FeatureLevel kCurrentLevel{7};
 
 // What one level added.
 struct FeatureLevelRow {
--- a/src/consensus/group_change.cc
+++ b/src/consensus/group_change.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include "src/consensus/quorum.h"
 #include "src/consensus/replica_impl.h"
@@ -17,6 +18,13 @@
 // A voter that has not answered for this long may be replaced by a waiting
 // learner. It is twice the duration of the longest election.
 constexpr Duration kSilentVoterTimeout = std::chrono::seconds(3);
+// The same for the removal from a group with an even number of voters.
+constexpr Duration kUnneededVoterTimeout = std::chrono::seconds(2);
+// Interval at which a replica that stops tells the leader that it is leaving.
+constexpr Duration kLeaveInterval = std::chrono::milliseconds(50);
+// A replica that stops waits for its removal for this long: an election and a
+// few rounds.
+constexpr Duration kLeaveTimeout = std::chrono::seconds(2);
 
 // Returns the voter of the same VM with another identity, which was lost with
 // its disk; nullptr if there is none.
@@ -158,23 +166,19 @@
     return;
   }
   if (!AdmitLearner(now) && !PromoteLearner(now)) {
-    RemoveSilentVoter(now);
+    RemoveUnneededVoter(now);
   }
   RaiseFleetLevel(now);
 }
 
-// Removes a silent voter if the number of voters is even. Such a voter makes
-// the majority larger, but the group does not tolerate more failures with it.
-// If the voter returns, it asks to join again.
-void ReplicaImpl::RemoveSilentVoter(TimePoint now) {
-  if (!options_.open_membership || VoterCount(configuration_) % 2 != 0) {
+// Removes a voter without which the group tolerates as many failures. If the
+// voter returns, it asks to join again.
+void ReplicaImpl::RemoveUnneededVoter(TimePoint now) {
+  const pb::Replica* unneeded = FindUnneededVoter(now);
+  if (unneeded == nullptr) {
     return;
   }
-  const pb::Replica* silent = FindSilentVoter(now);
-  if (silent == nullptr) {
-    return;
-  }
-  const std::uint64_t id = silent->id();
+  const std::uint64_t id = unneeded->id();
   pb::Configuration next = configuration_;
   RemoveIf(next, [&](const pb::Replica& it) { return it.id() == id; });
   if (IsTrueForQuorum(
@@ -183,6 +187,26 @@
   }
 }
 
+// Returns a voter that is gone or about to go and that makes the majority
+// larger without need; nullptr if there is none. In a group of an even size any
+// one voter does so, in a group of an odd size two of them together.
+const pb::Replica* ReplicaImpl::FindUnneededVoter(TimePoint now) const {
+  if (!options_.open_membership) {
+    return nullptr;
+  }
+  const pb::Replica* leaving = FindLeavingVoter();
+  if (VoterCount(configuration_) % 2 == 0) {
+    return leaving != nullptr ? leaving
+                              : FindSilentVoter(now, kUnneededVoterTimeout);
+  }
+  const auto n = std::count_if(configuration_.replicas().begin(),
+                               configuration_.replicas().end(),
+                               [&](const pb::Replica& it) {
+                                 return !it.learner() && IsLeaving(it.id());
+                               });
+  return n > 1 ? leaving : nullptr;
+}
+
 // Adds a replica that asks to join as a learner. It replaces a former learner
 // of the same VM.
 bool ReplicaImpl::AdmitLearner(TimePoint now) {
@@ -207,9 +231,9 @@
 }
 
 // Makes a learner a voter once all committed entries are on its synced disk.
-// Removes the former identity of the same VM, or a silent voter, first. While
-// the former identity still answers, two processes run under one VM name, and
-// the learner has to wait.
+// Removes the former identity of the same VM, or a voter that is leaving or
+// silent, first. While the former identity still answers, two processes run
+// under one VM name, and the learner has to wait.
 bool ReplicaImpl::PromoteLearner(TimePoint now) {
   for (const pb::Replica& it : configuration_.replicas()) {
     if (!it.learner() || MatchIndexOf(it.id()) < commit_index_ ||
@@ -218,8 +242,14 @@
     }
     pb::Configuration next = configuration_;
     const pb::Replica* former = FindFormerVoter(configuration_, it);
+    if (former != nullptr && IsActive(former->id(), now)) {
+      continue;
+    }
     if (former == nullptr && options_.open_membership) {
-      former = FindSilentVoter(now);
+      former = FindLeavingVoter();
+      if (former == nullptr) {
+        former = FindSilentVoter(now, kSilentVoterTimeout);
+      }
       if (former == nullptr && !AllVotersActive(now)) {
         // A voter that does not answer may have failed permanently. Another
         // voter beside it would leave a group that tolerates no further
@@ -230,9 +260,6 @@
     }
     if (former != nullptr) {
       const std::uint64_t former_id = former->id();
-      if (IsActive(former_id, now)) {
-        continue;
-      }
       RemoveIf(next, [&](const pb::Replica& other) {
         return other.id() == former_id;
       });
@@ -250,13 +277,30 @@
   return false;
 }
 
-// Returns a voter that has not answered for kSilentVoterTimeout; nullptr if
-// there is none.
-const pb::Replica* ReplicaImpl::FindSilentVoter(TimePoint now) const {
+bool ReplicaImpl::IsLeaving(std::uint64_t id) const {
+  const auto it = peers_.find(id);
+  return it != peers_.end() && it->second.leaving;
+}
+
+// Returns a voter that stops as planned and has not come back; nullptr if there
+// is none.
+const pb::Replica* ReplicaImpl::FindLeavingVoter() const {
+  const auto it =
+      std::find_if(configuration_.replicas().begin(),
+                   configuration_.replicas().end(), [&](const pb::Replica& it) {
+                     return !it.learner() && IsLeaving(it.id());
+                   });
+  return it == configuration_.replicas().end() ? nullptr : &*it;
+}
+
+// Returns a voter that has not answered for `timeout`; nullptr if there is
+// none.
+const pb::Replica* ReplicaImpl::FindSilentVoter(TimePoint now,
+                                                Duration timeout) const {
   for (const pb::Replica& it : configuration_.replicas()) {
     const auto peer = peers_.find(it.id());
     if (!it.learner() && it.id() != self() && peer != peers_.end() &&
-        now >= peer->second.last_ack + kSilentVoterTimeout) {
+        now >= peer->second.last_ack + timeout) {
       return &it;
     }
   }
@@ -287,19 +331,52 @@
 }
 
 bool ReplicaImpl::BeginStop(TimePoint now) {
-  stopping_ = true;
-  if (!IsLeader() || VoterCount(configuration_) == 1) {
+  if (!std::exchange(stopping_, true)) {
+    stop_began_ = now;
+  }
+  if (VoterCount(configuration_) == 1) {
     return true;
   }
-  TransferLeadership(now);
-  return false;
+  if (IsLeader()) {
+    TransferLeadership(now);
+    return false;
+  }
+  return LeaveGroup(now);
+}
+
+// Tells the leader that this replica is leaving. Returns false while this
+// replica should run on, as its removal makes up for its loss: a group of an
+// even size tolerates as many failures without it.
+bool ReplicaImpl::LeaveGroup(TimePoint now) {
+  if (left_ || !options_.open_membership || !IsVoter() ||
+      now >= stop_began_ + kLeaveTimeout) {
+    return true;
+  }
+  if (!HasRecentLeader(now)) {
+    return false;
+  }
+  if (LevelOf(ReplicaId(leader_id_)) < kLeaveLevel) {
+    return true;
+  }
+  if (now >= leave_due_) {
+    leave_due_ = now + kLeaveInterval;
+    pb::ConsensusMessage message;
+    message.set_reply_address(options_.self.address());
+    message.mutable_append_reply()->set_success(true);
+    message.mutable_append_reply()->set_leaving(true);
+    SendTo(leader_id_, std::move(message));
+  }
+  return VoterCount(configuration_) % 2 != 0;
 }
 
+void ReplicaImpl::HandleLeft() { left_ = stopping_; }
+
 // Asks the voter with the longest log to campaign, once its log is complete.
 void ReplicaImpl::TransferLeadership(TimePoint now) {
   const pb::Replica* successor = nullptr;
   for (const pb::Replica& it : configuration_.replicas()) {
-    if (it.learner() || it.id() == self() || !IsActive(it.id(), now)) {
+    if (it.learner() || it.id() == self() || !IsActive(it.id(), now) ||
+        IsLeaving(it.id())) {
       continue;
     }
     if (successor == nullptr ||
--- a/src/consensus/replica.cc
+++ b/src/consensus/replica.cc
@@ -106,6 +106,9 @@
     case pb::ConsensusMessage::kCampaignNow:
       HandleCampaignNow(now);
       break;
+    case pb::ConsensusMessage::kLeft:
+      HandleLeft();
+      break;
     default:
       break;
   }
--- a/src/consensus/replica_impl.h
+++ b/src/consensus/replica_impl.h
@@ -26,6 +26,7 @@
   // becomes the leader.
   TimePoint last_ack = TimePoint::min();
   bool has_answered = false;  // Since this replica became the leader.
+  bool leaving = false;       // As stated by its last acknowledgement.
   TimePoint snapshot_sent_at = TimePoint::min();
 };
 
@@ -140,10 +141,15 @@
   bool PromoteLearner(TimePoint now);
   void ProposeConfiguration(TimePoint now, pb::Configuration configuration);
   bool IsConfiguredVm(std::string_view vm) const;
-  void RemoveSilentVoter(TimePoint now);
+  void RemoveUnneededVoter(TimePoint now);
+  const pb::Replica* FindUnneededVoter(TimePoint now) const;
   bool AllVotersActive(TimePoint now) const;
-  const pb::Replica* FindSilentVoter(TimePoint now) const;
+  bool IsLeaving(std::uint64_t id) const;
+  const pb::Replica* FindLeavingVoter() const;
+  const pb::Replica* FindSilentVoter(TimePoint now, Duration timeout) const;
   void TransferLeadership(TimePoint now);
+  bool LeaveGroup(TimePoint now);
+  void HandleLeft();
 
   // Feature levels (fleet_level.cc).
   bool StatesLevel() const { return options_.level >= kStatedLevel; }
@@ -183,6 +189,9 @@
   TimePoint heartbeat_due_;
   TimePoint last_broadcast_ = TimePoint::min();
   bool stopping_ = false;
+  TimePoint stop_began_;  // Valid if stopping_.
+  TimePoint leave_due_;   // When the leader is told again that it is leaving.
+  bool left_ = false;     // The committed configuration does not contain it.
 
   std::map<std::string, Introduction, std::less<>> introductions_;  // By VM.
   TimePoint introduce_due_;
--- a/src/consensus/replication.cc
+++ b/src/consensus/replication.cc
@@ -142,6 +142,7 @@
   reply.set_success(success);
   reply.set_match_index(match);
   reply.set_round(round);
+  reply.set_leaving(stopping_ && options_.open_membership);
   Reply(request, std::move(message));
 }
 
@@ -247,15 +248,25 @@
 
 void ReplicaImpl::HandleAppendReply(TimePoint now,
                                     const pb::ConsensusMessage& message) {
+  if (!IsLeader()) {
+    return;
+  }
+  const pb::AppendReply& reply = message.append_reply();
   const auto it = peers_.find(message.from());
-  if (!IsLeader() || it == peers_.end()) {
+  if (it == peers_.end()) {
+    if (reply.leaving() && configuration_index_ <= commit_index_) {
+      pb::ConsensusMessage left;
+      left.mutable_left();
+      Reply(message, std::move(left));
+    }
     return;
   }
   Peer& peer = it->second;
-  const pb::AppendReply& reply = message.append_reply();
   peer.last_ack = now;
   peer.has_answered = true;
   peer.acked_round = std::max(peer.acked_round, reply.round());
+  const bool begins_to_leave = reply.leaving() && !peer.leaving;
+  peer.leaving = reply.leaving();
   if (!reply.success()) {
     const std::uint64_t next =
         std::max(reply.match_index(), peer.match_index) + 1;
@@ -271,6 +282,9 @@
     SendAppend(now, message.from());
   }
   AdvanceCommit(now);
+  if (begins_to_leave) {
+    MaintainGroup(now);
+  }
 }
 
 // The last entry that the replica is known to have on its synced disk.
--- a/src/control/golden_data_test.cc
+++ b/src/control/golden_data_test.cc
@@ -113,7 +113,9 @@
   const auto node = Open(disk);
   REQUIRE_FALSE(node.ok());
   CHECK(node.error().kind() == ErrorKind::kUnsupported);
-  CHECK_THAT(std::string(node.error().what()), Catch::Contains("level 6"));
+  CHECK_THAT(
+      std::string(node.error().what()),
+      Catch::Contains("level " + std::to_string(kCurrentLevel.value() + 1)));
   CHECK(*disk.Read("log") == log);
   CHECK(*disk.Read("snapshot") == snapshot);
 }
--- a/src/feature/feature_level.cc
+++ b/src/feature/feature_level.cc
@@ -24,8 +24,11 @@
      "stated levels and the level of the fleet",
      "ConsensusMessage, Introduce, SyncRequest, ControlStatus",
      "LogEntry, Snapshot"},
-    {FeatureLevel{6}, FeatureLevel{3}, "",
+    {FeatureLevel{6}, FeatureLevel{3}, "5c0b999",
      "openings that are forwarded, or asked for", "FlowOpening", ""},
+    {FeatureLevel{7}, FeatureLevel{3}, "",
+     "control VMs that leave the group before they stop",
+     "ConsensusMessage, AppendReply", ""},
 });
 
 }  // namespace
