Show which voters are silent and how many losses the control group tolerates

The leader adds its voters, those that do not answer it and the tolerated losses to ControlStatus; `ctl status` prints a line, and the leader has the metric vanillalatch_control_tolerated_losses.

Result: control_tests "the leader states which voters are silent*", cli_tests and telemetry_tests pass.

--- a/include/vanillalatch/telemetry/metrics.h
+++ b/include/vanillalatch/telemetry/metrics.h
@@ -52,6 +52,7 @@
   kControlTerm,       // Gauge.
   kControlCommitted,  // Gauge, log index.
   kControlLeader,     // Gauge, 1 on the leader.
+  kToleratedLosses,   // Gauge, control VMs; on the leader only.
   kEvacuations,       // Gauge.
   kUnknownValues,     // Counter.
   kFlowEvents,        // Counter; event.
--- a/src/cli/cli_test.cc
+++ b/src/cli/cli_test.cc
@@ -133,8 +133,14 @@
   *control.status.add_entries() = entry;
   *control.status.add_entries() = MakeEntryStatus("entry-2", "south", 3);
   control.status.mutable_entries(1)->set_age_ms(60'000);
+  pb::ControlStatus& leader = *control.status.add_controls();
+  leader.set_vm("control-1");
+  leader.set_voters(4);
+  leader.add_silent_voters("control-2");
   const std::string out = RunCtlAgainst(control, {"status"}).out;
   CHECK_THAT(out, Contains("Catalog: revision 3, 2 services"));
+  CHECK_THAT(out, Contains("Control group: 4 voters, silent: control-2; "
+                           "tolerates no further loss"));
   CHECK_THAT(out, Contains("revision 1, 2 behind"));
   CHECK_THAT(out, Contains("silent"));
   CHECK_THAT(out, Contains("12.5 ms"));
--- a/src/cli/status_text.cc
+++ b/src/cli/status_text.cc
@@ -102,6 +102,25 @@
   table.Print(out);
 }
 
+// Shows how many control VMs may still fail. A group in which a voter is gone
+// tolerates fewer failures until the voter returns or is removed.
+void PrintGroup(const pb::StatusReply& status, std::ostream& out) {
+  for (const pb::ControlStatus& it : status.controls()) {
+    if (it.voters() == 0) {
+      continue;
+    }
+    out << "Control group: " << it.voters() << " voters";
+    for (int n = 0; n < it.silent_voters_size(); ++n) {
+      out << (n == 0 ? ", silent: " : ", ") << it.silent_voters(n);
+    }
+    out << "; tolerates "
+        << (it.tolerated_losses() == 0 ? "no"
+                                       : std::to_string(it.tolerated_losses()))
+        << " further " << (it.tolerated_losses() > 1 ? "losses" : "loss")
+        << "\n\n";
+  }
+}
+
 std::string RevisionText(const pb::StatusReply& status,
                          const pb::EntryStatus& entry) {
   const std::uint64_t current = status.catalog().revision();
@@ -230,6 +249,7 @@
   out << "Catalog: revision " << status.catalog().revision() << ", "
       << status.catalog().services_size() << " services\n";
   PrintLevels(status, out);
+  PrintGroup(status, out);
   PrintControlVms(status, out);
   out << "\n";
   if (!status.catalog().evacuations().empty()) {
--- a/src/control/control_checks_test.cc
+++ b/src/control/control_checks_test.cc
@@ -213,6 +213,26 @@
   }
 }
 
+// expect group 4 silent=c2 tolerates=0 within=2s
+void ControlWorld::ExpectGroup(Arguments step) {
+  std::string seen;
+  const auto holds = [&] {
+    const std::string leader = Leader();
+    if (leader.empty()) {
+      return false;
+    }
+    const pb::ControlStatus status = controls_.at(leader).node->Status();
+    seen = std::to_string(status.voters()) +
+           " silent=" + absl::StrJoin(status.silent_voters(), ",") +
+           " tolerates=" + std::to_string(status.tolerated_losses());
+    return seen == step.Word(1) + " silent=" + step.Named("silent", "") +
+                       " tolerates=" + step.Named("tolerates", "");
+  };
+  if (!RunUntil(step.NamedTime("within", Duration::zero()), holds)) {
+    throw Failure("the group is " + seen);
+  }
+}
+
 void ControlWorld::Expect(Arguments step) {
   const std::string& what = step.Word(0);
   if (what == "outcome") {
@@ -243,6 +263,8 @@
     }
   } else if (what == "voters") {
     ExpectVoters(step);
+  } else if (what == "group") {
+    ExpectGroup(step);
   } else if (what == "no-leader") {
     if (!Leader().empty()) {
       throw Failure(Leader() + " leads");
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -4,6 +4,7 @@
 #include <deque>
 #include <utility>
 
+#include "src/consensus/quorum.h"
 #include "src/control/control_node_impl.h"
 
 namespace vanillalatch {
@@ -192,12 +193,36 @@
   status.set_newest_level(replica_->newest_level().value());
   status.set_missing_level(
       replica_->missing_level().value_or(kUnstatedLevel).value());
+  if (IsLeader()) {
+    AddGroupStatus(status);
+  }
   return status;
 }
 
+void ControlNodeImpl::AddGroupStatus(pb::ControlStatus& status) const {
+  const pb::Configuration& group = replica_->configuration();
+  const std::size_t voters = internal::VoterCount(group);
+  std::size_t reachable = 0;
+  for (const pb::Replica& it : group.replicas()) {
+    if (it.learner()) {
+      continue;
+    }
+    if (replica_->IsReachable(ReplicaId(it.id()), last_event_)) {
+      ++reachable;
+    } else {
+      status.add_silent_voters(it.vm());
+    }
+  }
+  const std::size_t needed = internal::MajorityOf(voters);
+  status.set_voters(static_cast<std::uint32_t>(voters));
+  status.set_tolerated_losses(
+      static_cast<std::uint32_t>(reachable > needed ? reachable - needed : 0));
+}
+
 // Executes the replica's actions and advances the open calls that depend on
 // them.
 void ControlNodeImpl::ProcessPending(TimePoint now) {
+  last_event_ = now;
   if (disk_failed_) {
     throw Error(ErrorKind::kStorage, "the disk has failed before");
   }
--- a/src/control/control_node_impl.h
+++ b/src/control/control_node_impl.h
@@ -105,6 +105,8 @@
   bool BeginStop(TimePoint now) override;
   ControlActions TakeActions() override;
   pb::ControlStatus Status() const override;
+  // Adds what only the leader knows: which voters answer it.
+  void AddGroupStatus(pb::ControlStatus& status) const;
   const pb::Catalog& catalog() const override { return state_.catalog(); }
   const LogFileSummary& log_file() const override { return store_.log_file(); }
   const Replica& replica() const { return *replica_; }
@@ -175,6 +177,7 @@
   std::uint64_t report_round_ = 0;  // Round of the last Status call.
   // When this VM expects to run next. If it runs much later, it was frozen.
   TimePoint expected_wake_ = kNever;
+  TimePoint last_event_{};  // Of the last event that was processed.
   TimePoint orders_from_ = TimePoint::min();  // Earlier orders are refused.
   // Set during each write, so it stays set if the write throws. It is then
   // unknown what is stored.
--- a/src/control/control_world.h
+++ b/src/control/control_world.h
@@ -197,6 +197,7 @@
   void ExpectInForce(Arguments step);
   void ExpectLeader(Arguments step);
   void ExpectVoters(Arguments step);
+  void ExpectGroup(Arguments step);
   void ExpectStatus(Arguments step);
 
   // Scenario steps. Each returns false if the verb is not one of its steps.
--- a/src/control/replacement_test.cc
+++ b/src/control/replacement_test.cc
@@ -162,5 +162,21 @@
   });
 }
 
+// Guards against a group that tolerates no loss without telling its operator.
+TEST_CASE("the leader states which voters are silent and what is tolerated",
+          "[control][replacement]") {
+  RunRows({
+      {"a voter fails",
+       "fleet 3 snapshot=16\n"
+       "expect voters c1,c2,c3 within=3s\n"
+       "expect group 3 tolerates=1 within=1s\n"
+       "add-control c4\n"
+       "expect group 4 tolerates=1 within=3s\n"
+       "crash c2\n"
+       "expect group 4 silent=c2 tolerates=0 within=1500ms\n"
+       "expect group 3 tolerates=1 within=2s\n"},
+  });
+}
+
 }  // namespace
 }  // namespace vanillalatch
--- a/src/feature/feature_level.cc
+++ b/src/feature/feature_level.cc
@@ -28,7 +28,7 @@
      "openings that are forwarded, or asked for", "FlowOpening", ""},
     {FeatureLevel{7}, FeatureLevel{3}, "",
      "control VMs that leave the group before they stop",
-     "ConsensusMessage, AppendReply", ""},
+     "ConsensusMessage, AppendReply, ControlStatus", ""},
 });
 
 }  // namespace
--- a/src/runtime/publisher.cc
+++ b/src/runtime/publisher.cc
@@ -97,6 +97,11 @@
                 static_cast<double>(status.committed_index()));
   metrics_->Set(Metric::kEvacuations, {}, status.evacuations());
   metrics_->Set(Metric::kControlLeader, {}, status.role() == "leader" ? 1 : 0);
+  if (status.voters() > 0) {
+    metrics_->Set(Metric::kToleratedLosses, {}, status.tolerated_losses());
+  } else {
+    metrics_->Clear(Metric::kToleratedLosses);
+  }
   if (status.role() != control_role_) {
     control_role_ = status.role();
     LogEvent(LogLevel::kInfo, "control_role_changed",
--- a/src/telemetry/metric_rows.cc
+++ b/src/telemetry/metric_rows.cc
@@ -122,6 +122,12 @@
      kGauge,
      "1 if this control VM leads, else 0.",
      {}},
+    {Metric::kToleratedLosses,
+     "vanillalatch_control_tolerated_losses",
+     kGauge,
+     "Further control VMs that may fail while changes are still accepted. Only "
+     "the leader has it.",
+     {}},
     {Metric::kEvacuations,
      "vanillalatch_evacuations",
      kGauge,
