Take a late opening for a copy of the flow that a report has made known

Callers could see an open flow reset: a copy of its opening packet had been parked at a VM that was starting, and was placed on a second endpoint there.

A report does not state the sequence number of the opening packet, so the parked copy counted as a new flow that uses the same port. A copy for a flow that is open but not idle could also move it to another endpoint.

An opening whose first transmission is older than the report is a copy of the reported flow, and a copy of a flow whose caller has continued changes nothing.

Result: packetflow_tests "a late copy does not open a flow that was learnt from a report": 2 of 3 rows failed before, all pass.

--- a/src/packetflow/flow_dispatcher.cc
+++ b/src/packetflow/flow_dispatcher.cc
@@ -12,7 +12,7 @@
                               FlowActions& actions) {
   const auto it = flows_.find(opening.id);
   if (it != flows_.end()) {
-    if (it->second.opening.sequence == opening.sequence) {
+    if (IsCopyOf(now, it->second, opening)) {
       OnRetransmission(now, it->second, opening, actions);
       return;
     }
@@ -41,6 +41,13 @@
   Submit(now, flow, std::nullopt, actions);
 }
 
+bool FlowDispatcherImpl::IsCopyOf(TimePoint now, const Flow& flow,
+                                  const FlowOpening& opening) {
+  // A report does not state the sequence number of its flow's opening packet.
+  return flow.is_from_report ? now - opening.age <= flow.accepted_at
+                             : flow.opening.sequence == opening.sequence;
+}
+
 const FlowDispatcherImpl::Closed* FlowDispatcherImpl::FindClosed(
     TimePoint now, const FlowOpening& opening) const {
   const auto it = closed_.find(opening.id);
@@ -86,9 +93,9 @@
     flow.opening.copy = std::max(flow.opening.copy, opening.copy);
     return;
   }
-  if ((flow.idle && flow.accepted) || opening.copy <= flow.opening.copy) {
-    // The flow is open and idle, or this transmission has already been
-    // processed.
+  if (flow.accepted || opening.copy <= flow.opening.copy) {
+    // The flow is open, and this copy was late or parked, or this transmission
+    // has already been processed.
     return;
   }
   const Resend resend = SchedulerOf(flow.shard()).TryResend(now, flow.endpoint);
@@ -197,6 +204,8 @@
     flow.has_answer = true;
     flow.placed = true;
     flow.accepted = true;
+    flow.accepted_at = now;
+    flow.is_from_report = true;
     flow.idle = true;
   }
   Flow& flow = it->second;
--- a/src/packetflow/flow_dispatcher_impl.h
+++ b/src/packetflow/flow_dispatcher_impl.h
@@ -111,9 +111,10 @@
     bool repeated = false;
     bool accepted = false;  // The caller continued after the opening packet.
     TimePoint accepted_at;  // Valid if accepted.
-    bool request_sent = false;  // The caller has sent a request.
-    bool has_answer = false;    // At least one answer has begun to arrive.
-    bool idle = false;          // Open, but without a slot.
+    bool request_sent = false;    // The caller has sent a request.
+    bool has_answer = false;      // At least one answer has begun to arrive.
+    bool idle = false;            // Open, but without a slot.
+    bool is_from_report = false;  // Another VM has placed it.
     TimePoint expires;  // When it is removed if its end is not reported.
   };
   // A flow that ended or was refused. It is stored for as long as
@@ -130,6 +131,10 @@
   static constexpr Duration kRetransmissionWindow =
       std::chrono::milliseconds(1500);
 
+  // True if `opening` is a copy of the opening packet of an open flow, and does
+  // not open another one from the same port.
+  static bool IsCopyOf(TimePoint now, const Flow& flow,
+                       const FlowOpening& opening);
   // Returns the closed flow of which `opening` is a retransmission; nullptr if
   // there is none.
   const Closed* FindClosed(TimePoint now, const FlowOpening& opening) const;
--- a/src/packetflow/flow_dispatcher_test.cc
+++ b/src/packetflow/flow_dispatcher_test.cc
@@ -173,6 +173,25 @@
   CHECK(one.dispatcher().counters().expired == 2);
 }
 
+// Guards against an open flow that gets a second endpoint from a copy of its
+// opening packet that was parked until this VM was ready: another VM had placed
+// the flow, and reports do not state its sequence number.
+TEST_CASE("a late copy does not open a flow that was learnt from a report") {
+  struct Row {
+    Duration age;  // Of the opening packet, 20 ms after the report.
+    bool opens;
+  };
+  const Row row =
+      GENERATE(Row{milliseconds(230), false}, Row{milliseconds(20), false},
+               // The caller uses its port again.
+               Row{milliseconds(10), true});
+  CAPTURE(row.age.count());
+  OneEndpoint one;
+  one.Report(1, true, false);
+  one.Run(milliseconds(20));
+  CHECK(one.Open(1, 5, 1, row.age) == row.opens);
+}
+
 TEST_CASE("flows that wait are taken out to be handed over") {
   OneEndpoint one;
   for (std::uint64_t n = 1; n <= 4; ++n) {
