Track in one class which VMs may hold an opening, and ask them

OpeningDirectory knows who may hold an opening: the VM that took or brought it, the first two in rank, the former first one, those that rank after VMs that were not ready, the dispatchers of the route's former service and the shard to which it was passed on. flow_node_openings.cc keeps none of that. A VM that declines names the holder (FlowTaken.holder) and whether it was ready (unready). Waiting flows move with their route. An ingress goes on past VMs that decline, up to the eighth in rank; an opening from a VM that has not heard of the dispatcher is forwarded (FlowOpening.stands_in). An answer counts only from the VM that was asked, and a VM does not claim the very transmission that it is asked for.

--- a/include/vanillalatch/packetflow/flow_dispatcher.h
+++ b/include/vanillalatch/packetflow/flow_dispatcher.h
@@ -295,6 +295,11 @@
     return TakeWaiting(now, ShardId{service, {}});
   }
 
+  // The same for the flows for whose opening, with its present age, `takes` is
+  // true.
+  virtual std::vector<FlowOpening> TakeWaiting(
+      TimePoint now, const std::function<bool(const FlowOpening&)>& takes) = 0;
+
   // Removes, without notice, the flows that wait for a slot and for whose
   // opening, with its present age, `drops` is true. Returns their number.
   virtual std::size_t DropWaiting(
--- a/src/feature/feature_level.cc
+++ b/src/feature/feature_level.cc
@@ -27,8 +27,10 @@
     {FeatureLevel{6}, FeatureLevel{3}, "5c0b999",
      "openings that are forwarded, or asked for", "FlowOpening", ""},
     {FeatureLevel{7}, FeatureLevel{3}, "",
-     "control VMs that leave the group before they stop",
-     "ConsensusMessage, AppendReply, ControlStatus", ""},
+     "control VMs that leave the group before they stop, openings whose holder "
+     "is named",
+     "ConsensusMessage, AppendReply, ControlStatus, FlowOpening, FlowTaken",
+     ""},
 });
 
 }  // namespace
--- a/src/packetflow/dispatcher_selector.cc
+++ b/src/packetflow/dispatcher_selector.cc
@@ -11,8 +11,9 @@
 // seconds after its start; with this backoff it is used soon afterwards.
 constexpr Duration kDeclineBackoff = std::chrono::milliseconds(100);
 // Number of VMs, in the order of their ranks, that are considered before this
-// VM places flows itself.
-constexpr std::size_t kDispatcherRanks = 3;
+// VM places flows itself. If half of the members start at once, one in 256
+// shards has none among them that has run for longer.
+constexpr std::size_t kDispatcherRanks = 8;
 
 }  // namespace
 
--- a/src/packetflow/flow_dispatcher_impl.h
+++ b/src/packetflow/flow_dispatcher_impl.h
@@ -71,6 +71,9 @@
   bool Contains(FlowId id) const override { return flows_.contains(id); }
   std::vector<FlowOpening> TakeWaiting(TimePoint now,
                                        const ShardId& shard) override;
+  std::vector<FlowOpening> TakeWaiting(
+      TimePoint now,
+      const std::function<bool(const FlowOpening&)>& takes) override;
   std::size_t DropWaiting(
       TimePoint now,
       const std::function<bool(const FlowOpening&)>& drops) override;
--- a/src/packetflow/flow_dispatcher_shards.cc
+++ b/src/packetflow/flow_dispatcher_shards.cc
@@ -114,10 +114,17 @@
 
 std::vector<FlowOpening> FlowDispatcherImpl::TakeWaiting(TimePoint now,
                                                          const ShardId& shard) {
+  return TakeWaiting(now, [&](const FlowOpening& it) {
+    return it.service == shard.service && it.shard == shard.data_center;
+  });
+}
+
+std::vector<FlowOpening> FlowDispatcherImpl::TakeWaiting(
+    TimePoint now, const std::function<bool(const FlowOpening&)>& takes) {
   std::vector<FlowOpening> waiting;
   for (auto it = flows_.begin(); it != flows_.end();) {
     const auto next = std::next(it);
-    if (!it->second.placed && it->second.shard() == shard) {
+    if (!it->second.placed && takes(it->second.opening)) {
       Release(now, it->second, WorkOutcome::kCancelled);
       it->second.opening.age = now - it->second.opened_at;
       waiting.push_back(std::move(it->second.opening));
--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -31,7 +31,8 @@
     return;
   }
   revision_ = catalog.revision();
-  routes_ = RouteTable::From(catalog.flows());
+  directory_.OnRoutesReplaced(
+      now, std::exchange(routes_, RouteTable::From(catalog.flows())));
   reported_data_centers_.clear();
   for (const pb::Evacuation& it : catalog.evacuations()) {
     reported_data_centers_.push_back(it.data_center());
@@ -42,6 +43,8 @@
   peers_->SetEvacuations(now, EvacuationsOf(catalog));
   UpdateEvacuations(now);
   UpdateEndpoints(now);
+  UpdateFirstDispatchers(now);
+  MoveWaiting(now);
 }
 
 std::vector<pb::OpenFlows> FlowNodeImpl::OpenFlows() const {
@@ -71,7 +74,9 @@
   }
   UpdateEndpoints(now);
   if (complete && !updates.empty() && revision_ > 0) {
-    settled_ = true;
+    if (!std::exchange(settled_, true)) {
+      directory_.OnReady(now);
+    }
     DispatchParked(now);
   }
 }
@@ -149,6 +154,13 @@
              : DispatcherFor(now, ShardOfEndpoint(target));
 }
 
+bool FlowNodeImpl::HasFailed(NodeId vm) const {
+  const std::span<const Member> members = peers_->members().members();
+  return std::any_of(members.begin(), members.end(), [&](const Member& it) {
+    return it.id == vm && it.state == MemberState::kDead;
+  });
+}
+
 bool FlowNodeImpl::IsRunning(NodeId vm) const {
   const std::span<const Member> members = peers_->members().members();
   return std::any_of(members.begin(), members.end(), [&](const Member& it) {
@@ -240,6 +252,9 @@
   }
   endpoints_present_since_ = endpoints_present_since_.value_or(now);
   settled_ = now >= *endpoints_present_since_ + kEndpointSettleTime;
+  if (settled_) {
+    directory_.OnReady(now);
+  }
 }
 
 void FlowNodeImpl::OnTick(TimePoint now, Outbox& out) {
@@ -258,7 +273,7 @@
   DispatchParked(now);
   dispatcher_->OnTick(now, actions_);
   SendShardLoads(now);
-  ForgetPassedOn(now);
+  directory_.OnTick(now);
   if (now >= lost_endpoint_check_due_) {
     lost_endpoint_check_due_ = now + kLostEndpointCheckInterval;
     endpoints_.DropLost(now);
@@ -345,12 +360,7 @@
     for (const ShardId& it : ShardsOfService(service)) {
       const NodeId first = ShardDispatcherOf(it, peers_->members().members(), 0)
                                .value_or(self());
-      const auto [entry, added] = first_dispatchers_.try_emplace(it, first);
-      if (added || entry->second != first) {
-        if (!added) {
-          former_dispatchers_[it] = entry->second;
-        }
-        entry->second = first;
+      if (directory_.SetFirstDispatcher(now, it, first)) {
         dispatcher_->OnDispatcherChanged(now, service);
         // The new dispatcher has no reports of the other shards yet.
         loads_due_ = now;
--- a/src/packetflow/flow_node_impl.h
+++ b/src/packetflow/flow_node_impl.h
@@ -17,6 +17,7 @@
 #include "src/packetflow/dispatcher_selector.h"
 #include "src/packetflow/flow_messages.h"
 #include "src/packetflow/link_meter.h"
+#include "src/packetflow/opening_directory.h"
 #include "src/packetflow/pending_message.h"
 #include "src/packetflow/round_trip.h"
 #include "src/packetflow/shard.h"
@@ -71,6 +72,16 @@
   }
 
  private:
+  // The state of the search for the VM that holds an opening.
+  struct Search {
+    std::vector<NodeId> asked;  // These do not know it.
+    std::size_t unready = 0;    // As for OpeningDirectory::MayHold().
+    // Named by the VM that was asked last.
+    std::optional<NodeId> hint;
+    // This VM is not the dispatcher, which has not been tried yet.
+    bool tries_dispatcher = false;
+  };
+
   // An opening packet that was handed over and is not acknowledged yet.
   struct PendingHandover {
     FlowOpening opening;
@@ -78,8 +89,7 @@
     TimePoint sent_at;
     TimePoint due;  // When this VM places the flow itself.
     pb::OpeningPurpose purpose = pb::OPENING_PLACE;
-    // VMs that were asked whether they know the flow.
-    std::vector<NodeId> asked;
+    Search search;
   };
 
   // A handover whose acknowledgement did not arrive in time but still may.
@@ -120,7 +130,9 @@
   // dispatcher of the shard of the flow's endpoint.
   NodeId PlacerOf(TimePoint now, FlowId id, const FlowTarget& target) const;
   // Places the flow here if this VM is the dispatcher, or hands it over.
-  void Dispatch(TimePoint now, FlowOpening opening);
+  // `declined`: a VM that has just declined it.
+  void Dispatch(TimePoint now, FlowOpening opening,
+                std::optional<NodeId> declined = std::nullopt);
 
   // Functions of flow_node_shards.cc. An unsharded service has one shard, whose
   // data centre is empty.
@@ -139,9 +151,6 @@
   // the data centre to which it is passed on; nullopt if it stays. An opening
   // that was passed on to a shard without endpoints returns to its own one.
   std::optional<std::string> PassOn(TimePoint now, const FlowOpening& opening);
-  // Where an opening was passed on to recently; nullptr if it was not.
-  struct PassedOn;
-  const PassedOn* FindPassedOn(TimePoint now, const FlowOpening& opening) const;
   // The shard that is to get an opening if this shard has no usable endpoint
   // and no other shard reported a free slot: the one with the shortest queue
   // for its slots or, if none has reported yet, any that has endpoints.
@@ -167,8 +176,6 @@
   void OnShardLoad(TimePoint now, NodeId from, const pb::ShardLoad& message);
   // Sends the load of the shards that this VM dispatches, where it is due.
   void SendShardLoads(TimePoint now);
-  // Removes what is stored about openings that were passed on long ago.
-  void ForgetPassedOn(TimePoint now);
   // Recomputes the shards of a service. Returns the waiting flows, which have
   // to be dispatched again after the dispatcher has the endpoints.
   std::vector<FlowOpening> UpdateShards(TimePoint now, ServiceId service);
@@ -191,16 +198,26 @@
                      pb::OpeningPurpose purpose);
   // True if the VM is a member that has not failed.
   bool IsRunning(NodeId vm) const;
+  // True if the VM is a member that has failed.
+  bool HasFailed(NodeId vm) const;
   // True if the caller may have sent another transmission of the packet.
   static bool MayBeCopy(const FlowOpening& opening);
-  // Asks the next VM that may know the flow of an opening and is not among
-  // those that were `asked`. Returns false, and leaves `opening` unchanged, if
-  // there is none.
-  bool AskNext(TimePoint now, FlowOpening& opening, std::vector<NodeId> asked);
-  // The VMs that may have placed or passed on flows of the shard recently: the
-  // first one in rank, the one that was first before, and the second one, which
-  // stands in; if the first one is silent, the dispatchers of all shards.
-  std::vector<NodeId> OtherPlacersOf(const ShardId& shard) const;
+  // Asks the next VM that may hold an opening and is not among those that were
+  // asked. Returns false, and leaves `opening` unchanged, if there is none.
+  bool AskNext(TimePoint now, FlowOpening& opening, Search search);
+  // Asks the next VM, or gives the opening to the dispatcher if none is left.
+  void ContinueSearch(TimePoint now, FlowOpening opening, Search search);
+  // The VM that this one has recorded as the holder of an opening, if it can be
+  // asked.
+  std::optional<NodeId> UsableHolder(TimePoint now,
+                                     const FlowOpening& opening) const;
+  bool CanBeAsked(NodeId vm, const Search& search) const;
+  // Gives an opening the service, class and timeout of its route in the catalog
+  // in force.
+  void FollowRoute(FlowOpening& opening) const;
+  // Has the flows wait where their copies go now, if the catalog in force gives
+  // their routes to other services.
+  void MoveWaiting(TimePoint now);
   // Processes an opening packet that is to be declined unless its flow is known
   // to this VM. Returns false if it is not known.
   bool ProcessIfKnown(TimePoint now, NodeId from, FlowOpening opening);
@@ -312,13 +329,6 @@
     ShardLoad load;
     TimePoint sent_at;
   };
-  // An opening that was passed on. Its retransmissions go the same way.
-  struct PassedOn {
-    std::uint32_t sequence = 0;
-    std::string data_center;
-    TimePoint until;  // When it is removed.
-  };
-
   std::string data_center_;
   double link_mbit_per_s_;
   std::uint32_t overlap_percent_;
@@ -331,8 +341,7 @@
   TimePoint loads_due_{};
   // When this VM last placed a flow of a shard for another VM.
   std::map<ShardId, TimePoint> placed_for_others_at_;
-  absl::flat_hash_map<FlowId, PassedOn> passed_on_;
-  TimePoint forget_passed_on_due_{};
+  OpeningDirectory directory_;
   // When the next opening is placed in a shard whose endpoints are all silent.
   std::map<ShardId, TimePoint> silent_shard_probe_due_;
   // Measured one-way delay to the VMs of each data centre.
@@ -358,8 +367,6 @@
   std::vector<LinkLate> link_events_;
   std::map<FlowId, Parked> parked_;
   DispatcherSelector dispatcher_selector_;
-  // The VM of rank 0 for each shard, as of the last UpdateFirstDispatchers().
-  std::map<ShardId, NodeId> first_dispatchers_;
   // When every service first had an endpoint.
   std::optional<TimePoint> endpoints_present_since_;
   // This VM's data about endpoints is considered complete.
@@ -373,8 +380,6 @@
   std::vector<IngressEvent> ingress_events_;
   std::vector<EvacuationEvent> evacuation_events_;
   EvacuationState evacuations_;  // As applied.
-  // The VM that ranked first before the present one.
-  std::map<ShardId, NodeId> former_dispatchers_;
   bool stopping_ = false;
   // Until when, and when next, endpoints are read again after an evacuation.
   TimePoint refresh_until_{};
--- a/src/packetflow/flow_node_openings.cc
+++ b/src/packetflow/flow_node_openings.cc
@@ -29,6 +29,8 @@
 // time or half of its caller's timeout, whichever is shorter. Callers wait
 // 1.4 s for an answer; the rest of that time is left for the endpoint.
 constexpr Duration kMaxParkTime = std::chrono::milliseconds(800);
+// A copy is asked for at so many VMs at most: each question takes a round trip.
+constexpr std::size_t kMaxAskedVms = 12;
 
 }  // namespace
 
@@ -116,18 +118,42 @@
                      });
 }
 
-void FlowNodeImpl::Dispatch(TimePoint now, FlowOpening opening) {
+void FlowNodeImpl::Dispatch(TimePoint now, FlowOpening opening,
+                            std::optional<NodeId> declined) {
   if (MayBePlacedElsewhere(opening.copy, opening.age)) {
     ++counters_.too_late;
     return;
   }
+  FollowRoute(opening);
   SetShard(opening);
   const NodeId to = DispatcherFor(now, {opening.service, opening.shard});
-  if (to != self()) {
-    HandOver(now, std::move(opening), to);
-  } else if (!HandOverIfUnknown(now, opening)) {
-    PassOnOrPlace(now, std::move(opening), pb::OPENING_PLACE);
+  if (to == self()) {
+    if (!HandOverIfUnknown(now, opening)) {
+      PassOnOrPlace(now, std::move(opening), pb::OPENING_PLACE);
+    }
+    return;
+  }
+  const std::optional<NodeId> holder = UsableHolder(now, opening);
+  if (MayBeCopy(opening) && holder && holder != to && holder != declined) {
+    Search search;
+    search.hint = holder;
+    search.tries_dispatcher = true;
+    ContinueSearch(now, std::move(opening), std::move(search));
+    return;
+  }
+  HandOver(now, std::move(opening), to);
+}
+
+void FlowNodeImpl::FollowRoute(FlowOpening& opening) const {
+  const FlowRoute* route = routes_.Find(opening.route);
+  if (route == nullptr || route->ServiceFor(opening.id) == opening.service) {
+    return;
   }
+  opening.service = route->ServiceFor(opening.id);
+  opening.work_class = route->work_class;
+  opening.timeout = route->timeout;
+  opening.hops = 0;
+  opening.shard = opening.data_center;
 }
 
 bool FlowNodeImpl::MayBeCopy(const FlowOpening& opening) {
@@ -135,46 +161,96 @@
          opening.age >= FlowDispatcher::kTransmissionTimes[1];
 }
 
-// While the dispatcher of a shard changes or is silent, two VMs place flows of
-// that shard. A copy of an opening packet may then reach the VM that does not
-// know the flow.
+bool FlowNodeImpl::CanBeAsked(NodeId vm, const Search& search) const {
+  return vm != self() && !HasFailed(vm) && !dispatcher_selector_.IsSilent(vm) &&
+         std::find(search.asked.begin(), search.asked.end(), vm) ==
+             search.asked.end();
+}
+
+std::optional<NodeId> FlowNodeImpl::UsableHolder(
+    TimePoint now, const FlowOpening& opening) const {
+  const std::optional<NodeId> holder =
+      directory_.RecordedHolder(now, opening, HasShards(opening.service));
+  return holder && CanBeAsked(*holder, {}) ? holder : std::nullopt;
+}
+
 bool FlowNodeImpl::HandOverIfUnknown(TimePoint now, FlowOpening& opening,
                                      std::optional<NodeId> forwarder) {
   if (!MayBeCopy(opening) || dispatcher_->IsKnown(now, opening) ||
-      FindPassedOn(now, opening) != nullptr) {
+      (HasShards(opening.service) &&
+       directory_.PassedOnTo(now, opening) != nullptr)) {
     return false;
   }
-  const ShardId shard{opening.service, opening.shard};
-  const NodeId dispatcher = DispatcherFor(now, shard);
-  if (dispatcher != self() && !forwarder) {
-    HandOver(now, std::move(opening), dispatcher, pb::OPENING_FORWARDED);
-    return true;
-  }
-  std::vector<NodeId> asked;
+  const NodeId dispatcher =
+      DispatcherFor(now, {opening.service, opening.shard});
+  Search search;
+  search.hint = UsableHolder(now, opening);
   if (forwarder) {
-    asked.push_back(*forwarder);
+    search.asked.push_back(*forwarder);
+  } else if (dispatcher != self()) {
+    search.tries_dispatcher = true;
+    ContinueSearch(now, std::move(opening), std::move(search));
+    return true;
   }
-  return AskNext(now, opening, std::move(asked));
+  return AskNext(now, opening, std::move(search));
 }
 
-bool FlowNodeImpl::AskNext(TimePoint now, FlowOpening& opening,
-                           std::vector<NodeId> asked) {
-  const std::vector<NodeId> candidates =
-      OtherPlacersOf({opening.service, opening.shard});
+bool FlowNodeImpl::AskNext(TimePoint now, FlowOpening& opening, Search search) {
+  if (search.asked.size() >= kMaxAskedVms) {
+    return false;
+  }
+  std::vector<NodeId> candidates;
+  if (search.hint) {
+    candidates.push_back(*search.hint);
+  }
+  if (!search.tries_dispatcher) {
+    const ShardId shard{opening.service, opening.shard};
+    const auto first = ShardDispatcherOf(shard, peers_->members().members(), 0);
+    OpeningDirectory::Fleet fleet;
+    fleet.self = self();
+    fleet.members = peers_->members().members();
+    fleet.shard_of = [&](ServiceId it) {
+      return ShardId{it, HasShards(it) ? opening.data_center : ""};
+    };
+    if (HasShards(shard.service) && first &&
+        dispatcher_selector_.IsSilent(*first)) {
+      fleet.other_shards = ShardsOfService(shard.service);
+    }
+    for (const NodeId it :
+         directory_.MayHold(now, opening, fleet, search.unready)) {
+      candidates.push_back(it);
+    }
+  }
   const auto next =
-      std::find_if(candidates.begin(), candidates.end(), [&](NodeId vm) {
-        return vm != self() && !dispatcher_selector_.IsSilent(vm) &&
-               std::find(asked.begin(), asked.end(), vm) == asked.end();
-      });
+      std::find_if(candidates.begin(), candidates.end(),
+                   [&](NodeId vm) { return CanBeAsked(vm, search); });
   if (next == candidates.end()) {
     return false;
   }
-  asked.push_back(*next);
-  HandOver(now, std::move(opening), *next, pb::OPENING_IF_KNOWN).asked =
-      std::move(asked);
+  search.asked.push_back(*next);
+  search.hint.reset();
+  HandOver(now, std::move(opening), *next, pb::OPENING_IF_KNOWN).search =
+      std::move(search);
   return true;
 }
 
+void FlowNodeImpl::ContinueSearch(TimePoint now, FlowOpening opening,
+                                  Search search) {
+  if (AskNext(now, opening, search)) {
+    return;
+  }
+  const NodeId to = DispatcherFor(now, {opening.service, opening.shard});
+  if (search.tries_dispatcher && to != self()) {
+    HandOver(now, std::move(opening), to, pb::OPENING_FORWARDED);
+    return;
+  }
+  if (std::exchange(search.tries_dispatcher, false) &&
+      AskNext(now, opening, std::move(search))) {
+    return;
+  }
+  PassOnOrPlace(now, std::move(opening), pb::OPENING_FORWARDED);
+}
+
 void FlowNodeImpl::PassOnOrPlace(TimePoint now, FlowOpening opening,
                                  pb::OpeningPurpose purpose) {
   if (const std::optional<std::string> it = PassOn(now, opening)) {
@@ -185,42 +261,19 @@
   Place(now, std::move(opening));
 }
 
-std::vector<NodeId> FlowNodeImpl::OtherPlacersOf(const ShardId& shard) const {
-  const std::span<const Member> members = peers_->members().members();
-  const auto former = former_dispatchers_.find(shard);
-  std::vector<NodeId> vms;
-  for (std::size_t rank = 0; rank < 2; ++rank) {
-    if (const auto it = ShardDispatcherOf(shard, members, rank)) {
-      vms.push_back(*it);
-    }
-    if (rank == 0 && former != former_dispatchers_.end() &&
-        IsRunning(former->second)) {
-      vms.push_back(former->second);
-    }
-  }
-  if (HasShards(shard.service) && !vms.empty() &&
-      dispatcher_selector_.IsSilent(vms.front())) {
-    // It may have passed the flow on to any of them.
-    for (const ShardId& it : ShardsOfService(shard.service)) {
-      if (const auto vm = ShardDispatcherOf(it, members, 0)) {
-        vms.push_back(*vm);
-      }
-    }
-  }
-  return vms;
-}
-
 bool FlowNodeImpl::ProcessIfKnown(TimePoint now, NodeId from,
                                   FlowOpening opening) {
   const auto pending = pending_handovers_.find(opening.id);
   if (pending != pending_handovers_.end() &&
       pending->second.opening.sequence == opening.sequence) {
-    if (pending->second.dispatcher != from) {
-      return true;
+    if (pending->second.dispatcher == from) {
+      // The handover may be lost; the VM that asks places the flow.
+      pending_handovers_.erase(pending);
+      return false;
     }
-    // The handover may be lost; the VM that asks places the flow.
-    pending_handovers_.erase(pending);
-    return false;
+    // If the VM that asks has got this very transmission, by way of others,
+    // this VM does not hold another one.
+    return pending->second.opening.copy != opening.copy;
   }
   if (parked_.contains(opening.id)) {
     return true;
@@ -259,6 +312,9 @@
   message.set_settled(settled_);
   message.set_may_redirect(HasShards(opening.service));
   message.set_purpose(purpose);
+  message.set_stands_in(ShardDispatcherOf({opening.service, opening.shard},
+                                          peers_->members().members(),
+                                          0) != to);
   const FlowId id = opening.id;
   PendingHandover& pending = pending_handovers_[id];
   pending = {};
@@ -289,12 +345,25 @@
   pb::FlowTaken& taken = PendingMessageTo(from).AddTaken();
   const FlowId id = FromMessage(message).id;
   taken.set_id(id.value());
+  const auto decline = [&](const FlowOpening& opening) {
+    taken.set_declined(true);
+    taken.set_unready(directory_.WasUnreadyFor(now, opening));
+    const std::optional<NodeId> holder =
+        directory_.RecordedHolder(now, opening, HasShards(opening.service));
+    if (holder && *holder != from) {
+      taken.set_holder(holder->value());
+    }
+  };
   if (message.purpose() == pb::OPENING_IF_KNOWN) {
-    FlowOpening opening = FromMessage(message);
-    if (const PassedOn* it = FindPassedOn(now, opening)) {
-      taken.set_try_data_center(it->data_center);
+    const FlowOpening opening = FromMessage(message);
+    if (ProcessIfKnown(now, from, opening)) {
+      return;
+    }
+    const std::string* it = directory_.PassedOnTo(now, opening);
+    if (it != nullptr && HasShards(opening.service)) {
+      taken.set_try_data_center(*it);
     } else {
-      taken.set_declined(!ProcessIfKnown(now, from, std::move(opening)));
+      decline(opening);
     }
     return;
   }
@@ -312,7 +381,8 @@
   if (!is_known &&
       (catalog_is_older || has_less_endpoint_data || IsLate() || stopping_)) {
     ++counters_.declined;
-    taken.set_declined(true);
+    decline(FromMessage(message));
+    directory_.OnDeclined(now, FromMessage(message), from);
     return;
   }
   std::optional<FlowOpening> opening = ResolveOpening(message);
@@ -326,6 +396,16 @@
                         is_forwarded ? std::optional(from) : std::nullopt)) {
     return;
   }
+  const NodeId dispatcher =
+      DispatcherFor(now, {opening->service, opening->shard});
+  const bool is_selected_by_older_data =
+      opening->service != ServiceId(message.service()) || !message.stands_in();
+  if (!is_known && !is_forwarded && dispatcher != self() &&
+      is_selected_by_older_data) {
+    // The ingress has not heard of a new catalog or of a new VM yet.
+    HandOver(now, *std::move(opening), dispatcher, pb::OPENING_FORWARDED);
+    return;
+  }
   const std::optional<std::string> other =
       message.may_redirect() ? PassOn(now, *opening) : std::nullopt;
   if (other) {
@@ -348,14 +428,14 @@
                            const pb::FlowTaken& message) {
   RecordRoundTrip(now, from, FlowId(message.id()));
   const auto it = pending_handovers_.find(FlowId(message.id()));
-  if (it == pending_handovers_.end()) {
+  if (it == pending_handovers_.end() || it->second.dispatcher != from) {
     return;
   }
   OnHandoverAnswered(now, it->second);
   FlowOpening opening = std::move(it->second.opening);
   opening.age += now - it->second.sent_at;
   const pb::OpeningPurpose purpose = it->second.purpose;
-  std::vector<NodeId> asked = std::move(it->second.asked);
+  Search search = std::move(it->second.search);
   pending_handovers_.erase(it);
   if (!message.try_data_center().empty()) {
     DispatchTo(now, std::move(opening), message.try_data_center(),
@@ -365,22 +445,32 @@
   }
   if (!message.declined()) {
     flow_tracker_.OnPlaced(opening.id, from);
+    directory_.OnHandedOver(now, opening, from, IsPassedOn(opening));
     return;
   }
+  if (message.holder() != 0) {
+    search.hint = NodeId(message.holder());
+  }
+  search.unready += message.unready() ? 1 : 0;
   if (purpose == pb::OPENING_IF_KNOWN) {
-    if (!MayBePlacedElsewhere(opening.copy, opening.age) &&
-        !AskNext(now, opening, std::move(asked))) {
-      PassOnOrPlace(now, std::move(opening), pb::OPENING_FORWARDED);
+    if (!MayBePlacedElsewhere(opening.copy, opening.age)) {
+      ContinueSearch(now, std::move(opening), std::move(search));
     }
     return;
   }
   dispatcher_selector_.OnDeclined(now, from);
   AddEvent(IngressEvent::Kind::kDeclined, opening, from);
+  if (search.hint && CanBeAsked(*search.hint, search)) {
+    search.asked.push_back(from);
+    search.tries_dispatcher = true;
+    ContinueSearch(now, std::move(opening), std::move(search));
+    return;
+  }
   if (IsPassedOn(opening)) {
     const std::string data_center = opening.shard;
     DispatchTo(now, std::move(opening), data_center);
   } else {
-    Dispatch(now, std::move(opening));
+    Dispatch(now, std::move(opening), from);
   }
 }
 
@@ -474,8 +564,10 @@
       ReturnHome(now, std::move(it.opening));
       continue;
     }
+    it.search.hint.reset();
+    it.search.tries_dispatcher = false;
     if (MayBeCopy(it.opening) &&
-        AskNext(now, it.opening, std::move(it.asked))) {
+        AskNext(now, it.opening, std::move(it.search))) {
       continue;
     }
     ++counters_.placed_alone;
@@ -484,6 +576,27 @@
   }
 }
 
+void FlowNodeImpl::MoveWaiting(TimePoint now) {
+  const auto leads_elsewhere = [&](const FlowOpening& opening) {
+    const FlowRoute* route = routes_.Find(opening.route);
+    return route != nullptr && route->ServiceFor(opening.id) != opening.service;
+  };
+  for (FlowOpening& it : dispatcher_->TakeWaiting(now, leads_elsewhere)) {
+    FollowRoute(it);
+    SetShard(it);
+    const NodeId to = DispatcherFor(now, {it.service, it.shard});
+    if (to != self()) {
+      HandOver(now, std::move(it), to, pb::OPENING_FORWARDED);
+    } else if (const std::optional<std::string> other = PassOn(now, it)) {
+      DispatchTo(now, std::move(it), *other, pb::OPENING_FORWARDED);
+    } else {
+      // If its ingress reported to another VM, it still does.
+      const bool is_forwarded = !it.progress_reported;
+      Place(now, std::move(it), is_forwarded);
+    }
+  }
+}
+
 void FlowNodeImpl::HandOverWaiting(TimePoint now) {
   for (const ServiceId service : routes_.services()) {
     for (const ShardId& it : ShardsOfService(service)) {
--- a/src/packetflow/flow_node_shards.cc
+++ b/src/packetflow/flow_node_shards.cc
@@ -24,9 +24,6 @@
 // A flow that was passed on occupies a slot for this long if no answer time is
 // known; see kRequestsPerSlot.
 constexpr Duration kDefaultAnswerTime = std::chrono::milliseconds(50);
-// Callers give up an unanswered opening packet after 1.4 s.
-constexpr Duration kPassedOnRetention = std::chrono::milliseconds(1500);
-constexpr Duration kForgetPassedOnInterval = std::chrono::milliseconds(500);
 
 bool HasRoom(const ShardLoad& load) {
   return load.free_slots > load.usable_slots / kMinFreeDivisor;
@@ -104,15 +101,6 @@
          now - placed->second <= kMaxReportInterval;
 }
 
-const FlowNodeImpl::PassedOn* FlowNodeImpl::FindPassedOn(
-    TimePoint now, const FlowOpening& opening) const {
-  const auto it = passed_on_.find(opening.id);
-  return it != passed_on_.end() && it->second.sequence == opening.sequence &&
-                 now < it->second.until
-             ? &it->second
-             : nullptr;
-}
-
 std::optional<std::string> FlowNodeImpl::PassOn(TimePoint now,
                                                 const FlowOpening& opening) {
   if (!HasShards(opening.service) || dispatcher_->IsKnown(now, opening)) {
@@ -127,17 +115,15 @@
              .in_service;
     return goes_home ? std::optional(opening.data_center) : std::nullopt;
   }
-  if (const PassedOn* it = FindPassedOn(now, opening)) {
-    return it->data_center;
+  if (const std::string* it = directory_.PassedOnTo(now, opening)) {
+    return *it;
   }
-  PassedOn& passed = passed_on_[opening.id];
   const ShardId home{opening.service, opening.shard};
   const ShardLoad load = dispatcher_->LoadOf(now, home, opening.work_class);
   // All endpoints are silent: some flows have to find out whether they answer.
   if (load.in_service && load.usable_slots == 0 &&
       now >= silent_shard_probe_due_[home]) {
     silent_shard_probe_due_[home] = now + FlowDispatcher::kSilentProbeInterval;
-    passed_on_.erase(opening.id);
     return std::nullopt;
   }
   const Duration answer_time = load.answer_time == Duration::zero()
@@ -162,13 +148,12 @@
     selected = AnyOtherShard(now, opening);
   }
   if (!selected) {
-    passed_on_.erase(opening.id);
     return std::nullopt;
   }
   ++(load.usable_slots > 0 ? counters_.passed_on_full
                            : counters_.passed_on_no_endpoint);
   shard_reports_[{opening.service, *selected}].passed_on.push_back(now);
-  passed = {opening.sequence, *selected, now + kPassedOnRetention};
+  directory_.OnPassedOn(now, opening, *selected);
   return selected;
 }
 
@@ -224,7 +209,7 @@
 
 void FlowNodeImpl::ReturnHome(TimePoint now, FlowOpening opening) {
   ++counters_.returned;
-  passed_on_.erase(opening.id);
+  directory_.OnReturned(opening.id);
   opening.shard = opening.data_center;
   Dispatch(now, std::move(opening));
 }
@@ -362,15 +347,6 @@
   }
 }
 
-void FlowNodeImpl::ForgetPassedOn(TimePoint now) {
-  if (now < forget_passed_on_due_) {
-    return;
-  }
-  forget_passed_on_due_ = now + kForgetPassedOnInterval;
-  absl::erase_if(passed_on_,
-                 [&](const auto& it) { return now >= it.second.until; });
-}
-
 std::vector<FlowOpening> FlowNodeImpl::UpdateShards(TimePoint now,
                                                     ServiceId service) {
   const std::span<const Endpoint> endpoints =
--- a/src/packetflow/flow_world.h
+++ b/src/packetflow/flow_world.h
@@ -71,7 +71,9 @@
                       double link_mbit_per_s);
   // Starts entry VMs, in each data centre in turn, and the control VM. The data
   // centres are north and south unless SetDataCenters() was called.
-  void AddVms(std::size_t count);
+  // Only the first `running` VMs are started if it is given.
+  void AddVms(std::size_t count,
+              std::optional<std::size_t> running = std::nullopt);
   void StartVm(std::size_t n);
   // Makes a VM fail without notice.
   void KillVm(std::size_t n) { vms_[n] = nullptr; }
@@ -87,6 +89,9 @@
   void SetRoutes(std::uint64_t version,
                  const std::vector<std::string>& services,
                  std::uint32_t latency_ms);
+  // Creates a catalog of the next revision in which a route leads to another
+  // service.
+  void MoveRoute(const std::string& route, const std::string& service);
   // Bounds the flows of a service's cold endpoints in later catalogs.
   void SetWarmUp(const std::string& service, Duration duration, double rate);
   // Creates a catalog of the next revision with these data centres evacuated.
--- a/src/packetflow/flow_world_test.cc
+++ b/src/packetflow/flow_world_test.cc
@@ -62,7 +62,7 @@
   link_mbit_per_s_ = link_mbit_per_s;
 }
 
-void FlowWorld::AddVms(std::size_t count) {
+void FlowWorld::AddVms(std::size_t count, std::optional<std::size_t> running) {
   vms_.resize(count);
   MemberListOptions members;
   members.name = "control";
@@ -70,7 +70,7 @@
   members.dispatches = false;
   members.peer = PeerOf(kControl);
   control_ = PeerNode::Create(members, random_()).value();
-  for (std::size_t n = 0; n < count; ++n) {
+  for (std::size_t n = 0; n < running.value_or(count); ++n) {
     StartVm(n);
   }
   After(kTick, [this] { Tick(); });
@@ -120,6 +120,16 @@
   catalog_.set_revision(version);
 }
 
+void FlowWorld::MoveRoute(const std::string& route,
+                          const std::string& service) {
+  catalog_.set_revision(catalog_.revision() + 1);
+  for (pb::FlowRoute& it : *catalog_.mutable_flows()->mutable_routes()) {
+    if (it.name() == route) {
+      it.mutable_shares(0)->set_service(service);
+    }
+  }
+}
+
 void FlowWorld::SetWarmUp(const std::string& service, Duration duration,
                           double rate) {
   pb::FlowServiceWarmUp& it = *catalog_.mutable_flows()->add_warm_ups();
