--- a/src/packetflow/flow_node_impl.h
+++ b/src/packetflow/flow_node_impl.h
@@ -1,5 +1,7 @@
-// Implements FlowNode in four files: flow_node.cc (packets, peers, endpoints,
+// Implements FlowNode in six files: flow_node.cc (packets, peers, endpoints,
 // timers), flow_node_openings.cc (which VM places an opening packet),
+// flow_node_handovers.cc (openings that are handed over), flow_node_search.cc
+// (which VM holds an opening already),
 // flow_node_evacuation.cc (evacuated data centres and cold endpoints) and
 // flow_node_shards.cc (dispatchers per data centre).
 #ifndef VANILLALATCH_SRC_PACKETFLOW_FLOW_NODE_IMPL_H_
