Place no copy at a VM that has not heard of any other VM

Such a VM parks copies that callers send to it, and declines those that are handed over, until it has heard of another member, 150 ms at most.

--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -14,6 +14,9 @@
 // How long a VM that has just started waits for further endpoints: membership
 // sends them in several messages, within its byte budget.
 constexpr Duration kEndpointSettleTime = std::chrono::seconds(2);
+// A VM that hears of no other member for this long serves alone. Both ends of
+// the request to join may get their processor up to 75 ms late.
+constexpr Duration kJoinTimeout = std::chrono::milliseconds(150);
 // The time from one update of the endpoints to the next, for each endpoint.
 // While thousands of them register, each message changes some, and an update
 // goes over all of them; this bounds its share of a small VM's processor.
@@ -237,6 +240,15 @@
   }
 }
 
+bool FlowNodeImpl::HasJoined(TimePoint now) {
+  if (!has_joined_) {
+    started_at_ = started_at_.value_or(now);
+    has_joined_ = peers_->members().members().size() > 1 ||
+                  now >= *started_at_ + kJoinTimeout;
+  }
+  return has_joined_;
+}
+
 // A settled VM is ready for callers' packets and to dispatch. The settle time
 // allows the data about endpoints to become complete.
 void FlowNodeImpl::UpdateSettled(TimePoint now) {
@@ -267,6 +279,7 @@
   }
   UpdateMembers(now);
   UpdateLinkLate(now);
+  HasJoined(now);
   UpdateSettled(now);
   UpdateColdUse(now);
   PlaceTimedOutHandovers(now);
@@ -295,6 +308,7 @@
   }
   UpdateFirstDispatchers(now);
   HandOverWaiting(now);
+  DispatchParked(now);
 }
 
 void FlowNodeImpl::CountMembershipSent(const Outbox& out,
--- a/src/packetflow/flow_node_impl.h
+++ b/src/packetflow/flow_node_impl.h
@@ -184,6 +184,8 @@
   // Sends an opening to another VM. The result is valid until the answer.
   PendingHandover& HandOver(TimePoint now, FlowOpening opening, NodeId to,
                             pb::OpeningPurpose purpose = pb::OPENING_PLACE);
+  // True if this VM does not know enough yet to dispatch the opening.
+  bool MustPark(TimePoint now, const FlowOpening& opening);
   // Dispatches the parked opening packets that need not wait any longer.
   void DispatchParked(TimePoint now);
   // Has this VM's dispatcher place the flow. `is_forwarded`: its progress may
@@ -265,6 +267,10 @@
   void PlaceTimedOutHandovers(TimePoint now);
   // Processes the answer of a VM to which an opening packet was handed over.
   void OnTaken(TimePoint now, NodeId from, const pb::FlowTaken& message);
+  // True once this VM has heard of another member, or has waited for it in
+  // vain. A VM that has just started hears of all others at once; until then it
+  // can't ask any of them for a copy.
+  bool HasJoined(TimePoint now);
   // Sets settled_ after every service has had an endpoint for
   // kEndpointSettleTime.
   void UpdateSettled(TimePoint now);
@@ -371,6 +377,8 @@
   DispatcherSelector dispatcher_selector_;
   // When every service first had an endpoint.
   std::optional<TimePoint> endpoints_present_since_;
+  std::optional<TimePoint> started_at_;  // The first HasJoined().
+  bool has_joined_ = false;
   // This VM's data about endpoints is considered complete.
   bool settled_ = false;
   std::map<NodeId, MessageForm> forms_;
--- a/src/packetflow/flow_node_openings.cc
+++ b/src/packetflow/flow_node_openings.cc
@@ -44,7 +44,7 @@
     // A retransmission: the decision on the earlier packet applies to it, too.
     return;
   }
-  if (!settled_) {
+  if (MustPark(now, opening)) {
     ++counters_.parked;
     AddEvent(IngressEvent::Kind::kParked, opening, NodeId{});
     const FlowId id = opening.id;
@@ -55,6 +55,10 @@
   Dispatch(now, std::move(opening));
 }
 
+bool FlowNodeImpl::MustPark(TimePoint now, const FlowOpening& opening) {
+  return !settled_ || (MayBeCopy(opening) && !HasJoined(now));
+}
+
 bool FlowNodeImpl::IsLate() const { return receive_delay_ > kMaxOpeningWait; }
 
 bool FlowNodeImpl::IsSuperseded(const FlowPacket& packet) const {
@@ -159,7 +163,7 @@
 
 void FlowNodeImpl::DispatchParked(TimePoint now) {
   for (auto it = parked_.begin(); it != parked_.end();) {
-    if (!settled_ && now < it->second.due) {
+    if (MustPark(now, it->second.opening) && now < it->second.due) {
       ++it;
       continue;
     }
@@ -222,8 +226,11 @@
   if (is_known && IsLate()) {
     return;
   }
+  const bool has_too_little_data =
+      has_less_endpoint_data ||
+      (!HasJoined(now) && MayBeCopy(FromMessage(message)));
   if (!is_known &&
-      (catalog_is_older || has_less_endpoint_data || IsLate() || stopping_)) {
+      (catalog_is_older || has_too_little_data || IsLate() || stopping_)) {
     ++counters_.declined;
     decline(FromMessage(message));
     directory_.OnDeclined(now, FromMessage(message), from);
--- a/src/packetflow/opening_events_test.cc
+++ b/src/packetflow/opening_events_test.cc
@@ -185,7 +185,7 @@
     waiting_ = static_cast<std::size_t>(std::count_if(
         flows_.begin(), flows_.end(),
         [&](int it) { return world_.FlowOf(it).endpoint.empty(); }));
-    for (std::size_t n = 0; n < kVms; ++n) {
+    for (std::size_t n = 0; n < kVms + kSpareVms; ++n) {
       if ((row_.late >> n & 1U) != 0) {
         world_.DropNews(n, true);
       }
@@ -218,7 +218,7 @@
       }
     }
     if (since == milliseconds(70)) {
-      for (std::size_t n = 0; n < kVms; ++n) {
+      for (std::size_t n = 0; n < kVms + kSpareVms; ++n) {
         world_.DropNews(n, false);
       }
     }
@@ -322,6 +322,17 @@
   }
 }
 
+// Guards against a VM that has the endpoints before it has heard of the other
+// VMs, and takes itself for the dispatcher (review/13 on a busy machine).
+TEST_CASE("an opening has one placement while VMs start and know no other") {
+  constexpr unsigned kNewVms = ((1U << kSpareVms) - 1) << kVms;
+  const bool sharded = GENERATE(false, true);
+  const std::size_t vms = GENERATE(1U, 2U, 3U);
+  for (const int ready_ms : {0, 20, 60, 150}) {
+    Check({"start", Event::kStart, sharded, vms, {}, kNewVms, ready_ms});
+  }
+}
+
 // Guards against review/8: a copy is placed by another VM during a freeze, or
 // the opening by the VM that wakes up.
 TEST_CASE("an opening has one placement while a VM freezes") {
