Say where a catalog came from and whether other VMs have a newer one

- catalog_in_force: control, quorum. catalog_behind and catalog_caught_up: a peer has had a newer catalog for half a second. control_lost also if no control VM has answered since the start. flows_summary: control, catalog_age_ms, catalog_lag_ms.
- vanillalatch_catalog_lag_seconds; vanillalatch_catalog_age_seconds is set on VMs that forward flows as well.

--- a/include/vanillalatch/feature/feature_level.h
+++ b/include/vanillalatch/feature/feature_level.h
@@ -28,7 +28,7 @@
 // The first level whose builds remove a control VM that is about to stop.
 inline constexpr FeatureLevel kLeaveLevel{7};
 // The level of this build.
-inline constexpr FeatureLevel kCurrentLevel{7};
+inline constexpr FeatureLevel kCurrentLevel{8};
 
 // What one level added.
 struct FeatureLevelRow {
--- a/include/vanillalatch/membership/member_list.h
+++ b/include/vanillalatch/membership/member_list.h
@@ -131,6 +131,14 @@
   // The evacuations with the highest revision, from the catalog or from a peer.
   virtual const EvacuationState& evacuations() const = 0;
 
+  // Sets the revision of the catalog that this VM has in force. Probes and acks
+  // state it.
+  virtual void SetCatalogRevision(std::uint64_t revision) = 0;
+  // The highest catalog revision that a peer has stated of late; 0 if none has
+  // stated a higher one than that of this VM. A hint only: whether the catalog
+  // exists is not known.
+  virtual std::uint64_t NewerRevision(TimePoint now) const = 0;
+
   virtual NodeId self() const = 0;
   // All members, including this VM and members that are dead, ordered by id.
   // Until this VM has joined, only the VM itself. Valid until the next call of
--- a/include/vanillalatch/packetflow/peer_node.h
+++ b/include/vanillalatch/packetflow/peer_node.h
@@ -61,6 +61,9 @@
   void SetEvacuations(TimePoint now, EvacuationState state) {
     members_->SetEvacuations(now, std::move(state));
   }
+  void SetCatalogRevision(std::uint64_t revision) {
+    members_->SetCatalogRevision(revision);
+  }
 
   Registry& registry() { return *registry_; }
   const Registry& registry() const { return *registry_; }
--- a/include/vanillalatch/runtime/flow_shell.h
+++ b/include/vanillalatch/runtime/flow_shell.h
@@ -26,6 +26,14 @@
 
 struct CatalogNews;
 
+// How current the catalog of a VM is.
+struct FlowCatalogFreshness {
+  // gRPC address of the control VM that this VM follows; empty: none.
+  std::string control;
+  Duration age{};  // Since a control VM with a majority last confirmed it.
+  Duration lag{};  // Since a peer first stated a newer one; 0: none does.
+};
+
 // Reads and writes the wire format of packets.
 template <typename C>
 concept PacketCodec = requires(ByteSpan bytes, std::span<std::uint8_t> packet,
@@ -60,6 +68,7 @@
   // True while callers may send packets to this VM. Thread-safe.
   bool Ready() const { return ready_; }
   FlowNode& node() { return *node_; }
+  FlowCatalogFreshness CatalogFreshness() const;
 
  protected:
   struct Sockets {
@@ -99,6 +108,7 @@
   void ServePeers(FdWaiter& waiter);
   void RunTimer();
   void OnNews(const CatalogNews& news);
+  void ReportCatalogLag();
   // Carries out the node's pending actions: sends packets and peer messages,
   // and logs events.
   void Flush();
--- a/include/vanillalatch/runtime/serve.h
+++ b/include/vanillalatch/runtime/serve.h
@@ -13,6 +13,7 @@
 #include "vanillalatch/base/result.h"
 #include "vanillalatch/packetflow/flow_node.h"
 #include "vanillalatch/runtime/control_api.h"
+#include "vanillalatch/runtime/flow_shell.h"
 #include "vanillalatch/runtime/reactor.h"
 #include "vanillalatch/settings/settings.h"
 
@@ -27,9 +28,9 @@
   virtual void Start(Reactor& reactor) = 0;
   // Performs a planned stop. Suspends the calling fiber until it is complete.
   virtual void Stop() = 0;
-  // The node that forwards this VM's flows, from which metrics are published;
+  // The shell that forwards this VM's flows, from which metrics are published;
   // nullptr if the VM forwards none.
-  virtual FlowNode* flows() = 0;
+  virtual FlowShellCore* flows() = 0;
   // The values of accepted messages that the adapter did not know, since the
   // start.
   virtual std::uint64_t unknown_values() const = 0;
--- a/include/vanillalatch/telemetry/metrics.h
+++ b/include/vanillalatch/telemetry/metrics.h
@@ -40,6 +40,7 @@
   kTakenOver,         // Counter.
   kCatalogRevision,   // Gauge.
   kCatalogAge,        // Gauge, seconds since a control VM confirmed it.
+  kCatalogLag,        // Gauge, seconds since a peer has had a newer one.
   kMembers,           // Gauge; state.
   kClassRequests,     // Counter; service, class, outcome.
   kClassQueued,       // Gauge; service, class.
--- a/src/feature/feature_level.cc
+++ b/src/feature/feature_level.cc
@@ -26,11 +26,14 @@
      "LogEntry, Snapshot"},
     {FeatureLevel{6}, FeatureLevel{3}, "5c0b999",
      "openings that are forwarded, or asked for", "FlowOpening", ""},
-    {FeatureLevel{7}, FeatureLevel{3}, "",
+    {FeatureLevel{7}, FeatureLevel{3}, "a9d201a",
      "control VMs that leave the group before they stop, openings whose holder "
      "is named",
      "ConsensusMessage, AppendReply, ControlStatus, FlowOpening, FlowTaken",
      ""},
+    {FeatureLevel{8}, FeatureLevel{3}, "",
+     "the revision of a VM's catalog in probes and acks", "MembershipMessage",
+     ""},
 });
 
 }  // namespace
--- a/src/membership/member_list_impl.h
+++ b/src/membership/member_list_impl.h
@@ -14,6 +14,7 @@
 #include "peer.pb.h"
 #include "src/membership/evacuation_board.h"
 #include "src/membership/member_table.h"
+#include "src/membership/revision_board.h"
 #include "src/membership/send_budget.h"
 #include "src/membership/update_queue.h"
 #include "vanillalatch/membership/member_list.h"
@@ -37,6 +38,12 @@
   const EvacuationState& evacuations() const override {
     return evacuations_.state();
   }
+  void SetCatalogRevision(std::uint64_t revision) override {
+    revisions_.Set(revision);
+  }
+  std::uint64_t NewerRevision(TimePoint now) const override {
+    return revisions_.Newer(now);
+  }
 
   NodeId self() const override { return self_.id; }
   std::span<const Member> members() const override { return view_; }
@@ -163,6 +170,7 @@
   std::mt19937_64 rng_;
   MemberTable table_;
   EvacuationBoard evacuations_;
+  RevisionBoard revisions_;
   UpdateQueue updates_;
   SendBudget budget_;
   std::vector<Member> all_;   // By id, this VM included.
--- a/src/membership/member_messages.cc
+++ b/src/membership/member_messages.cc
@@ -45,6 +45,7 @@
   last_received_ = now;
   MergeMembers(event, from, message);
   evacuations_.Merge(now, message);
+  revisions_.Merge(now, sender, message);
   if (message.complete() && !joined_) {
     joined_ = true;
     RebuildView();
--- a/src/membership/member_send.cc
+++ b/src/membership/member_send.cc
@@ -76,6 +76,7 @@
   if (message.kind() == pb::MembershipMessage::PING ||
       message.kind() == pb::MembershipMessage::ACK) {
     evacuations_.Append(event.now, AvailableBytes(event.now, 0), message);
+    message.set_catalog_revision(revisions_.own());
   }
   AppendUpdates(AvailableBytes(event.now, kUpdatesReserveBytes), message);
   event.leases.AppendLeases(event.now, true, SendsPerUpdate(),
--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -34,6 +34,7 @@
     return;
   }
   revision_ = catalog.revision();
+  peers_->SetCatalogRevision(revision_);
   directory_.OnRoutesReplaced(
       now, std::exchange(routes_, RouteTable::From(catalog.flows())));
   reported_data_centers_.clear();
--- a/src/runtime/catalog_follower.cc
+++ b/src/runtime/catalog_follower.cc
@@ -103,7 +103,9 @@
       request.wants_endpoints() ? kStartupSyncTimeout * (1 << failures_)
                                 : kSyncTimeout);
   if (reply) {
-    const CatalogNews news = Read(*reply);
+    CatalogNews news = Read(*reply);
+    news.control = address;
+    news.from_quorum = reply->from_quorum();
     if (news.catalog != nullptr || !news.endpoints.empty()) {
       handle_news(news);
     }
@@ -111,7 +113,10 @@
     client_.Disconnect(address);
   }
   const bool connected = reply && reply->from_quorum();
-  if (connected != connected_) {
+  // At the start, a control VM may be starting as well: a loss is logged once
+  // every one has failed.
+  const bool is_start = !connected_ && ++calls_ < addresses_.size();
+  if (connected != connected_ && (connected || !is_start)) {
     connected_ = connected;
     LogEvent(connected ? LogLevel::kInfo : LogLevel::kWarn,
              connected ? "control_regained" : "control_lost",
--- a/src/runtime/catalog_follower.h
+++ b/src/runtime/catalog_follower.h
@@ -12,6 +12,7 @@
 #define VANILLALATCH_SRC_RUNTIME_CATALOG_FOLLOWER_H_
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,8 @@
 
 // What a reply of a control VM contained.
 struct CatalogNews {
+  std::string control;       // gRPC address of the control VM.
+  bool from_quorum = false;  // It is in contact with a majority.
   const pb::Catalog* catalog = nullptr;  // nullptr: none that is newer.
   std::vector<pb::LeaseUpdate> endpoints;
   bool endpoints_whole = false;  // The list of endpoints is complete.
@@ -49,6 +52,13 @@
   // When a control VM that is in contact with a majority last answered. Before
   // the first such answer: when the follower was created.
   TimePoint last_quorum_contact() const { return last_quorum_contact_; }
+  // gRPC address of the control VM that this VM follows; empty if none that is
+  // in contact with a majority has answered the last call.
+  std::string followed() const {
+    return connected_.value_or(false)
+               ? addresses_[current_index_ % addresses_.size()]
+               : std::string();
+  }
 
  private:
   // Performs one call. Returns false if the next call must go to another
@@ -68,7 +78,10 @@
   CatalogReceiver receiver_;
   int failures_ = 0;  // Since the last successful call.
   TimePoint last_quorum_contact_;
-  bool connected_ = false;
+  // Whether the last call reached a control VM that is in contact with a
+  // majority; not set until one did or every address has failed.
+  std::optional<bool> connected_;
+  std::size_t calls_ = 0;  // Since the start.
   bool stopped_ = false;
 };
 
--- a/src/runtime/flow_log.cc
+++ b/src/runtime/flow_log.cc
@@ -131,7 +131,8 @@
            {{"service", change.service}, {"shards", names}});
 }
 
-void FlowLog::LogSummaryIfDue(bool ready) {
+void FlowLog::LogSummaryIfDue(bool ready,
+                              const FlowCatalogFreshness& catalog) {
   const TimePoint now = Now();
   if (now < summary_due_) {
     return;
@@ -155,7 +156,10 @@
             {"placed", placed.placed},
             {"moved", placed.moved},
             {"refused", placed.refused},
-            {"expired", placed.expired}});
+            {"expired", placed.expired},
+            {"control", catalog.control},
+            {"catalog_age_ms", ToMilliseconds(catalog.age)},
+            {"catalog_lag_ms", ToMilliseconds(catalog.lag)}});
 }
 
 std::string FlowLog::NameOf(EndpointId id) const {
--- a/src/runtime/flow_log.h
+++ b/src/runtime/flow_log.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "vanillalatch/packetflow/flow_node.h"
+#include "vanillalatch/runtime/flow_shell.h"
 #include "vanillalatch/telemetry/log.h"
 #include "vanillalatch/telemetry/log_rate_limiter.h"
 
@@ -42,9 +43,9 @@
   void LogLinkLate(const LinkLate& event);
   // Logs that a service was divided into shards, or united.
   static void LogSharding(const ShardingChange& change);
-  // Logs the totals if kSummaryInterval has passed. `ready`: callers may send
-  // packets to this VM.
-  void LogSummaryIfDue(bool ready);
+  // Logs the totals and how current the catalog is if kSummaryInterval has
+  // passed. `ready`: callers may send packets to this VM.
+  void LogSummaryIfDue(bool ready, const FlowCatalogFreshness& catalog);
 
  private:
   // Refused flows: enough for an overloaded busy service, at 20 us per line.
--- a/src/runtime/flow_shell.cc
+++ b/src/runtime/flow_shell.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "src/runtime/catalog_follower.h"
+#include "src/runtime/catalog_lag.h"
 #include "src/runtime/fleet_shell.h"
 #include "src/runtime/flow_log.h"
 #include "src/runtime/member_log.h"
@@ -20,6 +21,7 @@
       : follower(settings.fleet->control), log(node) {}
 
   CatalogFollower follower;
+  CatalogLag lag;
   Wakeup wakeup;
   MemberLog member_log;
   FlowLog log;
@@ -92,7 +94,9 @@
     LogEvent(LogLevel::kInfo, "catalog_in_force",
              {{"revision", node_->revision()},
               {"version", news.catalog->flows().version()},
-              {"routes", news.catalog->flows().routes_size()}});
+              {"routes", news.catalog->flows().routes_size()},
+              {"control", news.control},
+              {"quorum", news.from_quorum}});
   }
   if (!node_->Ready()) {
     node_->OnEndpoints(now, news.endpoints, news.endpoints_whole);
@@ -157,10 +161,33 @@
     node_->OnTick(Now(), out_);
     Flush();
     internals_->member_log.LogChanges(Now(), node_->peers().members());
-    internals_->log.LogSummaryIfDue(ready_);
+    ReportCatalogLag();
+    internals_->log.LogSummaryIfDue(ready_, CatalogFreshness());
   }
 }
 
+void FlowShellCore::ReportCatalogLag() {
+  const TimePoint now = Now();
+  const auto report = internals_->lag.Update(
+      now, node_->peers().members().NewerRevision(now));
+  if (!report) {
+    return;
+  }
+  LogEvent(report->ended ? LogLevel::kInfo : LogLevel::kWarn,
+           report->ended ? "catalog_caught_up" : "catalog_behind",
+           {{"revision", node_->revision()},
+            {"newer", report->newer},
+            {"lag_ms", ToMilliseconds(report->lag)},
+            {"control", internals_->follower.followed()}});
+}
+
+FlowCatalogFreshness FlowShellCore::CatalogFreshness() const {
+  const TimePoint now = Now();
+  return {internals_->follower.followed(),
+          now - internals_->follower.last_quorum_contact(),
+          internals_->lag.Current(now)};
+}
+
 void FlowShellCore::LogRefusal(const FlowPacket& packet,
                                const FlowRefusal& refusal) {
   internals_->log.LogRefusal(packet, refusal);
--- a/src/runtime/publisher.cc
+++ b/src/runtime/publisher.cc
@@ -113,7 +113,7 @@
   metrics_->SetTotal(Metric::kUnknownValues, {}, static_cast<double>(total));
 }
 
-void Publisher::Publish(FlowNode& node) {
+void Publisher::Publish(FlowNode& node, const FlowCatalogFreshness& catalog) {
   // Indexed by FlowTiming::Part.
   static constexpr Metric kTimings[] = {
       Metric::kFlowWait, Metric::kFlowHandshake, Metric::kFlowAnswer};
@@ -168,6 +168,10 @@
   }
   metrics_->Set(Metric::kCatalogRevision, {},
                 static_cast<double>(node.revision()));
+  metrics_->Set(Metric::kCatalogAge, {},
+                std::chrono::duration<double>(catalog.age).count());
+  metrics_->Set(Metric::kCatalogLag, {},
+                std::chrono::duration<double>(catalog.lag).count());
   metrics_->Clear(Metric::kMembers);
   std::map<MemberState, int> members;
   for (const Member& it : node.peers().members().members()) {
--- a/src/runtime/publisher.h
+++ b/src/runtime/publisher.h
@@ -19,6 +19,7 @@
 #include "vanillalatch/entry/entry_node.h"
 #include "vanillalatch/membership/member.h"
 #include "vanillalatch/packetflow/flow_node.h"
+#include "vanillalatch/runtime/flow_shell.h"
 #include "vanillalatch/settings/settings.h"
 #include "vanillalatch/telemetry/metrics.h"
 #include "vanillalatch/telemetry/trace.h"
@@ -54,7 +55,7 @@
   void PublishUnknownValues(std::uint64_t total);
   // Publishes the metrics of a VM that forwards flows. Takes the timings out of
   // the node.
-  void Publish(FlowNode& node);
+  void Publish(FlowNode& node, const FlowCatalogFreshness& catalog);
 
  private:
   Publisher(std::unique_ptr<Metrics> metrics,
--- a/src/runtime/serve.cc
+++ b/src/runtime/serve.cc
@@ -80,7 +80,8 @@
     publisher.PublishUnknownValues(adapter.unknown_values());
   }
   if (adapter.flows() != nullptr) {
-    publisher.Publish(*adapter.flows());
+    FlowShellCore& shell = *adapter.flows();
+    publisher.Publish(shell.node(), shell.CatalogFreshness());
   }
 }
 
--- a/src/telemetry/log_events.cc
+++ b/src/telemetry/log_events.cc
@@ -37,10 +37,19 @@
      "this VM now considers another VM alive, suspect, leaving or dead",
      "dead without a planned stop: replace the VM; if VMs disagree: check the "
      "network between them"},
-    {"catalog_in_force", "info", "entry", "revision, version, routes",
-     "the VM uses this catalog from now on",
+    {"catalog_in_force", "info", "entry",
+     "revision, version, routes, control, quorum",
+     "the VM uses this catalog from now on; control: the control VM that sent "
+     "it; quorum: that VM is in contact with a majority of the control VMs",
      "a VM that lacks the newest revision for seconds is partitioned: check "
      "its network"},
+    {"catalog_behind", "warn", "entry", "revision, newer, lag_ms, control",
+     "another VM has stated the revision `newer` for half a second, and this "
+     "VM does not have it; control: the control VM that it follows; empty: "
+     "none that is in contact with a majority answers",
+     "if it lasts: check the network between this VM and the control VMs"},
+    {"catalog_caught_up", "info", "entry", "revision, newer, lag_ms, control",
+     "no other VM states a newer catalog any more", "nothing"},
     {"catalog_refused", "warn", "entry", "part, revision, kind, reason",
      "a reply of a control VM was damaged and nothing of the part was used; "
      "the VM asks for all of it again",
@@ -53,8 +62,9 @@
      "a control VM that reaches a majority of the control VMs answers again",
      "nothing"},
     {"control_lost", "warn", "entry", "control, answered, revision",
-     "the control VM that this VM follows failed or reaches no majority; this "
-     "VM continues with the catalog and endpoints that it has",
+     "the control VM that this VM follows failed or reaches no majority, or "
+     "none has answered since the start; this VM continues with the catalog "
+     "and endpoints that it has",
      "check the control VM and the network"},
     {"endpoints_taken", "info", "entry", "endpoints, whole",
      "a VM that has just started received its endpoints from a control VM; "
@@ -153,8 +163,13 @@
      "are not near the limit"},
     {"flows_summary", "info", "entry",
      "ready, revision, endpoints, members_alive, packets, unknown_endpoint, "
-     "placed_alone, declined, placed, moved, refused, expired",
-     "totals since the start, logged every 5 s", "nothing"},
+     "placed_alone, declined, placed, moved, refused, expired, control, "
+     "catalog_age_ms, catalog_lag_ms",
+     "totals since the start, logged every 5 s; control: the control VM that "
+     "this VM follows; catalog_age_ms: since one that is in contact with a "
+     "majority confirmed the catalog; catalog_lag_ms: since another VM has had "
+     "a newer one",
+     "nothing"},
     {"control_opened", "info", "control",
      "revision, term, records, dropped_bytes, last_index, commit_index",
      "the replicated log was read from the disk, up to this revision; "
