--- a/src/runtime/catalog_follower.h
+++ b/src/runtime/catalog_follower.h
@@ -25,8 +25,8 @@
 
 // What a reply of a control VM contained.
 struct CatalogNews {
-  std::string control;       // gRPC address of the control VM.
-  bool from_quorum = false;  // It is in contact with a majority.
+  std::string control;                   // gRPC address of the control VM.
+  bool from_quorum = false;              // It is in contact with a majority.
   const pb::Catalog* catalog = nullptr;  // nullptr: none that is newer.
   std::vector<pb::LeaseUpdate> endpoints;
   bool endpoints_whole = false;  // The list of endpoints is complete.
--- a/src/runtime/catalog_lag.h
+++ b/src/runtime/catalog_lag.h
@@ -20,9 +20,9 @@
   static constexpr Duration kReportedLag = std::chrono::milliseconds(500);
 
   struct Report {
-    bool ended = false;          // False: the lag has reached kReportedLag.
-    std::uint64_t newer = 0;     // The highest revision stated meanwhile.
-    Duration lag{};              // Since a peer first stated a newer one.
+    bool ended = false;       // False: the lag has reached kReportedLag.
+    std::uint64_t newer = 0;  // The highest revision stated meanwhile.
+    Duration lag{};           // Since a peer first stated a newer one.
   };
 
   // To be called at every event. `newer`: the highest revision above that of
--- a/src/runtime/fleet_shell.cc
+++ b/src/runtime/fleet_shell.cc
@@ -89,8 +89,7 @@
     Post([this, text] { RestoreEndpoints(text); });
   });
   control_.SetOnCatalog([this](const pb::Catalog& catalog) {
-    Post([this, services = ServicesOf(catalog),
-          revision = catalog.revision()] {
+    Post([this, services = ServicesOf(catalog), revision = catalog.revision()] {
       services_ = services;
       peers_->SetCatalogRevision(revision);
       peers_->registry().SetNamedServices(services);
--- a/src/runtime/flow_log.cc
+++ b/src/runtime/flow_log.cc
@@ -131,8 +131,7 @@
            {{"service", change.service}, {"shards", names}});
 }
 
-void FlowLog::LogSummaryIfDue(bool ready,
-                              const FlowCatalogFreshness& catalog) {
+void FlowLog::LogSummaryIfDue(bool ready, const FlowCatalogFreshness& catalog) {
   const TimePoint now = Now();
   if (now < summary_due_) {
     return;
--- a/src/runtime/flow_shell.cc
+++ b/src/runtime/flow_shell.cc
@@ -168,8 +168,8 @@
 
 void FlowShellCore::ReportCatalogLag() {
   const TimePoint now = Now();
-  const auto report = internals_->lag.Update(
-      now, node_->peers().members().NewerRevision(now));
+  const auto report =
+      internals_->lag.Update(now, node_->peers().members().NewerRevision(now));
   if (!report) {
     return;
   }
