Ask two control VMs for catalogs, and use the addresses that any of them states

Cause, by the log of real processes on: an entry VM starts while its settings name two control VMs that are gone and one that is not in contact with a majority. It takes the catalog of that one (catalog_in_force, quorum false) and is ready with it. The reply names the group's control VMs, but the follower reads the addresses only of replies from a majority. When the third control VM ends, every address that it knows is dead. In general, what a VM knows of the catalog hung on one control VM.

Change: SyncPlan, a library without I/O, decides which control VMs are asked. It keeps polls open to two of them, repeats one that is overdue elsewhere, avoids those that failed, follows none that answers with an older catalog twice, and uses the addresses that a control VM without a majority states. Its ranking distributes the VMs over the control VMs, also after a replacement. CatalogFollower only makes the calls. A delta that another control VM brought first is skipped.

--- a/include/vanillalatch/rpc/control_client.h
+++ b/include/vanillalatch/rpc/control_client.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "control.grpc.pb.h"
 #include "vanillalatch/base/time.h"
@@ -55,8 +56,8 @@
 
   // Closes the connection to `address` once its open calls have ended.
   void Disconnect(const std::string& address);
-  // Does the same to every connection but that to `address`.
-  void DisconnectOthers(const std::string& address);
+  // Does the same to every connection but those to `addresses`.
+  void DisconnectOthers(const std::vector<std::string>& addresses);
 
  private:
   struct Peer;
--- a/src/catalog/catalog_feed.cc
+++ b/src/catalog/catalog_feed.cc
@@ -78,6 +78,9 @@
     if (!unpacked.ok()) {
       return unpacked.error();
     }
+    if (delta.revision() <= image.revision()) {
+      continue;  // Another control VM was quicker.
+    }
     if (delta.from_revision() == 0) {
       image = CatalogImage();
     }
--- a/src/rpc/control_client.cc
+++ b/src/rpc/control_client.cc
@@ -2,6 +2,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <algorithm>
 #include <atomic>
 #include <boost/fiber/future.hpp>
 #include <chrono>
@@ -129,9 +130,12 @@
   state_->peers.erase(address);
 }
 
-void ControlClient::DisconnectOthers(const std::string& address) {
-  absl::erase_if(state_->peers,
-                 [&](const auto& it) { return it.first != address; });
+void ControlClient::DisconnectOthers(
+    const std::vector<std::string>& addresses) {
+  absl::erase_if(state_->peers, [&](const auto& it) {
+    return std::find(addresses.begin(), addresses.end(), it.first) ==
+           addresses.end();
+  });
 }
 
 }  // namespace vanillalatch
--- a/src/runtime/catalog_follower.cc
+++ b/src/runtime/catalog_follower.cc
@@ -1,8 +1,6 @@
 #include "src/runtime/catalog_follower.h"
 
-#include <algorithm>
-#include <boost/fiber/operations.hpp>
-#include <random>
+#include <boost/fiber/fiber.hpp>
 #include <utility>
 
 #include "vanillalatch/catalog/packed.h"
@@ -13,19 +11,6 @@
 namespace vanillalatch {
 namespace {
 
-// Longer than the one second for which a control VM holds a call while it has
-// nothing newer.
-constexpr Duration kSyncTimeout = std::chrono::milliseconds(1700);
-// For a VM that has just started. A control VM answers it within 0.1 s, but may
-// itself be starting.
-constexpr Duration kStartupSyncTimeout = std::chrono::milliseconds(600);
-// The delay before the next control VM is called after a failure. It is short
-// because it delays the start of a whole fleet.
-constexpr Duration kRetryDelay = std::chrono::milliseconds(50);
-// The delay and the timeout of a VM that has just started double with each
-// failure in a row, at most this often.
-constexpr int kMaxDoublings = 2;
-
 void LogRefusal(const pb::SyncReply& reply, const char* part,
                 const Error& error) {
   LogEvent(LogLevel::kWarn, "catalog_refused",
@@ -35,37 +20,59 @@
             {"reason", std::string(error.what())}});
 }
 
-}  // namespace
-
-CatalogFollower::CatalogFollower(const std::vector<SocketAddress>& addresses)
-    : current_index_(std::random_device()()), last_quorum_contact_(Now()) {
-  seeds_.reserve(addresses.size());
+std::vector<std::string> ToStrings(
+    const std::vector<SocketAddress>& addresses) {
+  std::vector<std::string> texts;
+  texts.reserve(addresses.size());
   for (const SocketAddress& it : addresses) {
-    seeds_.push_back(it.ToString());
+    texts.push_back(it.ToString());
   }
-  addresses_ = seeds_;
+  return texts;
 }
 
+}  // namespace
+
+CatalogFollower::CatalogFollower(const std::string& vm,
+                                 const std::vector<SocketAddress>& addresses)
+    : plan_({vm, ToStrings(addresses)}, Now()) {}
+
 void CatalogFollower::Run(const MakeRequest& make_request,
                           const HandleNews& handle_news) {
   while (!stopped_) {
-    if (SyncOnce(make_request, handle_news)) {
-      failures_ = 0;
-      continue;
+    for (const SyncStart& it : plan_.TakeCalls(Now())) {
+      pb::SyncRequest request = make_request();
+      plan_.SetStarting(request.wants_endpoints());
+      ++open_calls_;
+      boost::fibers::fiber([this, it, request = std::move(request),
+                            &handle_news]() mutable {
+        Call(it, std::move(request), handle_news);
+        --open_calls_;
+        wakeup_.Interrupt();
+      }).detach();
     }
-    ++current_index_;
-    boost::this_fiber::sleep_for(kRetryDelay * (1 << failures_));
-    failures_ = std::min(failures_ + 1, kMaxDoublings);
+    client_.DisconnectOthers(plan_.OpenAddresses());
+    wakeup_.SleepUntil(plan_.NextWake());
+  }
+  while (open_calls_ > 0) {
+    wakeup_.SleepUntil(kNever);
   }
 }
 
+void CatalogFollower::SetRevisions(std::uint64_t in_force,
+                                   std::uint64_t newer) {
+  plan_.SetRevisions(Now(), in_force, newer);
+  wakeup_.BringForward(plan_.NextWake());
+}
+
 CatalogNews CatalogFollower::Read(const pb::SyncReply& reply) {
   CatalogNews news;
   const std::uint64_t revision = receiver_.catalog().revision();
   if (reply.has_catalog()) {
     receiver_.Set(reply.catalog());
   }
-  if (reply.deltas_size() > 0) {
+  // Of two polls that are open, the later answer may bring nothing newer.
+  if (reply.deltas_size() > 0 &&
+      (reply.committed_revision() > revision || receiver_.revision() == 0)) {
     const Result<bool> received = receiver_.Receive(reply.deltas());
     if (!received.ok()) {
       LogRefusal(reply, "catalog", received.error());
@@ -89,69 +96,43 @@
   return news;
 }
 
-bool CatalogFollower::SyncOnce(const MakeRequest& make_request,
-                               const HandleNews& handle_news) {
-  const std::string address = addresses_[current_index_ % addresses_.size()];
-  pb::SyncRequest request = make_request();
+void CatalogFollower::Call(const SyncStart& start, pb::SyncRequest request,
+                           const HandleNews& handle_news) {
   request.set_accepts_packed(true);
   request.set_level(kCurrentLevel.value());
   if (receiver_.revision() == 0) {
     request.set_revision(0);  // Differences need an image to start from.
   }
-  const std::optional<pb::SyncReply> reply = client_.Sync(
-      address, request,
-      request.wants_endpoints() ? kStartupSyncTimeout * (1 << failures_)
-                                : kSyncTimeout);
+  const std::optional<pb::SyncReply> reply =
+      client_.Sync(start.address, request, start.timeout);
+  SyncOutcome outcome;
   if (reply) {
     CatalogNews news = Read(*reply);
-    news.control = address;
+    news.control = start.address;
     news.from_quorum = reply->from_quorum();
     if (news.catalog != nullptr || !news.endpoints.empty()) {
       handle_news(news);
     }
+    // A damaged catalog counts as a failure: without the delay, this VM would
+    // ask for the whole catalog in a loop.
+    outcome.answered = reply->deltas_size() == 0 || receiver_.revision() > 0;
+    outcome.from_quorum = reply->from_quorum();
+    outcome.revision = reply->committed_revision();
+    outcome.control_addresses = {reply->control_addresses().begin(),
+                                 reply->control_addresses().end()};
   } else {
-    client_.Disconnect(address);
+    client_.Disconnect(start.address);
   }
-  const bool connected = reply && reply->from_quorum();
-  // At the start, a control VM may be starting as well: a loss is logged once
-  // every one has failed.
-  const bool is_start = !connected_ && ++calls_ < addresses_.size();
-  if (connected != connected_ && (connected || !is_start)) {
-    connected_ = connected;
-    LogEvent(connected ? LogLevel::kInfo : LogLevel::kWarn,
-             connected ? "control_regained" : "control_lost",
-             {{"control", address},
+  const std::optional<bool> was_connected = plan_.connected();
+  plan_.OnOutcome(Now(), start.id, outcome);
+  const std::optional<bool> connected = plan_.connected();
+  if (connected && connected != was_connected) {
+    LogEvent(*connected ? LogLevel::kInfo : LogLevel::kWarn,
+             *connected ? "control_regained" : "control_lost",
+             {{"control", start.address},
               {"answered", reply.has_value()},
               {"revision", request.revision()}});
   }
-  if (!connected) {
-    return false;
-  }
-  client_.DisconnectOthers(address);
-  last_quorum_contact_ = Now();
-  UpdateAddresses(*reply);
-  // A damaged catalog counts as a failure: without the delay, this VM would ask
-  // for the whole catalog in a loop.
-  const bool is_damaged = reply->deltas_size() > 0 && receiver_.revision() == 0;
-  return !is_damaged;
-}
-
-// Retains the seeds, because all control VMs that the group names may fail
-// later.
-void CatalogFollower::UpdateAddresses(const pb::SyncReply& reply) {
-  std::vector<std::string> next(reply.control_addresses().begin(),
-                                reply.control_addresses().end());
-  for (const std::string& it : seeds_) {
-    if (std::find(next.begin(), next.end(), it) == next.end()) {
-      next.push_back(it);
-    }
-  }
-  const std::string current = addresses_[current_index_ % addresses_.size()];
-  const auto it = std::find(next.begin(), next.end(), current);
-  if (it != next.end()) {
-    current_index_ = static_cast<std::size_t>(it - next.begin());
-  }
-  addresses_ = std::move(next);
 }
 
 }  // namespace vanillalatch
--- a/src/runtime/catalog_follower.h
+++ b/src/runtime/catalog_follower.h
@@ -1,25 +1,23 @@
-// Receives newer catalogs for an entry VM. One Sync call to one control VM is
-// open at a time; the control VM answers it when it has a newer catalog, or
-// after one second. If the call fails, or the control VM is not in contact with
-// a majority of its group, the follower calls the next control VM. While it is
-// connected, it has no connection to another one. It waits longer after each
-// failure, so that a fleet which starts at once does not overload the control
-// VMs.
+// Receives newer catalogs for an entry VM: makes the Sync calls of a SyncPlan
+// over gRPC and reads the replies. The connections of calls that have ended are
+// closed, unless the next call is made to the same control VM.
 //
-//   CatalogFollower follower(addresses);
-//   follower.Run(make_request, handle_reply);   // In a fiber, until Stop().
+//   CatalogFollower follower(vm, addresses);
+//   follower.Run(make_request, handle_news);   // In a fiber, until Stop().
 #ifndef VANILLALATCH_SRC_RUNTIME_CATALOG_FOLLOWER_H_
 #define VANILLALATCH_SRC_RUNTIME_CATALOG_FOLLOWER_H_
 
 #include <functional>
-#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "vanillalatch/base/address.h"
 #include "vanillalatch/base/time.h"
 #include "vanillalatch/catalog/catalog_feed.h"
+#include "vanillalatch/control/sync_plan.h"
 #include "vanillalatch/rpc/control_client.h"
+#include "vanillalatch/runtime/wakeup.h"
 
 namespace vanillalatch {
 
@@ -40,48 +38,43 @@
   // Receives a newer catalog or endpoints.
   using HandleNews = std::function<void(const CatalogNews&)>;
 
-  // `addresses`: gRPC addresses of the control VMs to contact first. The
-  // addresses of the others are received from them.
-  explicit CatalogFollower(const std::vector<SocketAddress>& addresses);
+  // `vm`: name of this VM. `addresses`: gRPC addresses of the control VMs to
+  // contact first. The addresses of the others are received from them.
+  CatalogFollower(const std::string& vm,
+                  const std::vector<SocketAddress>& addresses);
 
-  // Calls control VMs in a loop. Suspends the calling fiber during each call
-  // and returns after Stop().
+  // Makes calls until Stop(), and returns once they have ended. Suspends the
+  // calling fiber. The functions are called by other fibers of this thread.
   void Run(const MakeRequest& make_request, const HandleNews& handle_news);
-  void Stop() { stopped_ = true; }
+  void Stop() {
+    stopped_ = true;
+    wakeup_.Interrupt();
+  }
 
-  // When a control VM that is in contact with a majority last answered. Before
-  // the first such answer: when the follower was created.
-  TimePoint last_quorum_contact() const { return last_quorum_contact_; }
-  // gRPC address of the control VM that this VM follows; empty if none that is
-  // in contact with a majority has answered the last call.
-  std::string followed() const {
-    return connected_.value_or(false)
-               ? addresses_[current_index_ % addresses_.size()]
-               : std::string();
+  // Sets the gRPC addresses of the control VMs that are members of the fleet.
+  void SetMembers(std::vector<std::string> addresses) {
+    plan_.SetMembers(std::move(addresses));
   }
+  // Sets the revision in force and the highest one above it that a peer states;
+  // 0: none does.
+  void SetRevisions(std::uint64_t in_force, std::uint64_t newer);
+
+  // See SyncPlan.
+  TimePoint last_quorum_contact() const { return plan_.last_quorum_contact(); }
+  std::string followed() const { return plan_.followed(); }
 
  private:
-  // Performs one call. Returns false if the next call must go to another
-  // control VM.
-  bool SyncOnce(const MakeRequest& make_request, const HandleNews& handle_news);
+  // Performs one call.
+  void Call(const SyncStart& start, pb::SyncRequest request,
+            const HandleNews& handle_news);
   // Returns what the reply contains. A damaged part is logged and left out.
   CatalogNews Read(const pb::SyncReply& reply);
-  // Replaces the addresses of the control VMs by those in the reply.
-  void UpdateAddresses(const pb::SyncReply& reply);
 
-  std::vector<std::string> seeds_;  // The addresses from the settings.
-  std::vector<std::string> addresses_;
-  // Position in addresses_, modulo its size; starts at random so that the entry
-  // VMs are distributed over the control VMs.
-  std::size_t current_index_;
+  SyncPlan plan_;
   ControlClient client_;
   CatalogReceiver receiver_;
-  int failures_ = 0;  // Since the last successful call.
-  TimePoint last_quorum_contact_;
-  // Whether the last call reached a control VM that is in contact with a
-  // majority; not set until one did or every address has failed.
-  std::optional<bool> connected_;
-  std::size_t calls_ = 0;  // Since the start.
+  Wakeup wakeup_;
+  std::size_t open_calls_ = 0;
   bool stopped_ = false;
 };
 
--- a/src/runtime/catalog_follower_test.cc
+++ b/src/runtime/catalog_follower_test.cc
@@ -97,7 +97,7 @@
 void Follow(const std::vector<SocketAddress>& seeds, During during) {
   std::thread([&] {
     Reactor::StartOnThisThread();
-    CatalogFollower follower(seeds);
+    CatalogFollower follower("e1", seeds);
     std::uint64_t revision = 0;
     boost::fibers::fiber run([&] {
       follower.Run(
--- a/src/runtime/entry_shell.cc
+++ b/src/runtime/entry_shell.cc
@@ -75,7 +75,7 @@
       admin_address_(settings.entry->admin.ToString()),
       unix_epoch_ms_(UnixEpochMs()),
       vm_(settings.vm),
-      follower_(settings.entry->control),
+      follower_(settings.vm, settings.entry->control),
       mailbox_(kMailboxCapacity) {}
 
 void EntryShell::Start(Reactor& reactor) {
--- a/src/runtime/flow_shell.cc
+++ b/src/runtime/flow_shell.cc
@@ -18,7 +18,7 @@
 // Members whose types are private to this library.
 struct FlowShellCore::Internals {
   Internals(const Settings& settings, const FlowNode& node)
-      : follower(settings.fleet->control), log(node) {}
+      : follower(settings.vm, settings.fleet->control), log(node) {}
 
   CatalogFollower follower;
   CatalogLag lag;
