Find control VMs among the members, and ask on when peers have a newer catalog

Cause: an entry VM knew control VMs from its settings and from replies only, and nothing told the follower that a newer catalog exists.

A VM that starts is not ready with a catalog older than those of its peers, and a VM that lacks a catalog resets no flow on a route that it does not know, as the caller's next copy finds it. Both end 5 s after the statement was new, so that a false one costs no service.

--- a/include/vanillalatch/runtime/flow_shell.h
+++ b/include/vanillalatch/runtime/flow_shell.h
@@ -108,6 +108,8 @@
   void ServePeers(FdWaiter& waiter);
   void RunTimer();
   void OnNews(const CatalogNews& news);
+  // Passes on which catalogs and control VMs the peers know of.
+  void UpdateFollower();
   void ReportCatalogLag();
   // Carries out the node's pending actions: sends packets and peer messages,
   // and logs events.
@@ -121,6 +123,7 @@
   std::string vm_;
   std::string data_center_;
   std::uint16_t packet_port_;
+  std::uint16_t control_port_;
   Duration drain_limit_;
   Outbox out_;
   // As of the last ReportTraffic().
--- a/include/vanillalatch/settings/settings.h
+++ b/include/vanillalatch/settings/settings.h
@@ -78,6 +78,7 @@
   SocketAddress listen;                // UDP, from VMs of the fleet.
   std::vector<SocketAddress> seeds;    // Fleet sockets of control VMs.
   std::vector<SocketAddress> control;  // gRPC addresses of the same VMs.
+  std::uint16_t control_port = 0;      // TCP, gRPC; of every control VM.
   // Rate of an entry VM's link, in each direction. It must be the same on all
   // entry VMs, as it decides which services have several dispatchers. Absent:
   // each service has one.
--- a/src/packetflow/flow_node.cc
+++ b/src/packetflow/flow_node.cc
@@ -17,6 +17,9 @@
 // A VM that hears of no other member for this long serves alone. Both ends of
 // the request to join may get their processor up to 75 ms late.
 constexpr Duration kJoinTimeout = std::chrono::milliseconds(150);
+// How long a VM waits for a catalog that a peer states. A peer that states one
+// which does not exist must not keep it from serving.
+constexpr Duration kMaxCatalogWait = std::chrono::seconds(5);
 // The time from one update of the endpoints to the next, for each endpoint.
 // While thousands of them register, each message changes some, and an update
 // goes over all of them; this bounds its share of a small VM's processor.
@@ -77,7 +80,8 @@
     peers_->registry().MergeLease(now, it, false);
   }
   UpdateEndpoints(now);
-  if (complete && !updates.empty() && revision_ > 0) {
+  if (complete && !updates.empty() && revision_ > 0 &&
+      !LacksNewerCatalog(now)) {
     if (!std::exchange(settled_, true)) {
       directory_.OnReady(now);
     }
@@ -94,9 +98,11 @@
   const FlowRoute* route = routes_.Find(packet.route);
   if (route == nullptr) {
     ++counters_.unknown_route;
-    // A VM that was suspended may not have received the newest catalog yet.
-    return {packet.aborts || IsLate() ? FlowVerdict::Kind::kDrop
-                                      : FlowVerdict::Kind::kReset};
+    // A VM that was suspended may not have received the newest catalog yet. The
+    // caller's next copy finds it in force.
+    const bool may_be_added = IsLate() || LacksNewerCatalog(now);
+    return {packet.aborts || may_be_added ? FlowVerdict::Kind::kDrop
+                                          : FlowVerdict::Kind::kReset};
   }
   if (packet.opens) {
     if (IsSuperseded(packet)) {
@@ -250,7 +256,19 @@
   return has_joined_;
 }
 
-// A settled VM is ready for callers' packets and to dispatch. The settle time
+// True if a peer has stated a newer catalog within kMaxCatalogWait.
+bool FlowNodeImpl::LacksNewerCatalog(TimePoint now) {
+  const std::uint64_t newer = peers_->members().NewerRevision(now);
+  if (newer > newer_revision_) {
+    newer_revision_ = newer;
+    newer_since_ = now;
+  }
+  return newer > 0 && now < newer_since_ + kMaxCatalogWait;
+}
+
+// A settled VM is ready for callers' packets and to dispatch. A VM that starts
+// does not settle with a catalog that is older than those of its peers, which
+// serve the callers meanwhile. The settle time
 // allows the data about endpoints to become complete.
 void FlowNodeImpl::UpdateSettled(TimePoint now) {
   const Registry& registry = peers_->registry();
@@ -260,7 +278,7 @@
       std::all_of(services.begin(), services.end(), [&](ServiceId it) {
         return !registry.EndpointsOf(it).empty();
       });
-  if (settled_ || !all_present) {
+  if (settled_ || !all_present || LacksNewerCatalog(now)) {
     return;
   }
   endpoints_present_since_ = endpoints_present_since_.value_or(now);
--- a/src/packetflow/flow_node_impl.h
+++ b/src/packetflow/flow_node_impl.h
@@ -271,6 +271,7 @@
   // vain. A VM that has just started hears of all others at once; until then it
   // can't ask any of them for a copy.
   bool HasJoined(TimePoint now);
+  bool LacksNewerCatalog(TimePoint now);
   // Sets settled_ after every service has had an endpoint for
   // kEndpointSettleTime.
   void UpdateSettled(TimePoint now);
@@ -378,6 +379,9 @@
   // When every service first had an endpoint.
   std::optional<TimePoint> endpoints_present_since_;
   std::optional<TimePoint> started_at_;  // The first HasJoined().
+  // The highest revision that peers have stated, and when it was noticed.
+  std::uint64_t newer_revision_ = 0;
+  TimePoint newer_since_ = TimePoint::min();
   bool has_joined_ = false;
   // This VM's data about endpoints is considered complete.
   bool settled_ = false;
--- a/src/runtime/flow_shell.cc
+++ b/src/runtime/flow_shell.cc
@@ -21,6 +21,7 @@
       : follower(settings.vm, settings.fleet->control), log(node) {}
 
   CatalogFollower follower;
+  std::uint64_t members_version = 0;  // Of those passed to the follower.
   CatalogLag lag;
   Wakeup wakeup;
   MemberLog member_log;
@@ -59,6 +60,7 @@
       vm_(settings.vm),
       data_center_(settings.data_center),
       packet_port_(settings.flows->listen.port),
+      control_port_(settings.fleet->control_port),
       drain_limit_(settings.flows->drain_limit) {}
 
 FlowShellCore::~FlowShellCore() = default;
@@ -166,6 +168,23 @@
   }
 }
 
+void FlowShellCore::UpdateFollower() {
+  const MemberList& members = node_->peers().members();
+  CatalogFollower& follower = internals_->follower;
+  follower.SetRevisions(node_->revision(), members.NewerRevision(Now()));
+  if (members.version() == internals_->members_version) {
+    return;
+  }
+  internals_->members_version = members.version();
+  std::vector<std::string> addresses;
+  for (const Member& it : members.members()) {
+    if (!it.dispatches && it.state == MemberState::kAlive) {
+      addresses.push_back(SocketAddress{it.peer.ip, control_port_}.ToString());
+    }
+  }
+  follower.SetMembers(std::move(addresses));
+}
+
 void FlowShellCore::ReportCatalogLag() {
   const TimePoint now = Now();
   const auto report =
@@ -231,6 +250,7 @@
   sockets_.packets.Flush();
   node_->Flush(now, out_);
   sockets_.peers.SendAll(out_);
+  UpdateFollower();
   ReportTraffic(now);
   ready_ = !stopping_ && node_->Ready();
   internals_->wakeup.BringForward(node_->NextWake());
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -160,11 +160,11 @@
   value.CheckKeys({"listen", "seeds", "control_port", "link_mbit_per_s"});
   FleetSettings fleet;
   fleet.listen = sockets.ReadUnused(value.At("listen"), Transport::kUdp);
-  const auto control_port =
+  fleet.control_port =
       static_cast<std::uint16_t>(value.At("control_port").Integer(1, kMaxPort));
   for (const SocketAddress& it : ReadAddresses(value.At("seeds"))) {
     fleet.seeds.push_back({it.ip, fleet.listen.port});
-    fleet.control.push_back({it.ip, control_port});
+    fleet.control.push_back({it.ip, fleet.control_port});
   }
   if (const JsonValue* it = value.Find("link_mbit_per_s")) {
     fleet.link_mbit_per_s = it->Number(kMinLinkMbit, kMaxLinkMbit);
