Keep the last gRPC channel until another one is used

The follower closes the connection of the call that failed before it opens another. gRPC joins its threads when the last channel of the process is closed.

Change: the peer that was disconnected last is kept until a call to another one has started. This holds for each loss of the only control VM, not for a start alone. A test with stand-ins in the same process passes with and without the change, so none is added.

--- a/src/rpc/control_client.cc
+++ b/src/rpc/control_client.cc
@@ -48,6 +48,10 @@
 // client.
 struct ControlClient::State {
   absl::flat_hash_map<std::string, std::shared_ptr<Peer>> peers;
+  // The peer that was disconnected last, until a call to another one starts.
+  // gRPC joins its threads when the last channel of the process is closed,
+  // which blocks the caller for up to a second.
+  std::shared_ptr<Peer> retired;
 };
 
 ControlClient::ControlClient() : state_(std::make_unique<State>()) {}
@@ -120,6 +124,7 @@
       &context, &request, &reply, [answered](const grpc::Status& status) {
         answered->set_value(status.ok());
       });
+  state_->retired.reset();
   if (!result.get()) {
     return std::nullopt;
   }
@@ -127,14 +132,22 @@
 }
 
 void ControlClient::Disconnect(const std::string& address) {
-  state_->peers.erase(address);
+  const auto it = state_->peers.find(address);
+  if (it != state_->peers.end()) {
+    state_->retired = std::move(it->second);
+    state_->peers.erase(it);
+  }
 }
 
 void ControlClient::DisconnectOthers(
     const std::vector<std::string>& addresses) {
-  absl::erase_if(state_->peers, [&](const auto& it) {
-    return std::find(addresses.begin(), addresses.end(), it.first) ==
-           addresses.end();
+  absl::erase_if(state_->peers, [&](auto& it) {
+    if (std::find(addresses.begin(), addresses.end(), it.first) !=
+        addresses.end()) {
+      return false;
+    }
+    state_->retired = std::move(it.second);
+    return true;
   });
 }
 
